--- /dev/null
+++ b/src/transport/HttpClient.cpp
@@ -0,0 +1,109 @@
+#include "rosemarylink/transport/HttpClient.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/StreamCopier.h>
+
+#include <mutex>
+#include <vector>
+
+namespace rosemarylink::transport {
+
+namespace {
+
+    using Session = Poco::Net::HTTPClientSession;
+
+    // An idle connection with something to read has been closed by the server, or is out of step.
+    bool isStale(Session& session)
+    {
+        return !session.connected() || session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    }
+
+} // namespace
+
+struct HttpClient::Pool {
+    std::string address;
+    std::string host;
+    Poco::UInt16 port = 0;
+    std::size_t maximumIdle = 0;
+    std::mutex mutex;
+    std::vector<std::unique_ptr<Session>> idle;
+
+    std::unique_ptr<Session> take()
+    {
+        {
+            const std::lock_guard lock(mutex);
+            while (!idle.empty()) {
+                std::unique_ptr<Session> session = std::move(idle.back());
+                idle.pop_back();
+                if (!isStale(*session))
+                    return session;
+            }
+        }
+        auto session = std::make_unique<Session>(host, port);
+        session->setKeepAlive(true);
+        return session;
+    }
+
+    void giveBack(std::unique_ptr<Session> session)
+    {
+        const std::lock_guard lock(mutex);
+        if (idle.size() < maximumIdle)
+            idle.push_back(std::move(session));
+    }
+};
+
+HttpClient::HttpClient(std::string address, std::size_t maximumIdle)
+    : pool_(std::make_unique<Pool>())
+{
+    const auto colon = address.rfind(':');
+    pool_->host = address.substr(0, colon);
+    if (colon != std::string::npos)
+        pool_->port = static_cast<Poco::UInt16>(std::strtoul(address.c_str() + colon + 1, nullptr, 10));
+    pool_->address = std::move(address);
+    pool_->maximumIdle = maximumIdle;
+}
+
+HttpClient::~HttpClient() = default;
+
+Result<HttpReply> HttpClient::send(const std::string& method, const std::string& target, const Headers& headers,
+    const std::string& body, Milliseconds timeout)
+{
+    Verdict verdict = Verdict::NotRun;
+    try {
+        std::unique_ptr<Session> session = pool_->take();
+        session->setTimeout(Poco::Timespan(timeout.count() * 1000));
+        Poco::Net::HTTPRequest request(method, target, Poco::Net::HTTPMessage::HTTP_1_1);
+        for (const auto& [name, value] : headers)
+            request.set(name, value);
+        request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+        if (!session->connected()) {
+            // Connecting first separates failures in which nothing of the request has left.
+            session->socket().connect(
+                Poco::Net::SocketAddress(pool_->host, pool_->port), Poco::Timespan(timeout.count() * 1000));
+            session->socket().setNoDelay(true);
+        }
+        verdict = Verdict::MayHaveRun;
+        session->sendRequest(request).write(body.data(), static_cast<std::streamsize>(body.size()));
+        Poco::Net::HTTPResponse response;
+        std::istream& input = session->receiveResponse(response);
+        HttpReply reply;
+        reply.status = response.getStatus();
+        for (const auto& [name, value] : response)
+            reply.headers[name] = value;
+        Poco::StreamCopier::copyToString(input, reply.body);
+        const bool truncated = response.hasContentLength() && method != "HEAD"
+            && static_cast<Poco::Int64>(reply.body.size()) != response.getContentLength64();
+        if (truncated)
+            return unavailable(pool_->address + ": the reply was cut short", Verdict::MayHaveRun);
+        if (response.getKeepAlive())
+            pool_->giveBack(std::move(session));
+        return reply;
+    } catch (const Poco::Exception& exception) {
+        return unavailable(pool_->address + ": " + exception.displayText(), verdict);
+    }
+}
+
+} // namespace rosemarylink::transport
