Add the stand-in platform: store, workers, instances and faults

Cause: the system needs the platform's store, workers and lists in tests and in the demo. Conclusion: scheduler and gateway can run against it.

--- /dev/null
+++ b/apps/rosemarylink-standin/Main.cpp
@@ -0,0 +1,55 @@
+#include "rosemarylink/base/Log.h"
+#include "rosemarylink/base/SettingsCommandLine.h"
+#include "rosemarylink/base/ShutdownSignal.h"
+#include "rosemarylink/standin/StandInPlatform.h"
+
+#include <fstream>
+#include <iostream>
+
+namespace {
+
+using namespace rosemarylink;
+
+// Appears whole or not at all, since the scripts wait for the file.
+void writePortFile(const std::string& path, int port)
+{
+    if (path.empty())
+        return;
+    std::ofstream(path + ".new") << port << "\n";
+    std::rename((path + ".new").c_str(), path.c_str());
+}
+
+int run(const settings_standin::StandInSettings& settings)
+{
+    const Logger log("standin");
+    ShutdownSignal shutdown;
+    const SystemClock clock;
+    standin::StandInPlatform platform(settings, clock);
+    if (const auto started = platform.start(); !started) {
+        log.error(started.error().message);
+        return 1;
+    }
+    writePortFile(settings.portFile, platform.port());
+    log.info("listening", { { "host", settings.host }, { "port", platform.port() }, { "workers", settings.workers } });
+    while (!shutdown.waitFor(Milliseconds(1000))) { }
+    log.info("stopping");
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    startLogging(argv[0]);
+    auto commandLine = parseSettingsCommandLine({ argv + 1, argv + argc }, "rosemarylink-standin",
+        settings_standin::standInSettingsSpecs(), std::cout, std::cerr);
+    const auto settings = loadSettings<settings_standin::StandInSettings>(
+        commandLine, &settings_standin::parseStandInSettings, std::cout, std::cerr);
+    if (!settings)
+        return *commandLine.exitCode;
+    if (settings->regions.empty()) {
+        std::cerr << commandLine.document.file << ": [fleet] key \"regions\" must name at least one region\n";
+        return 2;
+    }
+    return run(*settings);
+}
--- a/include/rosemarylink/state/WorkerAgent.h
+++ b/include/rosemarylink/state/WorkerAgent.h
@@ -14,6 +14,7 @@
     std::int64_t attempt = 0; // rises with each launch of the job
     std::int64_t tasks = 0;
     model::Resources perTask;
+    std::string command; // what each task executes
 };
 
 enum class TaskState { Reserved, Running, Checkpointing, Completed, Failed, Stopped };
--- /dev/null
+++ b/src/standin/StandInPlatform.cpp
@@ -0,0 +1,102 @@
+#include "rosemarylink/standin/StandInPlatform.h"
+
+#include "rosemarylink/standin/StandInFleet.h"
+
+#include <chrono>
+
+namespace rosemarylink::standin {
+
+using transport::errorResponse;
+using transport::HttpRequest;
+using transport::HttpResponse;
+using transport::jsonResponse;
+
+namespace {
+
+    constexpr Milliseconds instanceExpiry { 15000 };
+
+    // A silent request ends after this time, so that the server's threads are not held for good.
+    constexpr Milliseconds maximumSilence { 60000 };
+
+} // namespace
+
+StandInPlatform::StandInPlatform(const settings_standin::StandInSettings& settings, const Clock& clock)
+    : settings_(settings)
+    , clock_(clock)
+    , store_(clock)
+    , instances_(clock, settings.instances, instanceExpiry)
+    , workers_(clock, makeWorkers(settings), settings.reports)
+{
+    store_.registerRoutes(router_);
+    instances_.registerRoutes(router_);
+    workers_.registerRoutes(router_);
+    router_.add("GET", "/faults", [this](const HttpRequest&) {
+        const std::lock_guard lock(mutex_);
+        return jsonResponse(toJson(faults_));
+    });
+    router_.add("PUT", "/faults", [this](const HttpRequest& request) { return putFaults(request); });
+    for (const char* method : { "GET", "PUT", "POST", "DELETE" }) {
+        outerRouter_.add(
+            method, "/{path...}", [this](const HttpRequest& request) { return answerUnlessSilent(request); });
+    }
+}
+
+StandInPlatform::~StandInPlatform() = default;
+
+Status StandInPlatform::start()
+{
+    transport::HttpServerOptions options;
+    options.host = settings_.host;
+    options.port = static_cast<int>(settings_.port);
+    options.threads = static_cast<int>(settings_.threads);
+    server_ = std::make_unique<transport::HttpServer>(outerRouter_, options);
+    BOOST_OUTCOME_TRYV(server_->start());
+    registerUpstreams();
+    return okStatus();
+}
+
+int StandInPlatform::port() const { return server_->port(); }
+
+void StandInPlatform::registerUpstreams()
+{
+    const auto upstreams = makeUpstreams(settings_, settings_.host + ":" + std::to_string(port()));
+    nlohmann::json list = nlohmann::json::array();
+    for (const model::UpstreamSpec& upstream : upstreams)
+        list.push_back(toJson(upstream));
+    router_.add("GET", "/upstreams", [list](const HttpRequest&) { return jsonResponse(list); });
+}
+
+HttpResponse StandInPlatform::putFaults(const HttpRequest& request)
+{
+    const auto faults = platform::parseFaults(nlohmann::json::parse(request.body, nullptr, false));
+    if (!faults)
+        return errorResponse(faults.error());
+    {
+        const std::lock_guard lock(mutex_);
+        faults_ = faults.value();
+        faultsChanged_.notify_all();
+    }
+    store_.setFaults(faults.value());
+    workers_.setFaults(faults.value());
+    return jsonResponse(toJson(faults.value()));
+}
+
+HttpResponse StandInPlatform::answerUnlessSilent(const HttpRequest& request)
+{
+    const auto isSilent = [&] {
+        return !faults_.silentPrefix.empty()
+            && request.path.compare(0, faults_.silentPrefix.size(), faults_.silentPrefix) == 0;
+    };
+    {
+        std::unique_lock lock(mutex_);
+        if (isSilent() && request.path != "/faults") {
+            faultsChanged_.wait_for(lock, maximumSilence, [&] { return !isSilent(); });
+            HttpResponse none;
+            none.closeWithoutAnswer = true;
+            return none;
+        }
+    }
+    return router_.route(request);
+}
+
+} // namespace rosemarylink::standin
