--- a/include/rosemarylink/transport/HttpServer.h
+++ b/include/rosemarylink/transport/HttpServer.h
@@ -25,6 +25,9 @@
     std::map<std::string, std::string> parameters; // values of the pattern's {names}
     Headers headers;
     std::string body;
+    // True once the client has closed its connection; empty when the request did not come over a connection. Valid
+    // during the handler's call only.
+    std::function<bool()> clientGone;
 
     // The header's value, or the fallback when it is absent.
     std::string header(const std::string& name, const std::string& fallback = "") const;
@@ -36,8 +39,9 @@
     std::string body;
     std::string contentType = "application/json";
     Headers headers;
-    // Faults of a stand-in: close the connection before an answer, or after part of the body.
+    // Faults of a stand-in: close the connection before an answer, or after part of the body, or send the answer twice.
     bool closeWithoutAnswer = false;
+    bool duplicate = false;
     std::size_t truncateBodyBy = 0; // bytes
 };
 
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -19,6 +19,7 @@
 #include <condition_variable>
 #include <istream>
 #include <mutex>
+#include <sstream>
 
 namespace rosemarylink::transport {
 
@@ -228,13 +229,39 @@
                 send(tooLarge, response);
                 return;
             }
+            Poco::Net::StreamSocket& socket = static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+            parsed.clientGone = [&socket] { return isClosedByPeer(socket); };
             const HttpResponse result = router_.route(std::move(parsed));
             if (result.closeWithoutAnswer) {
                 response.setKeepAlive(false);
-                static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket().shutdown();
+                socket.shutdown();
                 return;
             }
             send(result, response);
+            if (result.duplicate)
+                sendAgain(result, response, socket);
+        }
+
+        // A readable socket without a byte to peek has been closed.
+        static bool isClosedByPeer(Poco::Net::StreamSocket& socket)
+        {
+            try {
+                char byte = 0;
+                return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)
+                    && socket.receiveBytes(&byte, 1, MSG_PEEK) == 0;
+            } catch (const Poco::Exception&) {
+                return true;
+            }
+        }
+
+        static void sendAgain(
+            const HttpResponse& result, const Poco::Net::HTTPServerResponse& response, Poco::Net::StreamSocket& socket)
+        {
+            std::ostringstream copy;
+            response.write(copy);
+            copy << result.body;
+            const std::string bytes = copy.str();
+            socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
         }
 
         bool readRequest(Poco::Net::HTTPServerRequest& request, HttpRequest& parsed) const
@@ -269,7 +296,9 @@
                 response.setKeepAlive(false);
             const std::size_t length = result.body.size() - std::min(result.truncateBodyBy, result.body.size());
             // send rather than sendBuffer, which would declare the truncated length.
-            response.send().write(result.body.data(), static_cast<std::streamsize>(length));
+            std::ostream& output = response.send();
+            output.write(result.body.data(), static_cast<std::streamsize>(length));
+            output.flush();
         }
 
         const HttpRouter& router_;
