Add policies default and fifo with adjacent gang placement

Cause: the scheduler process needs the decision code behind SchedulingPolicy. Change: fleet, free-capacity index, placement search, job phases and two simple policies.

--- /dev/null
+++ b/src/policy/Fleet.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Amount.h"
+
+#include "rosemarylink/base/Error.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace rosemarylink::policy::internal {
+
+constexpr int none = -1;
+
+struct Worker {
+    WorkerId id;
+    int rack = none;
+    Amount capacity;
+    model::ResourceState state = model::ResourceState::Ready;
+};
+
+struct Rack {
+    RackId id;
+    int region = none;
+    int domain = none;
+    int next = none; // the neighbouring rack that follows in name order
+    std::vector<int> workers;
+};
+
+// The workers of a cell by index, with their racks, failure domains and regions. Indices never change.
+class Fleet {
+public:
+    // Gives the index of the worker. Fails with Conflict when the id is known with another shape.
+    Result<int> add(const model::WorkerSpec&);
+
+    int find(const WorkerId&) const; // none when unknown
+    int findRegion(const RegionId&) const; // none when unknown
+
+    Worker& worker(int index) { return workers_[static_cast<std::size_t>(index)]; }
+    const Worker& worker(int index) const { return workers_[static_cast<std::size_t>(index)]; }
+    const Rack& rack(int index) const { return racks_[static_cast<std::size_t>(index)]; }
+    const Rack& rackOf(int workerIndex) const { return rack(worker(workerIndex).rack); }
+    const std::vector<Worker>& workers() const { return workers_; }
+    const std::vector<Rack>& racks() const { return racks_; }
+    std::size_t regionCount() const { return regions_.size(); }
+
+private:
+    int rackFor(const model::WorkerSpec&);
+    int regionFor(const RegionId&);
+
+    std::vector<Worker> workers_;
+    std::vector<Rack> racks_;
+    std::vector<RegionId> regions_;
+    std::map<FailureDomainId, int> domains_;
+    std::vector<std::map<RackId, int>> racksByDomain_;
+    std::unordered_map<std::string, int> workerByName_;
+};
+
+} // namespace rosemarylink::policy::internal
--- /dev/null
+++ b/src/policy/MakePolicy.cpp
@@ -0,0 +1,19 @@
+#include "DefaultPolicy.h"
+#include "FifoPolicy.h"
+
+namespace rosemarylink::policy {
+
+Result<std::unique_ptr<SchedulingPolicy>> makePolicy(const std::string& name)
+{
+    std::unique_ptr<SchedulingPolicy> policy;
+    if (name == "default")
+        policy = std::make_unique<internal::DefaultPolicy>();
+    else if (name == "fifo")
+        policy = std::make_unique<internal::FifoPolicy>();
+    else
+        return makeError(
+            ErrorCode::NotFound, "unknown policy '" + name + "'; the policies are default, fifo, backfill");
+    return policy;
+}
+
+} // namespace rosemarylink::policy
