Serve stand-in upstreams from the stand-in platform

Cause: the gateway needs upstreams to route to in the demo. Change: the platform lists upstreams with their places, serves them and shows executions by request. Conclusion: a request can now travel the whole path.

--- a/include/rosemarylink/standin/StandInPlatform.h
+++ b/include/rosemarylink/standin/StandInPlatform.h
@@ -4,6 +4,7 @@
 #include "rosemarylink/generated/SettingsStandin.h"
 #include "rosemarylink/standin/StandInInstances.h"
 #include "rosemarylink/standin/StandInStore.h"
+#include "rosemarylink/standin/StandInUpstream.h"
 #include "rosemarylink/standin/StandInWorkers.h"
 #include "rosemarylink/transport/HttpServer.h"
 
@@ -27,12 +28,14 @@
     transport::HttpResponse putFaults(const transport::HttpRequest&);
     transport::HttpResponse answerUnlessSilent(const transport::HttpRequest&);
     void registerUpstreams();
+    transport::HttpResponse listUpstreams();
 
     settings_standin::StandInSettings settings_;
     const Clock& clock_;
     StandInStore store_;
     StandInInstances instances_;
     StandInWorkers workers_;
+    StandInUpstream upstreams_;
     transport::HttpRouter router_;
     transport::HttpRouter outerRouter_; // passes all but silent requests on to router_
     std::unique_ptr<transport::HttpServer> server_;
--- a/src/standin/StandInPlatform.cpp
+++ b/src/standin/StandInPlatform.cpp
@@ -2,7 +2,7 @@
 
 #include "rosemarylink/standin/StandInFleet.h"
 
-#include <chrono>
+#include <algorithm>
 
 namespace rosemarylink::standin {
 
@@ -18,6 +18,13 @@
     // A silent request ends after this time, so that the server's threads are not held for good.
     constexpr Milliseconds maximumSilence { 60000 };
 
+    StandInUpstreamOptions upstreamOptions(const settings_standin::StandInSettings& settings)
+    {
+        StandInUpstreamOptions options;
+        options.serviceTime = settings.serviceTime;
+        return options;
+    }
+
 } // namespace
 
 StandInPlatform::StandInPlatform(const settings_standin::StandInSettings& settings, const Clock& clock)
@@ -26,6 +33,7 @@
     , store_(clock)
     , instances_(clock, settings.instances, instanceExpiry)
     , workers_(clock, makeWorkers(settings), settings.reports)
+    , upstreams_(upstreamOptions(settings))
 {
     store_.registerRoutes(router_);
     instances_.registerRoutes(router_);
@@ -35,13 +43,18 @@
         return jsonResponse(toJson(faults_));
     });
     router_.add("PUT", "/faults", [this](const HttpRequest& request) { return putFaults(request); });
+    registerUpstreams();
     for (const char* method : { "GET", "PUT", "POST", "DELETE" }) {
         outerRouter_.add(
             method, "/{path...}", [this](const HttpRequest& request) { return answerUnlessSilent(request); });
     }
 }
 
-StandInPlatform::~StandInPlatform() = default;
+StandInPlatform::~StandInPlatform()
+{
+    upstreams_.release();
+    server_.reset();
+}
 
 Status StandInPlatform::start()
 {
@@ -50,20 +63,31 @@
     options.port = static_cast<int>(settings_.port);
     options.threads = static_cast<int>(settings_.threads);
     server_ = std::make_unique<transport::HttpServer>(outerRouter_, options);
-    BOOST_OUTCOME_TRYV(server_->start());
-    registerUpstreams();
-    return okStatus();
+    return server_->start();
 }
 
 int StandInPlatform::port() const { return server_->port(); }
 
 void StandInPlatform::registerUpstreams()
 {
-    const auto upstreams = makeUpstreams(settings_, settings_.host + ":" + std::to_string(port()));
+    for (const model::UpstreamSpec& upstream : makeUpstreams(settings_, ""))
+        upstreams_.addUpstream(router_, upstream.id, static_cast<int>(upstream.slots));
+    router_.add("GET", "/upstreams", [this](const HttpRequest&) { return listUpstreams(); });
+    router_.add("GET", "/upstreams/executions",
+        [this](const HttpRequest&) { return jsonResponse(upstreams_.executionsByRequest()); });
+}
+
+HttpResponse StandInPlatform::listUpstreams()
+{
     nlohmann::json list = nlohmann::json::array();
-    for (const model::UpstreamSpec& upstream : upstreams)
+    for (model::UpstreamSpec upstream : makeUpstreams(settings_, settings_.host + ":" + std::to_string(port()))) {
+        const std::lock_guard lock(mutex_);
+        const auto& leaving = faults_.leavingUpstreams;
+        if (std::find(leaving.begin(), leaving.end(), upstream.id) != leaving.end())
+            upstream.state = model::ResourceState::Leaving;
         list.push_back(toJson(upstream));
-    router_.add("GET", "/upstreams", [list](const HttpRequest&) { return jsonResponse(list); });
+    }
+    return jsonResponse(list);
 }
 
 HttpResponse StandInPlatform::putFaults(const HttpRequest& request)
