--- /dev/null
+++ b/src/control/RequestInput.cpp
@@ -0,0 +1,78 @@
+#include "RequestInput.h"
+
+#include <Poco/NumberParser.h>
+
+#include <algorithm>
+
+namespace rosemarylink::control::internal {
+
+Result<nlohmann::json> readBody(const transport::HttpRequest& request)
+{
+    try {
+        return nlohmann::json::parse(request.body);
+    } catch (const nlohmann::json::parse_error& error) {
+        return invalidArgument("the body is not JSON: byte " + std::to_string(error.byte)
+            + " is wrong; it must be one JSON object of the shape in schema/api.json");
+    }
+}
+
+Status checkQuery(const transport::HttpRequest& request, const std::vector<std::string>& known)
+{
+    for (const auto& [name, value] : request.query) {
+        if (std::find(known.begin(), known.end(), name) != known.end())
+            continue;
+        std::string message = "unknown query parameter \"" + name + "\"";
+        if (const auto nearest = nearestName(name, known))
+            return invalidArgument(message + "; did you mean \"" + *nearest + "\"?");
+        for (std::size_t index = 0; index < known.size(); ++index)
+            message += (index == 0 ? "; allowed: " : ", ") + known[index];
+        return invalidArgument(message + (known.empty() ? "; this path takes none" : ""));
+    }
+    return okStatus();
+}
+
+Result<std::optional<std::int64_t>> queryInteger(
+    const transport::HttpRequest& request, const std::string& name, IntegerRange range)
+{
+    const auto position = request.query.find(name);
+    if (position == request.query.end())
+        return std::optional<std::int64_t>();
+    Poco::Int64 number = 0;
+    if (!Poco::NumberParser::tryParse64(position->second, number) || number < range.minimum || number > range.maximum) {
+        return invalidArgument("query parameter \"" + name + "\" has the value \"" + position->second
+            + "\"; it must be a whole number from " + std::to_string(range.minimum) + " to "
+            + std::to_string(range.maximum));
+    }
+    return std::optional<std::int64_t>(number);
+}
+
+Result<bool> queryFlag(const transport::HttpRequest& request, const std::string& name)
+{
+    const std::string value = request.queryValue(name, "false");
+    if (value != "true" && value != "false")
+        return invalidArgument(
+            "query parameter \"" + name + "\" has the value \"" + value + "\"; it must be true or false");
+    return value == "true";
+}
+
+Result<ConfigVersion> parseVersion(const std::string& where, const std::string& text)
+{
+    Poco::Int64 number = 0;
+    if (!Poco::NumberParser::tryParse64(text, number) || number < 0)
+        return invalidArgument(
+            where + " has the value \"" + text + "\"; it must be a configuration version, such as 12");
+    return ConfigVersion(number);
+}
+
+Result<std::optional<ConfigVersion>> ifMatchVersion(const transport::HttpRequest& request)
+{
+    std::string text = request.header("If-Match");
+    if (text.empty())
+        return std::optional<ConfigVersion>();
+    if (text.size() > 2 && text.front() == '"' && text.back() == '"')
+        text = text.substr(1, text.size() - 2);
+    BOOST_OUTCOME_TRY(version, parseVersion("the header If-Match", text));
+    return std::optional<ConfigVersion>(version);
+}
+
+} // namespace rosemarylink::control::internal
--- /dev/null
+++ b/src/control/RequestInput.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "rosemarylink/base/JsonReader.h"
+#include "rosemarylink/transport/HttpServer.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rosemarylink::control::internal {
+
+// The body as JSON; the error says where it is malformed.
+Result<nlohmann::json> readBody(const transport::HttpRequest&);
+
+// Fails on a query parameter that is not known, naming the nearest known one.
+Status checkQuery(const transport::HttpRequest&, const std::vector<std::string>& known);
+
+// A whole number in the query, or nothing when the parameter is absent.
+Result<std::optional<std::int64_t>> queryInteger(const transport::HttpRequest&, const std::string& name, IntegerRange);
+
+// A boolean in the query; false when the parameter is absent.
+Result<bool> queryFlag(const transport::HttpRequest&, const std::string& name);
+
+// A strong id in the query, or nothing when the parameter is absent.
+template <typename Id> std::optional<Id> queryId(const transport::HttpRequest& request, const std::string& name)
+{
+    const std::string value = request.queryValue(name);
+    return value.empty() ? std::nullopt : std::optional<Id>(Id(value));
+}
+
+// The version in the header If-Match, with or without quotes, or nothing when the header is absent.
+Result<std::optional<ConfigVersion>> ifMatchVersion(const transport::HttpRequest&);
+
+// A version written as a plain number.
+Result<ConfigVersion> parseVersion(const std::string& where, const std::string& text);
+
+} // namespace rosemarylink::control::internal
