--- a/src/control/OperatorApiJobs.cpp
+++ b/src/control/OperatorApiJobs.cpp
@@ -70,6 +70,7 @@
         job.kind = submission.kind;
         job.tasks = submission.tasks;
         job.perTask = submission.perTask;
+        job.command = submission.command;
         job.adjacency = submission.adjacency;
         job.declaredRunTime = submission.declaredRunTime;
         job.worth = worthOf(declarations, submission.kind);
