Add the instance links over websocketpp with CBOR

Cause: gateways and schedulers need connections to each other that survive peers that die, return or go silent. Before: no links.

--- /dev/null
+++ b/src/transport/LinkTable.cpp
@@ -0,0 +1,206 @@
+#include "LinkTable.h"
+
+#include "rosemarylink/base/Log.h"
+
+#include <algorithm>
+
+namespace rosemarylink::transport::internal {
+
+namespace {
+
+    const Logger logger("links");
+
+    // The instance with the higher id waits this long for the other one to connect. It covers the 12 ms of one-way
+    // latency between regions several times.
+    constexpr Milliseconds yieldDelay { 250 };
+
+} // namespace
+
+LinkTable::LinkTable(const LinkOptions& options, Open open, Lost lost)
+    : options_(options)
+    , open_(std::move(open))
+    , lost_(std::move(lost))
+{
+}
+
+Milliseconds LinkTable::firstDelay(const InstanceId& peer) const
+{
+    return options_.self < peer ? Milliseconds(0) : yieldDelay;
+}
+
+void LinkTable::setPeers(const std::vector<PeerAddress>& addresses, Milliseconds now)
+{
+    std::map<InstanceId, PeerAddress> wanted;
+    for (const PeerAddress& address : addresses) {
+        if (address.instance != options_.self)
+            wanted[address.instance] = address;
+    }
+    for (auto& [id, peer] : peers_) {
+        if (!peer.address || wanted.count(id) > 0)
+            continue;
+        peer.address.reset();
+        if (peer.opening)
+            peer.opening->drop();
+        for (const Link& link : peer.links)
+            link.connection->drop();
+    }
+    for (const auto& [id, address] : wanted) {
+        Peer& peer = peers_[id];
+        const bool moved = !peer.address || peer.address->host != address.host || peer.address->port != address.port;
+        peer.address = address;
+        if (moved) {
+            peer.backoff = Milliseconds(0);
+            peer.nextOpen = now + firstDelay(id);
+        }
+    }
+    tick(now);
+}
+
+void LinkTable::opened(const LinkPointer& connection, Milliseconds now)
+{
+    Peer& peer = peers_[connection->peer()];
+    if (peer.opening == connection)
+        peer.opening = nullptr;
+    peer.backoff = Milliseconds(0);
+    peer.links.push_back({ connection, now, now });
+    logger.info("connection opened", { { "peer", connection->peer() } });
+    updateConnected(connection->peer(), peer);
+}
+
+void LinkTable::heard(const LinkPointer& connection, Milliseconds now)
+{
+    const auto position = peers_.find(connection->peer());
+    if (position == peers_.end())
+        return;
+    for (Link& link : position->second.links) {
+        if (link.connection == connection)
+            link.heardAt = now;
+    }
+}
+
+void LinkTable::closed(const LinkPointer& connection, Milliseconds now)
+{
+    const auto position = peers_.find(connection->peer());
+    if (position == peers_.end())
+        return;
+    Peer& peer = position->second;
+    if (peer.opening == connection)
+        openingFailed(peer, now);
+    removeLink(connection->peer(), peer, connection, now);
+}
+
+void LinkTable::openingFailed(Peer& peer, Milliseconds now)
+{
+    peer.opening = nullptr;
+    peer.backoff = std::clamp(peer.backoff * 2, options_.minimumBackoff, options_.maximumBackoff);
+    // Half of the delay is random, so that the instances of a region do not all connect at once after a partition.
+    std::uniform_int_distribution<std::int64_t> jitter(peer.backoff.count() / 2, peer.backoff.count());
+    peer.nextOpen = now + Milliseconds(jitter(random_));
+}
+
+void LinkTable::removeLink(const InstanceId& id, Peer& peer, const LinkPointer& connection, Milliseconds now)
+{
+    const auto position = std::find_if(
+        peer.links.begin(), peer.links.end(), [&](const Link& link) { return link.connection == connection; });
+    if (position == peer.links.end())
+        return;
+    peer.links.erase(position);
+    peer.nextOpen = now + firstDelay(id);
+    logger.info("connection lost", { { "peer", id } });
+    updateConnected(id, peer);
+    lost_(connection.get());
+}
+
+void LinkTable::tick(Milliseconds now)
+{
+    for (auto position = peers_.begin(); position != peers_.end();) {
+        Peer& peer = position->second;
+        maintain(position->first, peer, now);
+        const bool unused = !peer.address && peer.links.empty() && !peer.opening;
+        position = unused ? peers_.erase(position) : std::next(position);
+    }
+}
+
+void LinkTable::maintain(const InstanceId& id, Peer& peer, Milliseconds now)
+{
+    const std::vector<Link> links = peer.links;
+    for (const Link& link : links) {
+        if (now - link.heardAt < options_.silentTimeout)
+            continue;
+        logger.warning("connection is silent and is replaced", { { "peer", id } });
+        removeLink(id, peer, link.connection, now);
+        // The peer may be reachable by a new connection although this one is dead, so there is no reason to yield.
+        peer.nextOpen = now;
+        link.connection->drop();
+    }
+    maintainLinks(peer, now);
+    maintainOpening(peer, now);
+}
+
+void LinkTable::maintainLinks(Peer& peer, Milliseconds now)
+{
+    for (Link& link : peer.links) {
+        if (now - link.heardAt >= options_.pingInterval && now - link.pingedAt >= options_.pingInterval) {
+            link.connection->ping();
+            link.pingedAt = now;
+        }
+    }
+}
+
+void LinkTable::maintainOpening(Peer& peer, Milliseconds now)
+{
+    if (peer.opening) {
+        // The connection attempt itself may go silent.
+        if (now - peer.openingSince >= options_.silentTimeout) {
+            const LinkPointer late = peer.opening;
+            openingFailed(peer, now);
+            late->drop();
+        }
+        return;
+    }
+    if (!peer.address || !peer.links.empty() || now < peer.nextOpen)
+        return;
+    peer.openingSince = now;
+    peer.opening = open_(*peer.address);
+    if (!peer.opening)
+        openingFailed(peer, now);
+}
+
+LinkPointer LinkTable::connectionTo(const InstanceId& id) const
+{
+    const auto position = peers_.find(id);
+    if (position == peers_.end() || position->second.links.empty())
+        return nullptr;
+    const auto& links = position->second.links;
+    return std::max_element(links.begin(), links.end(), [](const Link& a, const Link& b) {
+        return a.heardAt < b.heardAt;
+    })->connection;
+}
+
+void LinkTable::dropAll()
+{
+    for (auto& [id, peer] : peers_) {
+        peer.address.reset();
+        if (peer.opening)
+            peer.opening->drop();
+        for (const Link& link : peer.links)
+            link.connection->drop();
+    }
+}
+
+std::vector<InstanceId> LinkTable::connectedPeers() const
+{
+    const std::lock_guard lock(connectedMutex_);
+    return { connected_.begin(), connected_.end() };
+}
+
+void LinkTable::updateConnected(const InstanceId& id, const Peer& peer)
+{
+    const std::lock_guard lock(connectedMutex_);
+    if (peer.links.empty())
+        connected_.erase(id);
+    else
+        connected_.insert(id);
+}
+
+} // namespace rosemarylink::transport::internal
