--- /dev/null
+++ b/include/rosemarylink/state/MembershipChannel.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "rosemarylink/base/Error.h"
+#include "rosemarylink/base/StrongId.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <vector>
+
+namespace rosemarylink::state {
+
+// Sends messages to other instances without waiting; a message may be lost. The instance links provide it.
+class MembershipChannel {
+public:
+    virtual ~MembershipChannel() = default;
+    virtual void notify(const InstanceId& to, const std::string& type, const nlohmann::json& body) = 0;
+};
+
+// An instance as the platform lists it.
+struct ListedInstance {
+    InstanceId id;
+    std::string host; // IP address of its links
+    int port = 0; // of its links
+    RegionId region;
+    FailureDomainId failureDomain;
+    bool leaving = false;
+};
+
+// The platform's list of instances; it lags behind the truth. Calls block.
+class InstanceDirectory {
+public:
+    virtual ~InstanceDirectory() = default;
+    virtual Result<std::vector<ListedInstance>> list() = 0;
+};
+
+} // namespace rosemarylink::state
