--- a/include/rosemarylink/base/Settings.h
+++ b/include/rosemarylink/base/Settings.h
@@ -23,8 +23,9 @@
     std::optional<double> minimum;
     std::optional<double> maximum;
     std::vector<std::string> allowed; // for enumerations, else empty
-    std::optional<std::string> defaultValue; // absent: the key must be given
+    std::optional<std::string> defaultValue; // absent: the key must be given unless it is optional
     std::string description;
+    bool optional = false; // without a default, and may be left out
 };
 
 // Values given on the command line, by "section.key".
--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -65,6 +65,9 @@
         return (!spec.minimum || number >= *spec.minimum) && (!spec.maximum || number <= *spec.maximum);
     }
 
+    // POCO skips thousands separators without checking their positions, so that "1,5" would be read as 15.
+    bool hasSeparator(const std::string& text) { return text.find(',') != std::string::npos; }
+
     // The typed value, or nothing when the text is not allowed.
     std::optional<nlohmann::json> convert(const SettingSpec& spec, const std::string& text)
     {
@@ -79,13 +82,15 @@
             return nlohmann::json(text == "true");
         case SettingType::Integer: {
             Poco::Int64 number = 0;
-            if (!Poco::NumberParser::tryParse64(text, number) || !inRange(spec, static_cast<double>(number)))
+            if (hasSeparator(text) || !Poco::NumberParser::tryParse64(text, number)
+                || !inRange(spec, static_cast<double>(number)))
                 return std::nullopt;
             return nlohmann::json(static_cast<std::int64_t>(number));
         }
         case SettingType::Number: {
             double number = 0;
-            if (!Poco::NumberParser::tryParseFloat(text, number) || !std::isfinite(number) || !inRange(spec, number))
+            if (hasSeparator(text) || !Poco::NumberParser::tryParseFloat(text, number) || !std::isfinite(number)
+                || !inRange(spec, number))
                 return std::nullopt;
             return nlohmann::json(number);
         }
@@ -148,6 +153,8 @@
             text = override->second;
             where = "command line: [" + section.name + "]";
         }
+        if (!text && spec.optional)
+            continue;
         if (!text)
             return invalidArgument(where + " key \"" + spec.key + "\" is missing; it must be " + allowedText(spec));
         const auto value = convert(spec, *text);
@@ -203,13 +210,24 @@
     return values;
 }
 
+namespace {
+
+    std::string defaultText(const SettingSpec& spec)
+    {
+        if (!spec.defaultValue)
+            return spec.optional ? "none" : "required";
+        return spec.defaultValue->empty() ? "empty" : "`" + *spec.defaultValue + "`";
+    }
+
+} // namespace
+
 std::string settingsTable(const std::vector<SettingSpec>& specs)
 {
     std::string table
         = "| section | key | unit | allowed | default | meaning |\n| --- | --- | --- | --- | --- | --- |\n";
     for (const SettingSpec& spec : specs) {
         table += "| " + spec.section + " | `" + spec.key + "` | " + spec.unit + " | " + allowedText(spec) + " | "
-            + (spec.defaultValue ? "`" + *spec.defaultValue + "`" : "required") + " | " + spec.description + " |\n";
+            + defaultText(spec) + " | " + spec.description + " |\n";
     }
     return table;
 }
--- a/src/control/DeclarationRules.cpp
+++ b/src/control/DeclarationRules.cpp
@@ -83,8 +83,11 @@
         void checkKey(const std::string& account, const std::string& hash)
         {
             if (!isSha256Hex(hash)) {
-                add(Entity::Account, account, "keySha256", hash.substr(0, 8) + "...",
+                // The value may be a bearer key that was put there by mistake, so it is not shown.
+                add(Entity::Account, account, "keySha256",
+                    "(" + std::to_string(hash.size()) + " characters, not shown)",
                     "the SHA-256 of the bearer key in 64 lower-case hexadecimal digits");
+                return;
             }
             const auto [position, isNew] = keyOwners_.emplace(hash, account);
             if (!isNew) {
--- a/src/control/RequestInput.cpp
+++ b/src/control/RequestInput.cpp
@@ -6,6 +6,13 @@
 
 namespace rosemarylink::control::internal {
 
+namespace {
+
+    // POCO would skip commas in numbers otherwise.
+    constexpr char noSeparator = 0;
+
+} // namespace
+
 Result<nlohmann::json> readBody(const transport::HttpRequest& request)
 {
     try {
@@ -38,7 +45,8 @@
     if (position == request.query.end())
         return std::optional<std::int64_t>();
     Poco::Int64 number = 0;
-    if (!Poco::NumberParser::tryParse64(position->second, number) || number < range.minimum || number > range.maximum) {
+    if (!Poco::NumberParser::tryParse64(position->second, number, noSeparator) || number < range.minimum
+        || number > range.maximum) {
         return invalidArgument("query parameter \"" + name + "\" has the value \"" + position->second
             + "\"; it must be a whole number from " + std::to_string(range.minimum) + " to "
             + std::to_string(range.maximum));
@@ -58,7 +66,7 @@
 Result<ConfigVersion> parseVersion(const std::string& where, const std::string& text)
 {
     Poco::Int64 number = 0;
-    if (!Poco::NumberParser::tryParse64(text, number) || number < 0)
+    if (!Poco::NumberParser::tryParse64(text, number, noSeparator) || number < 0)
         return invalidArgument(
             where + " has the value \"" + text + "\"; it must be a configuration version, such as 12");
     return ConfigVersion(number);
