Measure the policies with rosemarylink-bench policy

Change: profiles, arrivals, faults, fake workers, measures and lower bound; backfill baseline; checkGuarantees and assignGuarantees.

--- /dev/null
+++ b/apps/rosemarylink-bench/PolicyGuaranteeWatch.cpp
@@ -0,0 +1,119 @@
+#include "PolicyGuaranteeWatch.h"
+
+#include "rosemarylink/policy/Guarantees.h"
+
+#include <limits>
+
+namespace rosemarylink::bench {
+
+PolicyGuaranteeWatch::PolicyGuaranteeWatch(const model::Declarations& declarations, PolicyMeasures& measures)
+    : measures_(measures)
+{
+    for (const model::GuaranteedShape& shape : declarations.guarantees)
+        shapes_.push_back({ shape, 0, 0, true, std::nullopt });
+    for (const model::Account& account : declarations.accounts) {
+        quotaLeft_[account.id.value()] = account.quotaAccelerators ? account.quotaAccelerators->value()
+                                                                   : std::numeric_limits<std::int64_t>::max() / 2;
+    }
+}
+
+std::vector<std::size_t> PolicyGuaranteeWatch::shapesFor(const model::JobSpec& spec) const
+{
+    std::vector<std::size_t> found;
+    for (std::size_t index = 0; index < shapes_.size(); ++index) {
+        const model::GuaranteedShape& shape = shapes_[index].declared;
+        const bool smaller = spec.tasks <= shape.tasks && spec.perTask.cores <= shape.perTask.cores
+            && spec.perTask.memory <= shape.perTask.memory && spec.perTask.accelerators <= shape.perTask.accelerators;
+        const bool samePlace = !spec.region || *spec.region == shape.region;
+        if (shape.account == spec.account && smaller && samePlace && spec.adjacency >= shape.adjacency)
+            found.push_back(index);
+    }
+    return found;
+}
+
+void PolicyGuaranteeWatch::jobWaits(const model::JobSpec&, const std::vector<std::size_t>& shapes)
+{
+    for (const std::size_t shape : shapes)
+        ++shapes_[shape].waiting;
+}
+
+void PolicyGuaranteeWatch::jobNoLongerWaits(const model::JobSpec&, const std::vector<std::size_t>& shapes)
+{
+    for (const std::size_t shape : shapes)
+        --shapes_[shape].waiting;
+}
+
+void PolicyGuaranteeWatch::count(
+    const model::JobSpec& spec, const std::vector<std::size_t>& shapes, const RegionId& region, bool borrowed, int sign)
+{
+    quotaLeft_[spec.account.value()] -= sign * spec.tasks * spec.perTask.accelerators.value();
+    if (borrowed)
+        return;
+    for (const std::size_t shape : shapes) {
+        if (shapes_[shape].declared.region == region)
+            shapes_[shape].inUse += sign;
+    }
+}
+
+void PolicyGuaranteeWatch::gangPlaced(
+    const model::JobSpec& spec, const std::vector<std::size_t>& shapes, const RegionId& region, bool borrowed)
+{
+    count(spec, shapes, region, borrowed, 1);
+}
+
+void PolicyGuaranteeWatch::gangEnded(
+    const model::JobSpec& spec, const std::vector<std::size_t>& shapes, const RegionId& region, bool borrowed)
+{
+    count(spec, shapes, region, borrowed, -1);
+}
+
+void PolicyGuaranteeWatch::startedFrom(const std::vector<std::size_t>& shapes, Timestamp now)
+{
+    for (const std::size_t index : shapes) {
+        if (!shapes_[index].owedSince)
+            continue;
+        measures_.reclaim.add(static_cast<double>((now - *shapes_[index].owedSince).count()) / 1000);
+        shapes_[index].owedSince.reset();
+    }
+}
+
+void PolicyGuaranteeWatch::fleetChanged(const std::vector<model::WorkerSpec>& readyWorkers, Timestamp)
+{
+    std::vector<model::GuaranteedShape> declared;
+    for (Shape& shape : shapes_) {
+        declared.push_back(shape.declared);
+        shape.feasible = true;
+        shape.owedSince.reset();
+    }
+    for (const policy::GuaranteeProblem& problem : policy::checkGuarantees(declared, readyWorkers).problems) {
+        for (Shape& shape : shapes_) {
+            if (shape.declared.account == problem.shape.account && shape.declared.name == problem.shape.name)
+                shape.feasible = false;
+        }
+    }
+}
+
+bool PolicyGuaranteeWatch::isOwed(const Shape& shape) const
+{
+    const std::int64_t gangSize = shape.declared.tasks * shape.declared.perTask.accelerators.value();
+    return shape.feasible && shape.waiting > 0 && shape.inUse < shape.declared.gangs
+        && quotaLeft_.at(shape.declared.account.value()) >= gangSize;
+}
+
+void PolicyGuaranteeWatch::check(Timestamp now)
+{
+    for (Shape& shape : shapes_) {
+        if (!isOwed(shape)) {
+            shape.owedSince.reset();
+            continue;
+        }
+        if (!shape.owedSince)
+            shape.owedSince = now;
+        if (now - *shape.owedSince > limit) {
+            ++measures_.guaranteeMisses;
+            shape.owedSince = now;
+        }
+    }
+}
+
+} // namespace rosemarylink::bench
--- a/src/policy/MakePolicy.cpp
+++ b/src/policy/MakePolicy.cpp
@@ -1,3 +1,4 @@
+#include "BackfillPolicy.h"
 #include "DefaultPolicy.h"
 #include "FifoPolicy.h"
 
@@ -10,6 +11,8 @@
         policy = std::make_unique<internal::DefaultPolicy>();
     else if (name == "fifo")
         policy = std::make_unique<internal::FifoPolicy>();
+    else if (name == "backfill")
+        policy = std::make_unique<internal::BackfillPolicy>();
     else
         return makeError(
             ErrorCode::NotFound, "unknown policy '" + name + "'; the policies are default, fifo, backfill");
--- a/tests/policy/PlacementTest.cpp
+++ b/tests/policy/PlacementTest.cpp
@@ -11,7 +11,7 @@
 
     TEST_CASE("a gang is placed whole in one rack by every policy")
     {
-        const std::string name = GENERATE("default", "fifo");
+        const std::string name = GENERATE("default", "fifo", "backfill");
         auto policy = makeFleetPolicy(name, 3, 8);
         REQUIRE(policy->submit(makeJob("a", 40, model::Adjacency::Rack), at(0)));
         const Decisions decisions = policy->decide(at(0));
