--- /dev/null
+++ b/src/gateway/RequestHeaders.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "rosemarylink/base/StrongId.h"
+#include "rosemarylink/base/Units.h"
+#include "rosemarylink/transport/HttpServer.h"
+
+#include <optional>
+
+namespace rosemarylink::gateway::internal {
+
+// What a caller asks for in the headers of POST /v1/requests/<service>.
+struct RequestHeaders {
+    bool idempotent = true;
+    bool urgent = false;
+    std::optional<IdempotencyKey> key;
+    Milliseconds timeout { 0 };
+};
+
+// Fails with InvalidArgument and names the header, its value and what is allowed.
+Result<RequestHeaders> parseRequestHeaders(
+    const transport::HttpRequest&, Milliseconds defaultTimeout, Milliseconds maximumTimeout);
+
+// Fails with InvalidArgument unless the key has 1 to 128 letters, digits, '.', '_', '~' and '-'.
+Result<IdempotencyKey> parseIdempotencyKey(const std::string&);
+
+} // namespace rosemarylink::gateway::internal
