--- /dev/null
+++ b/apps/rosemarylink-scheduler/SchedulerProcess.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "rosemarylink/base/Clock.h"
+#include "rosemarylink/base/Metrics.h"
+#include "rosemarylink/generated/SettingsScheduler.h"
+#include "rosemarylink/node/InstanceNode.h"
+#include "rosemarylink/scheduler/CellHost.h"
+#include "rosemarylink/scheduler/HttpWorkerAgent.h"
+#include "rosemarylink/state/HttpKeyValueStore.h"
+#include "rosemarylink/transport/HttpServer.h"
+
+#include <memory>
+
+namespace rosemarylink::scheduler {
+
+// The parts of a scheduler process, put together from its settings.
+class SchedulerProcess {
+public:
+    explicit SchedulerProcess(const settings_scheduler::SchedulerSettings&);
+    ~SchedulerProcess();
+    SchedulerProcess(const SchedulerProcess&) = delete;
+    SchedulerProcess& operator=(const SchedulerProcess&) = delete;
+
+    // Fails when a port cannot be bound.
+    Status start();
+
+    // Gives all cells up, so that others take them at once, and ends. False when the limit passed before that.
+    bool shutDown();
+
+private:
+    void addRoutes();
+    void connectNode();
+
+    settings_scheduler::SchedulerSettings settings_;
+    SystemClock clock_;
+    MetricsRegistry metrics_;
+    std::unique_ptr<state::KeyValueStore> store_;
+    std::unique_ptr<HttpWorkerAgent> workers_;
+    std::unique_ptr<CellHost> cells_;
+    std::unique_ptr<node::InstanceNode> node_;
+    transport::HttpRouter router_;
+    std::unique_ptr<transport::HttpServer> server_;
+};
+
+} // namespace rosemarylink::scheduler
--- a/apps/rosemarylink-standin/Main.cpp
+++ b/apps/rosemarylink-standin/Main.cpp
@@ -19,6 +19,11 @@
     std::rename((path + ".new").c_str(), path.c_str());
 }
 
+std::string findProblem(const settings_standin::StandInSettings& settings)
+{
+    return settings.regions.empty() ? "[fleet] key \"regions\" must name at least one region" : "";
+}
+
 int run(const settings_standin::StandInSettings& settings)
 {
     const Logger log("standin");
@@ -44,12 +49,8 @@
     auto commandLine = parseSettingsCommandLine({ argv + 1, argv + argc }, "rosemarylink-standin",
         settings_standin::standInSettingsSpecs(), std::cout, std::cerr);
     const auto settings = loadSettings<settings_standin::StandInSettings>(
-        commandLine, &settings_standin::parseStandInSettings, std::cout, std::cerr);
+        commandLine, &settings_standin::parseStandInSettings, &findProblem, std::cout, std::cerr);
     if (!settings)
         return *commandLine.exitCode;
-    if (settings->regions.empty()) {
-        std::cerr << commandLine.document.file << ": [fleet] key \"regions\" must name at least one region\n";
-        return 2;
-    }
     return run(*settings);
 }
--- a/include/rosemarylink/base/SettingsCommandLine.h
+++ b/include/rosemarylink/base/SettingsCommandLine.h
@@ -23,16 +23,19 @@
 SettingsCommandLine parseSettingsCommandLine(const std::vector<std::string>& arguments, const std::string& binary,
     const std::vector<SettingSpec>&, std::ostream& out, std::ostream& errors);
 
-// Parses settings as the command line says: returns them, or sets exitCode after an error (2) or a check (0).
+// Parses settings as the command line says: returns them, or sets exitCode after an error (2) or a check (0). The last
+// check finds problems that the schema cannot express; it returns an empty text when there is none.
 template <typename Settings>
 std::optional<Settings> loadSettings(SettingsCommandLine& commandLine,
-    Result<Settings> (*parse)(const IniDocument&, const SettingOverrides&), std::ostream& out, std::ostream& errors)
+    Result<Settings> (*parse)(const IniDocument&, const SettingOverrides&),
+    std::string (*findProblem)(const Settings&), std::ostream& out, std::ostream& errors)
 {
     if (commandLine.exitCode)
         return std::nullopt;
     auto settings = parse(commandLine.document, commandLine.overrides);
-    if (!settings) {
-        errors << settings.error().message << "\n";
+    const std::string problem = settings ? findProblem(settings.value()) : settings.error().message;
+    if (!problem.empty()) {
+        errors << problem << "\n";
         commandLine.exitCode = 2;
         return std::nullopt;
     }
