--- a/include/rosemarylink/state/CellController.h
+++ b/include/rosemarylink/state/CellController.h
@@ -33,7 +33,7 @@
     Milliseconds workerLeaseTtl { 20000 };
     Milliseconds workerRenewal { 6000 };
     Milliseconds idleWorkerPoll { 30000 }; // of workers without tasks; finds orphaned tasks
-    Milliseconds workerListPoll { 1000 };
+    Milliseconds workerListPoll { 2500 }; // a leaving worker gets nothing new after 3 s
     Milliseconds orderRetry { 1000 };
     Milliseconds launchLimit { 15000 }; // a gang that has not started on all workers by then is stopped
     Milliseconds checkpointLimit { 30000 };
@@ -132,8 +132,9 @@
     Status configure(const policy::PolicyConfig&);
 
     // Sets the live schedulers that may own the cell, in any order. The preference order among them decides who claims
-    // it first. Without this instance in the list, the cell is not claimed.
-    void setCandidates(const std::vector<InstanceId>&);
+    // it first; it spreads the cells evenly when all cells are given. Without this instance among the candidates, the
+    // cell is not claimed.
+    void setCandidates(const std::vector<InstanceId>&, const std::vector<CellId>& cells = {});
 
     // Sets a worker's state ahead of the platform's list; the list decides again once it reports a state other than
     // ready.
