--- /dev/null
+++ b/apps/rosemarylink-scheduler/SchedulerProcess.cpp
@@ -0,0 +1,122 @@
+#include "SchedulerProcess.h"
+
+#include "rosemarylink/base/Log.h"
+
+#include <functional>
+
+namespace rosemarylink::scheduler {
+
+namespace {
+
+    const Logger& logger()
+    {
+        static const Logger log("scheduler");
+        return log;
+    }
+
+    // The store answers in milliseconds; a call that takes longer counts as failed and is settled later.
+    constexpr Milliseconds storeTimeout { 1500 };
+
+    node::InstanceNodeOptions nodeOptions(const settings_scheduler::SchedulerSettings& settings)
+    {
+        node::InstanceNodeOptions options;
+        options.self = settings.id;
+        options.role = messages::InstanceRole::Scheduler;
+        options.host = settings.address;
+        options.linkPort = static_cast<int>(settings.linkPort);
+        options.region = settings.region;
+        options.failureDomain = settings.failureDomain;
+        options.platformAddress = settings.platformAddress;
+        options.refreshInterval = settings.refreshInterval;
+        options.peers = node::parsePeers(settings.peers).value();
+        return options;
+    }
+
+    CellHostOptions cellOptions(const settings_scheduler::SchedulerSettings& settings)
+    {
+        CellHostOptions options;
+        options.self = settings.id;
+        options.policy = settings.policy;
+        options.seed = std::hash<InstanceId> {}(settings.id);
+        return options;
+    }
+
+} // namespace
+
+SchedulerProcess::SchedulerProcess(const settings_scheduler::SchedulerSettings& settings)
+    : settings_(settings)
+    , store_(std::make_unique<state::HttpKeyValueStore>(settings.platformAddress, storeTimeout))
+    , workers_(std::make_unique<HttpWorkerAgent>(settings.platformAddress, settings.orderTimeout))
+    , cells_(std::make_unique<CellHost>(cellOptions(settings), *store_, *workers_, clock_, metrics_))
+    , node_(std::make_unique<node::InstanceNode>(nodeOptions(settings), *store_, clock_, metrics_))
+{
+    connectNode();
+    addRoutes();
+    transport::HttpServerOptions options;
+    options.host = settings.address;
+    options.port = static_cast<int>(settings.httpPort);
+    options.threads = 8;
+    server_ = std::make_unique<transport::HttpServer>(router_, options);
+}
+
+SchedulerProcess::~SchedulerProcess()
+{
+    // Handlers of the links use the cells.
+    node_.reset();
+    cells_.reset();
+}
+
+void SchedulerProcess::connectNode()
+{
+    node_->setHandler("job", [this](const InstanceId&, const nlohmann::json& body) -> Result<nlohmann::json> {
+        BOOST_OUTCOME_TRY(forward, messages::parseJobForward(body));
+        return cells_->handle(forward);
+    });
+    node_->setHandler("cells",
+        [this](const InstanceId&, const nlohmann::json&) -> Result<nlohmann::json> { return cells_->status(); });
+    node_->setLoad([this] { return state::InstanceLoad { cells_->ownedCells(), 0 }; });
+    node_->setConfigListener([this](const config::ConfigInForce& config) {
+        cells_->setConfig(config.version, config.declarations);
+        logger().info("configuration in force",
+            { { "version", config.version }, { "preset", model::presetName(config.declarations.preset) } });
+    });
+    node_->setBeatListener([this] { cells_->setCandidates(node_->readyInstances(messages::InstanceRole::Scheduler)); });
+}
+
+void SchedulerProcess::addRoutes()
+{
+    router_.add("GET", "/healthz", [](const transport::HttpRequest&) { return transport::jsonResponse("ok"); });
+    router_.add("GET", "/readyz", [this](const transport::HttpRequest&) {
+        if (node_->agent().state() == messages::InstanceState::Ready)
+            return transport::jsonResponse("ready");
+        return transport::errorResponse(unavailable("the scheduler is starting or leaving", Verdict::NotRun));
+    });
+    router_.add("GET", "/metrics", [this](const transport::HttpRequest&) {
+        transport::HttpResponse response;
+        response.contentType = "text/plain; version=0.0.4";
+        response.body = metrics_.renderPrometheus();
+        return response;
+    });
+}
+
+Status SchedulerProcess::start()
+{
+    BOOST_OUTCOME_TRYV(server_->start());
+    BOOST_OUTCOME_TRYV(node_->start());
+    cells_->start();
+    logger().info("started", { { "instance", settings_.id }, { "http", server_->port() } });
+    return okStatus();
+}
+
+bool SchedulerProcess::shutDown()
+{
+    logger().info("leaving", { { "instance", settings_.id } });
+    node_->leave();
+    const bool left = cells_->leave(settings_.drainLimit);
+    if (!left)
+        logger().warning("the cells were not given up in time", { { "limit-ms", settings_.drainLimit.count() } });
+    server_->stop(Milliseconds(1000));
+    return left;
+}
+
+} // namespace rosemarylink::scheduler
--- a/include/rosemarylink/base/SettingsCommandLine.h
+++ b/include/rosemarylink/base/SettingsCommandLine.h
@@ -27,8 +27,8 @@
 // check finds problems that the schema cannot express; it returns an empty text when there is none.
 template <typename Settings>
 std::optional<Settings> loadSettings(SettingsCommandLine& commandLine,
-    Result<Settings> (*parse)(const IniDocument&, const SettingOverrides&),
-    std::string (*findProblem)(const Settings&), std::ostream& out, std::ostream& errors)
+    Result<Settings> (*parse)(const IniDocument&, const SettingOverrides&), std::string (*findProblem)(const Settings&),
+    std::ostream& out, std::ostream& errors)
 {
     if (commandLine.exitCode)
         return std::nullopt;
--- a/src/control/ClusterBackend.cpp
+++ b/src/control/ClusterBackend.cpp
@@ -11,94 +11,94 @@
 
 namespace {
 
-// The owner writes to the store before it answers; the store's own deadline is shorter.
-constexpr Milliseconds callTimeout { 8000 };
+    // The owner writes to the store before it answers; the store's own deadline is shorter.
+    constexpr Milliseconds callTimeout { 8000 };
 
-constexpr Milliseconds fleetMaximumAge { 10000 };
+    constexpr Milliseconds fleetMaximumAge { 10000 };
 
-// How long a caller should wait for a cell to get a new owner: the lease and the detection.
-constexpr Milliseconds takeoverTime { 8000 };
+    // How long a caller should wait for a cell to get a new owner: the lease and the detection.
+    constexpr Milliseconds takeoverTime { 8000 };
 
-// Between rivals, each round settles at least one cell; more rounds mean that something else is wrong.
-constexpr int maximumBindingRounds = 8;
+    // Between rivals, each round settles at least one cell; more rounds mean that something else is wrong.
+    constexpr int maximumBindingRounds = 8;
 
-Error withoutOwner(const std::string& what)
-{
-    Error error = unavailable(what + " has no owner at present", Verdict::NotRun);
-    error.retryAfter = takeoverTime;
-    return error;
-}
+    Error withoutOwner(const std::string& what)
+    {
+        Error error = unavailable(what + " has no owner at present", Verdict::NotRun);
+        error.retryAfter = takeoverTime;
+        return error;
+    }
 
-std::string submissionKey(const JobId& job) { return "submissions/" + job.value(); }
+    std::string submissionKey(const JobId& job) { return "submissions/" + job.value(); }
 
-std::string encode(const submissions::SubmissionRecord& record)
-{
-    const auto cbor = nlohmann::json::to_cbor(toJson(record));
-    return { cbor.begin(), cbor.end() };
-}
+    std::string encode(const submissions::SubmissionRecord& record)
+    {
+        const auto cbor = nlohmann::json::to_cbor(toJson(record));
+        return { cbor.begin(), cbor.end() };
+    }
 
-Result<submissions::SubmissionRecord> decode(const std::string& bytes)
-{
-    const auto json = nlohmann::json::from_cbor(bytes, true, false);
-    auto record = submissions::parseSubmissionRecord(json);
-    if (!record)
-        return makeError(ErrorCode::Unsupported, record.error().message);
-    return record;
-}
+    Result<submissions::SubmissionRecord> decode(const std::string& bytes)
+    {
+        const auto json = nlohmann::json::from_cbor(bytes, true, false);
+        auto record = submissions::parseSubmissionRecord(json);
+        if (!record)
+            return makeError(ErrorCode::Unsupported, record.error().message);
+        return record;
+    }
 
-api::ConfigView toView(const config::ConfigRecord& record)
-{
-    api::ConfigView view;
-    view.version = record.version;
-    view.declarations = record.declarations;
-    if (!record.audit.empty()) {
-        view.acceptedBy = record.audit.back().changedBy;
-        view.acceptedAt = record.audit.back().at;
+    api::ConfigView toView(const config::ConfigRecord& record)
+    {
+        api::ConfigView view;
+        view.version = record.version;
+        view.declarations = record.declarations;
+        if (!record.audit.empty()) {
+            view.acceptedBy = record.audit.back().changedBy;
+            view.acceptedAt = record.audit.back().at;
+        }
+        view.operation = record.operation;
+        return view;
     }
-    view.operation = record.operation;
-    return view;
-}
 
-std::string summarize(const std::vector<std::string>& changes)
-{
-    constexpr std::size_t maximumSummary = 256; // of the schema
-    std::string summary;
-    for (const std::string& change : changes)
-        summary += (summary.empty() ? "" : "; ") + change;
-    if (summary.size() > maximumSummary)
-        summary = summary.substr(0, maximumSummary - 3) + "...";
-    return summary;
-}
+    std::string summarize(const std::vector<std::string>& changes)
+    {
+        constexpr std::size_t maximumSummary = 256; // of the schema
+        std::string summary;
+        for (const std::string& change : changes)
+            summary += (summary.empty() ? "" : "; ") + change;
+        if (summary.size() > maximumSummary)
+            summary = summary.substr(0, maximumSummary - 3) + "...";
+        return summary;
+    }
 
-api::AuditEntry toView(const config::AuditEntry& entry)
-{
-    return { entry.fromVersion, entry.toVersion, entry.changedBy, entry.at, entry.operation, { entry.summary } };
-}
+    api::AuditEntry toView(const config::AuditEntry& entry)
+    {
+        return { entry.fromVersion, entry.toVersion, entry.changedBy, entry.at, entry.operation, { entry.summary } };
+    }
 
-bool fits(const JobQuery& query, const api::JobView& view)
-{
-    return (!query.account || view.job.account == *query.account) && (!query.state || view.state == *query.state)
-        && (!query.after || *query.after < view.job.id);
-}
+    bool fits(const JobQuery& query, const api::JobView& view)
+    {
+        return (!query.account || view.job.account == *query.account) && (!query.state || view.state == *query.state)
+            && (!query.after || *query.after < view.job.id);
+    }
 
-template <typename View, typename Parse>
-void readAll(const nlohmann::json& answer, const char* key, std::vector<View>& views, Parse parse)
-{
-    if (!answer.contains(key) || !answer[key].is_array())
-        return;
-    for (const auto& element : answer[key]) {
-        if (auto view = parse(element, key))
-            views.push_back(std::move(view).value());
+    template <typename View, typename Parse>
+    void readAll(const nlohmann::json& answer, const char* key, std::vector<View>& views, Parse parse)
+    {
+        if (!answer.contains(key) || !answer[key].is_array())
+            return;
+        for (const auto& element : answer[key]) {
+            if (auto view = parse(element, key))
+                views.push_back(std::move(view).value());
+        }
     }
-}
 
-void addTo(api::AccountView& total, const api::AccountView& part)
-{
-    total.waitingJobs += part.waitingJobs;
-    total.runningJobs += part.runningJobs;
-    total.acceleratorsInUse += part.acceleratorsInUse;
-    total.acceleratorsBorrowed += part.acceleratorsBorrowed;
-}
+    void addTo(api::AccountView& total, const api::AccountView& part)
+    {
+        total.waitingJobs += part.waitingJobs;
+        total.runningJobs += part.runningJobs;
+        total.acceleratorsInUse += part.acceleratorsInUse;
+        total.acceleratorsBorrowed += part.acceleratorsBorrowed;
+    }
 
 } // namespace
 
@@ -188,7 +188,9 @@
         const auto member = node_.agent().membership().member(instance);
         const bool isSelf = instance == node_.options().self;
         view.behind.push_back({ instance,
-            isSelf ? node_.agent().config().version() : member ? member->configVersion() : ConfigVersion(0) });
+            isSelf       ? node_.agent().config().version()
+                : member ? member->configVersion()
+                         : ConfigVersion(0) });
     }
     return view;
 }
@@ -259,8 +261,7 @@
         if (!member.live() || !member.heartbeat)
             continue;
         for (const messages::CellLoad& load : member.heartbeat->cells)
-            cells.push_back(
-                { load, member.id, regions[load.cell.value()], guaranteed.count(load.cell.value()) > 0 });
+            cells.push_back({ load, member.id, regions[load.cell.value()], guaranteed.count(load.cell.value()) > 0 });
     }
     cells = rankCells(job, std::move(cells));
     if (cells.empty())
@@ -511,8 +512,8 @@
     const node::InstanceNodeOptions& self = node_.options();
     addInstance(self.self, self.role, node_.agent().state(), node_.agent().config().version(), self.failureDomain);
     for (const state::Member& member : node_.agent().membership().members()) {
-        addInstance(member.id, member.heartbeat ? member.heartbeat->role : messages::InstanceRole::Gateway, member.state,
-            member.configVersion(), member.listed ? member.listed->failureDomain : FailureDomainId());
+        addInstance(member.id, member.heartbeat ? member.heartbeat->role : messages::InstanceRole::Gateway,
+            member.state, member.configVersion(), member.listed ? member.listed->failureDomain : FailureDomainId());
     }
     ClusterStatus cluster = clusterStatus();
     view.cells = std::move(cluster.cells);
--- a/src/state/GangOrders.cpp
+++ b/src/state/GangOrders.cpp
@@ -35,7 +35,7 @@
     Member& member = gang.members[index];
     member.sent = true;
     member.inProgress = true;
-    WorkerTasks tasks { gang.record.job, gang.record.attempt, member.tasks, gang.spec.perTask };
+    WorkerTasks tasks { gang.record.job, gang.record.attempt, member.tasks, gang.spec.perTask, gang.spec.command };
     context_.call(
         context_.dependencies.workerCalls,
         [&agent = context_.dependencies.workers, worker = member.worker, token = context_.token, tasks, order,
