--- /dev/null
+++ b/include/rosemarylink/state/HttpKeyValueStore.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "rosemarylink/state/KeyValueStore.h"
+
+#include <memory>
+#include <string>
+
+namespace rosemarylink::state {
+
+// The platform's store over HTTP, at "IP:port". One try for each call; put a ResilientStore in front of it. The
+// deadline limits connecting and each wait for data; a watch gets its own time-out in addition.
+class HttpKeyValueStore final : public KeyValueStore {
+public:
+    explicit HttpKeyValueStore(const std::string& address, Milliseconds deadline = Milliseconds(1000));
+    ~HttpKeyValueStore() override;
+
+    Result<std::optional<StoredValue>> read(const std::string& key) override;
+    Result<std::vector<KeyedValue>> list(const std::string& prefix) override;
+    Result<Revision> compareAndSwap(const std::string& key, Revision expected, const std::string& bytes,
+        const std::optional<LeaseId>& lease = std::nullopt) override;
+    Status remove(const std::string& key, Revision expected) override;
+    Result<LeaseId> grantLease(Milliseconds ttl) override;
+    Status renewLease(const LeaseId&) override;
+    Status revokeLease(const LeaseId&) override;
+    Result<std::vector<WatchEvent>> watch(const std::string& prefix, Revision after, Milliseconds timeout) override;
+
+private:
+    class Connections;
+    std::unique_ptr<Connections> connections_;
+    Milliseconds deadline_;
+};
+
+} // namespace rosemarylink::state
