--- a/include/rosemarylink/state/ConfigWatcher.h
+++ b/include/rosemarylink/state/ConfigWatcher.h
@@ -19,7 +19,7 @@
     bool onDuty() const;
     void releaseDuty();
 
-    // Reads the record once and puts it into force. Each instance does so at its start.
+    // Reads the record once and puts it into force. Each instance does so at its start, on the thread of watch.
     Status refresh();
 
     // Waits for one change of the record, at most for the time-out, and puts it into force. Does nothing off duty.
--- a/include/rosemarylink/transport/MembershipService.h
+++ b/include/rosemarylink/transport/MembershipService.h
@@ -16,7 +16,7 @@
     messages::InstanceRole role = messages::InstanceRole::Gateway;
     Milliseconds heartbeatInterval = state::MembershipAgent::heartbeatInterval;
     Milliseconds listInterval { 2000 }; // between readings of the platform's list
-    Milliseconds watchTimeout { 5000 }; // of one waiting watch call
+    Milliseconds watchTimeout { 2000 }; // of one waiting watch call
     Milliseconds retentionInterval { 3600000 }; // between removals of expired audit pages
 };
 
@@ -51,7 +51,7 @@
 
 private:
     struct State;
-    std::unique_ptr<State> state_;
+    std::shared_ptr<State> state_; // the links' handlers hold it weakly
 };
 
 } // namespace rosemarylink::transport
