--- a/include/rosemarylink/state/MembershipAgent.h
+++ b/include/rosemarylink/state/MembershipAgent.h
@@ -51,6 +51,12 @@
     // Puts a stored version into force here and announces it to all others. False when it is not higher.
     bool adoptAndAnnounce(const config::ConfigInForce&);
 
+    // Set by the watcher; carried by the next heartbeat.
+    void setWatching(bool);
+
+    // True when a live peer has reported that it watches the configuration record.
+    bool watcherHeard() const;
+
     ConfigCoverage coverage(ConfigVersion) const;
 
     // True when a configuration is in force and no live peer shows a higher version; peers that are listed but not
@@ -79,6 +85,7 @@
 
     mutable std::mutex mutex_;
     messages::InstanceState state_ = messages::InstanceState::Starting;
+    bool watching_ = false;
 };
 
 } // namespace rosemarylink::state
--- a/src/state/ConfigWatcher.cpp
+++ b/src/state/ConfigWatcher.cpp
@@ -7,6 +7,7 @@
 ConfigWatcher::ConfigWatcher(KeyValueStore& store, const Clock& clock, const InstanceId& self, MembershipAgent& agent,
     const DutyOptions& options)
     : store_(store)
+    , clock_(clock)
     , agent_(agent)
     , duties_ { DutyLease(store, clock, self, "config-watch-0", options),
         DutyLease(store, clock, self, "config-watch-1", options) }
@@ -14,6 +15,12 @@
 }
 
 void ConfigWatcher::tickDuty()
+{
+    takeOrRenew();
+    agent_.setWatching(onDuty());
+}
+
+void ConfigWatcher::takeOrRenew()
 {
     for (DutyLease& duty : duties_) {
         if (duty.held()) {
@@ -38,6 +45,17 @@
 {
     for (DutyLease& duty : duties_)
         duty.release();
+    agent_.setWatching(false);
+}
+
+// During a partition both watchers may be on the other side, and both may die at once.
+Status ConfigWatcher::readUnwatched()
+{
+    const Milliseconds now = clock_.monotonic();
+    if (now < nextRead_ || agent_.watcherHeard())
+        return okStatus();
+    nextRead_ = now + readInterval;
+    return refresh();
 }
 
 Status ConfigWatcher::refresh()
@@ -58,7 +76,7 @@
         mustRead_ = true;
     wasOnDuty_ = onDutyNow;
     if (!onDutyNow)
-        return okStatus();
+        return readUnwatched();
     if (mustRead_) {
         BOOST_OUTCOME_TRYV(refresh());
         mustRead_ = false;
--- a/src/state/MembershipAgent.cpp
+++ b/src/state/MembershipAgent.cpp
@@ -1,5 +1,7 @@
 #include "rosemarylink/state/MembershipAgent.h"
 
+#include <algorithm>
+
 namespace rosemarylink::state {
 
 using messages::InstanceState;
@@ -32,6 +34,20 @@
     return state_;
 }
 
+void MembershipAgent::setWatching(bool watching)
+{
+    const std::lock_guard lock(mutex_);
+    watching_ = watching;
+}
+
+bool MembershipAgent::watcherHeard() const
+{
+    const auto members = membership_.members();
+    return std::any_of(members.begin(), members.end(), [](const Member& member) {
+        return member.live() && member.state != InstanceState::Silent && member.heartbeat && member.heartbeat->watching;
+    });
+}
+
 std::vector<InstanceId> MembershipAgent::recipients() const
 {
     std::vector<InstanceId> result;
@@ -49,7 +65,11 @@
     messages::Heartbeat heartbeat;
     heartbeat.incarnation = incarnation_;
     heartbeat.role = role_;
-    heartbeat.state = state();
+    {
+        const std::lock_guard lock(mutex_);
+        heartbeat.state = state_;
+        heartbeat.watching = watching_;
+    }
     heartbeat.config = config_.version();
     heartbeat.cells = load.cells;
     heartbeat.busySlots = load.busySlots;
--- /dev/null
+++ b/tests/state/DutyLeaseTest.cpp
@@ -0,0 +1,111 @@
+#include "ConfigFakes.h"
+
+#include "rosemarylink/state/DutyLease.h"
+
+#include <catch2/catch.hpp>
+
+namespace rosemarylink::state {
+namespace {
+
+    using namespace fakes;
+
+    struct Duties {
+        ManualClock clock;
+        ConfigBackend backend { clock };
+        ConfigView firstView { backend };
+        ConfigView secondView { backend };
+        DutyLease first { firstView, clock, InstanceId("a"), "retention" };
+        DutyLease second { secondView, clock, InstanceId("b"), "retention" };
+
+        // Ticks both every 100 ms; returns for how long both held the duty.
+        Milliseconds run(Milliseconds duration, bool tickFirst = true)
+        {
+            Milliseconds both { 0 };
+            for (Milliseconds passed { 0 }; passed < duration; passed += Milliseconds(100)) {
+                if (tickFirst)
+                    first.tick();
+                second.tick();
+                if (first.held() && second.held())
+                    both += Milliseconds(100);
+                clock.advance(Milliseconds(100));
+            }
+            return both;
+        }
+    };
+
+    TEST_CASE("one instance holds a duty and keeps it by renewing")
+    {
+        Duties duties;
+        CHECK(duties.run(Milliseconds(60000)) == Milliseconds(0));
+        CHECK(duties.first.held());
+        CHECK_FALSE(duties.second.held());
+        CHECK(duties.firstView.writes == 1);
+    }
+
+    TEST_CASE("a duty passes on when its holder dies, within the lease and one retry")
+    {
+        Duties duties;
+        duties.run(Milliseconds(10000));
+        duties.run(Milliseconds(6000 + 2500 + 200), false);
+        CHECK(duties.second.held());
+    }
+
+    TEST_CASE("a released duty passes on within one retry")
+    {
+        Duties duties;
+        duties.run(Milliseconds(10000));
+        duties.first.release();
+        duties.run(Milliseconds(2600), false);
+        CHECK(duties.second.held());
+    }
+
+    // A holder that wakes after its lease has ended must not believe that it still holds the duty.
+    TEST_CASE("a paused holder has lost its duty when it wakes")
+    {
+        Duties duties;
+        duties.run(Milliseconds(10000));
+        duties.run(Milliseconds(20000), false);
+        CHECK_FALSE(duties.first.held());
+        CHECK(duties.second.held());
+        CHECK(duties.run(Milliseconds(10000)) == Milliseconds(0));
+        CHECK_FALSE(duties.first.held());
+        CHECK(duties.second.held());
+    }
+
+    TEST_CASE("a duty is not held during a long store outage and is taken again after it")
+    {
+        Duties duties;
+        duties.run(Milliseconds(10000));
+        duties.firstView.down = true;
+        duties.secondView.down = true;
+        CHECK(duties.run(Milliseconds(600000)) == Milliseconds(0));
+        CHECK_FALSE(duties.first.held());
+        duties.firstView.down = false;
+        duties.secondView.down = false;
+        CHECK(duties.run(Milliseconds(10000)) == Milliseconds(0));
+        CHECK(duties.first.held() != duties.second.held());
+    }
+
+    TEST_CASE("a holder that cannot reach the store stops before another instance can take the duty")
+    {
+        Duties duties;
+        duties.run(Milliseconds(10000));
+        duties.firstView.down = true;
+        CHECK(duties.run(Milliseconds(20000)) == Milliseconds(0));
+        CHECK(duties.second.held());
+    }
+
+    TEST_CASE("a lost reply to the write that takes a duty is settled")
+    {
+        for (const bool reply : { true, false }) {
+            Duties duties;
+            (reply ? duties.firstView.loseReplyAtWrite : duties.firstView.loseRequestAtWrite) = 1;
+            duties.first.tick();
+            CHECK(duties.first.held() == reply);
+            duties.run(Milliseconds(5000));
+            CHECK(duties.first.held() != duties.second.held());
+        }
+    }
+
+} // namespace
+} // namespace rosemarylink::state
