Put the resilient store client into both binaries

Cause: one failed store call must not stop a process. Change: gateway and scheduler use ResilientStore over the HTTP client; submission records carry an operation id.

--- a/apps/rosemarylink-gateway/GatewayProcess.cpp
+++ b/apps/rosemarylink-gateway/GatewayProcess.cpp
@@ -2,6 +2,8 @@
 
 #include "rosemarylink/base/Log.h"
 
+#include <functional>
+
 namespace rosemarylink::gateway {
 
 namespace {
@@ -47,10 +49,11 @@
 GatewayProcess::GatewayProcess(
     const settings_gateway::GatewaySettings& settings, std::vector<control::OperatorKey> operators)
     : settings_(settings)
-    , store_(std::make_unique<state::HttpKeyValueStore>(settings.platformAddress, storeTimeout))
-    , requests_(*store_, clock_, metrics_, settings)
-    , node_(std::make_unique<node::InstanceNode>(nodeOptions(settings), *store_, clock_, metrics_))
-    , backend_(std::make_unique<control::ClusterBackend>(*node_, *store_, clock_))
+    , remoteStore_(settings.platformAddress)
+    , store_(remoteStore_, clock_, metrics_, "gateway", {}, std::hash<InstanceId> {}(settings.id))
+    , requests_(store_, clock_, metrics_, settings)
+    , node_(std::make_unique<node::InstanceNode>(nodeOptions(settings), store_, clock_, metrics_))
+    , backend_(std::make_unique<control::ClusterBackend>(*node_, store_, clock_))
     , operators_(std::make_unique<control::OperatorApi>(*backend_, metrics_, std::move(operators)))
 {
     connectNode();
--- a/apps/rosemarylink-gateway/GatewayProcess.h
+++ b/apps/rosemarylink-gateway/GatewayProcess.h
@@ -8,6 +8,7 @@
 #include "rosemarylink/generated/SettingsGateway.h"
 #include "rosemarylink/node/InstanceNode.h"
 #include "rosemarylink/state/HttpKeyValueStore.h"
+#include "rosemarylink/state/ResilientStore.h"
 #include "rosemarylink/transport/HttpServer.h"
 
 #include <condition_variable>
@@ -40,7 +41,8 @@
     settings_gateway::GatewaySettings settings_;
     SystemClock clock_;
     MetricsRegistry metrics_;
-    std::unique_ptr<state::KeyValueStore> store_;
+    state::HttpKeyValueStore remoteStore_;
+    state::ResilientStore store_;
     RequestService requests_;
     std::unique_ptr<node::InstanceNode> node_;
     std::unique_ptr<control::ClusterBackend> backend_;
--- a/apps/rosemarylink-scheduler/SchedulerProcess.cpp
+++ b/apps/rosemarylink-scheduler/SchedulerProcess.cpp
@@ -45,10 +45,11 @@
 
 SchedulerProcess::SchedulerProcess(const settings_scheduler::SchedulerSettings& settings)
     : settings_(settings)
-    , store_(std::make_unique<state::HttpKeyValueStore>(settings.platformAddress, storeTimeout))
+    , remoteStore_(settings.platformAddress)
+    , store_(remoteStore_, clock_, metrics_, "scheduler", {}, std::hash<InstanceId> {}(settings.id))
     , workers_(std::make_unique<HttpWorkerAgent>(settings.platformAddress, settings.orderTimeout))
-    , cells_(std::make_unique<CellHost>(cellOptions(settings), *store_, *workers_, clock_, metrics_))
-    , node_(std::make_unique<node::InstanceNode>(nodeOptions(settings), *store_, clock_, metrics_))
+    , cells_(std::make_unique<CellHost>(cellOptions(settings), store_, *workers_, clock_, metrics_))
+    , node_(std::make_unique<node::InstanceNode>(nodeOptions(settings), store_, clock_, metrics_))
 {
     connectNode();
     addRoutes();
--- a/apps/rosemarylink-scheduler/SchedulerProcess.h
+++ b/apps/rosemarylink-scheduler/SchedulerProcess.h
@@ -7,6 +7,7 @@
 #include "rosemarylink/scheduler/CellHost.h"
 #include "rosemarylink/scheduler/HttpWorkerAgent.h"
 #include "rosemarylink/state/HttpKeyValueStore.h"
+#include "rosemarylink/state/ResilientStore.h"
 #include "rosemarylink/transport/HttpServer.h"
 
 #include <memory>
@@ -34,7 +35,8 @@
     settings_scheduler::SchedulerSettings settings_;
     SystemClock clock_;
     MetricsRegistry metrics_;
-    std::unique_ptr<state::KeyValueStore> store_;
+    state::HttpKeyValueStore remoteStore_;
+    state::ResilientStore store_;
     std::unique_ptr<HttpWorkerAgent> workers_;
     std::unique_ptr<CellHost> cells_;
     std::unique_ptr<node::InstanceNode> node_;
--- a/include/rosemarylink/control/ClusterBackend.h
+++ b/include/rosemarylink/control/ClusterBackend.h
@@ -4,6 +4,7 @@
 #include "rosemarylink/control/ControlBackend.h"
 #include "rosemarylink/node/InstanceNode.h"
 #include "rosemarylink/state/AuditLog.h"
+#include "rosemarylink/state/ResilientStore.h"
 
 #include <functional>
 #include <mutex>
@@ -15,7 +16,7 @@
 class ClusterBackend final : public ControlBackend {
 public:
     // All arguments must outlive the backend.
-    ClusterBackend(node::InstanceNode&, state::KeyValueStore&, const Clock&);
+    ClusterBackend(node::InstanceNode&, state::ResilientStore&, const Clock&);
 
     Result<api::ConfigView> currentConfig() override;
     Result<api::ConfigView> storedConfig() override;
@@ -53,7 +54,7 @@
     ClusterStatus clusterStatus();
 
     node::InstanceNode& node_;
-    state::KeyValueStore& store_;
+    state::ResilientStore& store_;
     const Clock& clock_;
     state::AuditLog auditLog_;
 
--- a/src/control/ClusterBackend.cpp
+++ b/src/control/ClusterBackend.cpp
@@ -1,5 +1,6 @@
 #include "rosemarylink/control/ClusterBackend.h"
 
+#include "rosemarylink/base/RandomId.h"
 #include "rosemarylink/control/Authenticator.h"
 #include "rosemarylink/generated/Submissions.h"
 #include "rosemarylink/policy/Guarantees.h"
@@ -108,7 +109,7 @@
     return JobId("j" + sha256Hex(account.value() + '\0' + key.value()).substr(0, 24));
 }
 
-ClusterBackend::ClusterBackend(node::InstanceNode& node, state::KeyValueStore& store, const Clock& clock)
+ClusterBackend::ClusterBackend(node::InstanceNode& node, state::ResilientStore& store, const Clock& clock)
     : node_(node)
     , store_(store)
     , clock_(clock)
@@ -272,7 +273,8 @@
 Result<CellId> ClusterBackend::bindToCell(const JobId& job, const std::vector<CellCandidate>& cells)
 {
     const std::string key = submissionKey(job);
-    const submissions::SubmissionRecord record { 1, cells.front().load.cell, clock_.now() };
+    const submissions::SubmissionRecord record { 1, makeRandomId<OperationId>(), cells.front().load.cell,
+        clock_.now() };
     const auto written = store_.compareAndSwap(key, Revision(0), encode(record));
     if (written)
         return record.cell;
@@ -296,6 +298,7 @@
     if (record.cell != refusedBy)
         return record.cell;
     record.cell = next;
+    record.operation = makeRandomId<OperationId>();
     const auto written = store_.compareAndSwap(key, stored->revision, encode(record));
     if (!written && written.error().code != ErrorCode::Conflict)
         return written.error();
@@ -494,7 +497,7 @@
     api::StatusView view;
     view.answeredBy = node_.options().self;
     view.softwareVersion = ROSEMARYLINK_VERSION;
-    view.storeAvailable = node_.storeReachable();
+    view.storeAvailable = !store_.isOpen() && node_.storeReachable();
     if (const auto current = node_.agent().config().inForce()) {
         view.configVersion = current->version;
         view.preset = current->declarations.preset;
