--- /dev/null
+++ b/src/control/Completion.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string>
+
+namespace rosemarylink::control::internal {
+
+// A bash script that completes commands, options and fixed argument values of rosemarylinkctl.
+std::string bashCompletion();
+
+} // namespace rosemarylink::control::internal
--- a/src/control/OperatorApiConfig.cpp
+++ b/src/control/OperatorApiConfig.cpp
@@ -58,7 +58,7 @@
 Result<api::ConfigChange> OperatorApi::change(
     model::Declarations declarations, const api::ConfigView& stored, const OperatorId& proposer, bool dryRun)
 {
-    api::ConfigChange result { stored.version, false, dryRun, {} };
+    api::ConfigChange result { stored.version, false, dryRun, {}, std::nullopt };
     const model::Declarations before = normalized(stored.declarations);
     if (stored.version.value() > 0 && model::toJson(declarations) == model::toJson(before))
         return result;
--- /dev/null
+++ b/tests/control/CommandRun.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "ApiFixture.h"
+#include "TemporaryDirectory.h"
+
+#include "rosemarylink/control/CommandLine.h"
+
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace rosemarylink::control {
+
+struct CommandResult {
+    int exitCode = -1;
+    std::string output;
+    std::string errors;
+};
+
+// Runs rosemarylinkctl in this process as operator omar, against the fixture's gateway unless told otherwise.
+struct CommandRun {
+    ApiFixture fixture;
+    TemporaryDirectory directory;
+    ManualClock clock; // advanced by the sleeps of --wait
+    std::string gateways = fixture.address();
+    std::string keyFile = directory.write("key", "omar-key\n");
+
+    CommandResult operator()(std::vector<std::string> arguments)
+    {
+        for (const std::string& argument : { std::string("--gateway"), gateways, std::string("--keyFile"), keyFile })
+            arguments.push_back(argument);
+        return bare(arguments);
+    }
+
+    CommandResult bare(const std::vector<std::string>& arguments, const std::string& settingsFile = "")
+    {
+        std::ostringstream output;
+        std::ostringstream errors;
+        const CommandEnvironment environment { output, errors, clock,
+            [this](Milliseconds duration) { clock.advance(duration); }, settingsFile };
+        const int exitCode = runCommandLine(arguments, environment);
+        return { exitCode, output.str(), errors.str() };
+    }
+
+    // A directory of declarations; the name must be new.
+    std::string declarations(const std::string& name, const model::Declarations& all) const
+    {
+        const std::string path = directory.path() + "/" + name;
+        REQUIRE(writeDeclarationDirectory(path, all, false));
+        return path;
+    }
+};
+
+// The sample declarations with another weight of harbor.
+inline model::Declarations withHarborWeight(double weight)
+{
+    model::Declarations all = sampleDeclarations();
+    all.accounts[1].weight = weight;
+    return all;
+}
+
+inline bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+} // namespace rosemarylink::control
