Refuse a first configuration made for another version, and test starts without declarations

Cause: with nothing stored, an empty proposal passed the version check whatever its If-Match said. Conclusion: no proposal passes without its version.

--- a/include/rosemarylink/control/ControlBackend.h
+++ b/include/rosemarylink/control/ControlBackend.h
@@ -45,8 +45,8 @@
 };
 
 // What the operators' interface needs from the process that serves it. All methods may be called from several threads
-// at once and must return within the HTTP server's patience for a handler; a failure carries the verdict of the
-// operation. Unless stated otherwise, Unavailable with a retry time is returned while the store is down.
+// at once, and should return within the 10 s that rosemarylinkctl waits by default. A failure carries the verdict of
+// the operation. Unless stated otherwise, Unavailable with a retry time is returned while the store is down.
 class ControlBackend {
 public:
     virtual ~ControlBackend() = default;
--- a/include/rosemarylink/control/TimeText.h
+++ b/include/rosemarylink/control/TimeText.h
@@ -12,7 +12,7 @@
 // Parses the form of formatTime, or a date alone as its first instant in UTC.
 Result<Timestamp> parseTime(const std::string&);
 
-// A duration in the largest unit that keeps two digits, such as "850 ms", "12 s", "95 min" or "30 h".
+// A duration in the largest unit that leaves at least two digits, such as "850 ms", "12 s", "95 min" or "30 h".
 std::string formatDuration(Milliseconds);
 
 // Parses "250ms", "30s", "5min", "2h" or "7d".
--- a/src/control/OperatorApi.cpp
+++ b/src/control/OperatorApi.cpp
@@ -42,7 +42,7 @@
     HttpRouter& router, const std::string& method, const std::string& pattern, Access access, Method handler)
 {
     router.add(method, pattern, [this, method, pattern, access, handler](const HttpRequest& request) {
-        const HttpResponse response = handle(request, access, handler);
+        HttpResponse response = handle(request, access, handler);
         metrics_
             .counter("rosemarylink_operator_requests_total", "Requests to the operators' interface.",
                 { { "method", method }, { "path", pattern }, { "status", std::to_string(response.status) } })
--- a/src/control/OperatorApiConfig.cpp
+++ b/src/control/OperatorApiConfig.cpp
@@ -101,7 +101,8 @@
         BOOST_OUTCOME_TRY(declarations, readDeclarations(request));
         BOOST_OUTCOME_TRY(stored, backend_.storedConfig());
         // A repetition after a lost reply finds its own version stored and succeeds.
-        const bool same = model::toJson(declarations) == model::toJson(normalized(stored.declarations));
+        const bool same = stored.version.value() > 0
+            && model::toJson(declarations) == model::toJson(normalized(stored.declarations));
         if (stored.version != *expected && !same)
             return conflictWith(stored, *expected);
         return change(std::move(declarations), stored, *principal.operatorId, dryRun);
--- a/tests/control/FakeBackend.cpp
+++ b/tests/control/FakeBackend.cpp
@@ -11,6 +11,8 @@
 Result<api::ConfigView> FakeBackend::currentConfig()
 {
     const Lock lock(mutex_);
+    if (configFailure)
+        return *configFailure;
     return config_;
 }
 
@@ -27,6 +29,13 @@
     return feasibilityFailure ? Status(*feasibilityFailure) : okStatus();
 }
 
+void FakeBackend::forgetConfig()
+{
+    const Lock lock(mutex_);
+    config_ = {};
+    audit_.clear();
+}
+
 void FakeBackend::storeFrom(const std::string& operatorName, const model::Declarations& declarations)
 {
     const Lock lock(mutex_);
--- a/tests/control/FakeBackend.h
+++ b/tests/control/FakeBackend.h
@@ -28,10 +28,14 @@
     Result<api::StatusView> status() override;
     Status readiness() override;
 
+    // Goes back to version 0.
+    void forgetConfig();
+
     // Stores declarations as another operator would.
     void storeFrom(const std::string& operatorName, const model::Declarations&);
 
     ManualClock clock;
+    std::optional<Error> configFailure; // of the configuration in memory, as before the first one is known
     std::optional<Error> storeFailure; // of reads and writes of the store
     std::optional<Error> feasibilityFailure;
     std::optional<Error> notReady;
--- a/tests/control/OperatorApiAccessTest.cpp
+++ b/tests/control/OperatorApiAccessTest.cpp
@@ -92,6 +92,17 @@
         CHECK(accepted("harbor-key-2"));
     }
 
+    // Guards against 401 for a valid key while an instance does not know the declarations yet.
+    TEST_CASE("without declarations operators are known and accounts are asked to retry")
+    {
+        ApiFixture fixture;
+        fixture.backend.configFailure
+            = Error { ErrorCode::Unavailable, "no configuration is known yet", Verdict::NotRun, Milliseconds(1000) };
+        CHECK(fixture.send("omar-key", "GET", "/v1/status").status == 200);
+        CHECK(fixture.send("harbor-key-1", "GET", "/v1/jobs").status == 503);
+        CHECK(fixture.send("", "GET", "/v1/jobs").status == 401);
+    }
+
     TEST_CASE("an account sees its own jobs only")
     {
         ApiFixture fixture;
--- a/tests/control/OperatorApiConfigTest.cpp
+++ b/tests/control/OperatorApiConfigTest.cpp
@@ -40,6 +40,22 @@
         CHECK(entry.changes == std::vector<std::string> { "account harbor: weight 3.0 -> 4.0" });
     }
 
+    TEST_CASE("the first configuration is stored for version 0 only, even when nothing is in it")
+    {
+        ApiFixture fixture;
+        fixture.backend.forgetConfig();
+        const nlohmann::json empty = { { "preset", "ordinary" }, { "accounts", nlohmann::json::array() } };
+        CHECK(
+            fixture.failure("omar-key", "PUT", "/v1/preset", { { "preset", "peak" } }).message.find("apply a directory")
+            != std::string::npos);
+        CHECK(fixture.failure("omar-key", "PUT", "/v1/config", empty, { { "If-Match", "5" } }).code
+            == ErrorCode::Conflict);
+        const auto reply = fixture.send("omar-key", "PUT", "/v1/config", empty, { { "If-Match", "0" } });
+        REQUIRE(reply.status == 200);
+        CHECK(api::parseConfigChange(bodyOf(reply)).value().version == ConfigVersion(1));
+        CHECK(fixture.backend.proposals == 1);
+    }
+
     TEST_CASE("a dry run checks everything and stores nothing")
     {
         ApiFixture fixture;
