Test each failure of the request path; check for departed callers before sending

Cause: in a wave of cancellations freed slots went to callers that had left, so that 13 and 18 of 20 requests reached 4 slots; and an upstream that was ejected stayed so when it became the only one. Change: a caller that waited is checked before its request is sent; ejections beyond the floor end when the list of upstreams changes; the attempt record keeps the error code.

--- a/src/gateway/AdmissionQueue.cpp
+++ b/src/gateway/AdmissionQueue.cpp
@@ -66,6 +66,7 @@
     }
     std::sort(order.begin(), order.end());
     std::vector<AdmissionTicket> tickets;
+    tickets.reserve(order.size());
     for (const Order& entry : order)
         tickets.push_back(std::get<AdmissionTicket>(entry));
     return tickets;
--- a/src/gateway/OutlierDetector.cpp
+++ b/src/gateway/OutlierDetector.cpp
@@ -22,13 +22,21 @@
 
 } // namespace
 
-void OutlierDetector::setUpstreams(const std::vector<UpstreamId>& upstreams)
+void OutlierDetector::setUpstreams(const std::vector<UpstreamId>& upstreams, Milliseconds now)
 {
     const std::set<UpstreamId> present(upstreams.begin(), upstreams.end());
     for (auto position = entries_.begin(); position != entries_.end();)
         position = present.count(position->first) ? std::next(position) : entries_.erase(position);
     for (const UpstreamId& upstream : present)
         entries_.try_emplace(upstream);
+    while (countEjected(now) > 0 && !leavesEnough(countEjected(now))) {
+        Entry* first = nullptr;
+        for (auto& [id, entry] : entries_) {
+            if (isEjected(id, now) && (!first || *entry.ejectedUntil < *first->ejectedUntil))
+                first = &entry;
+        }
+        first->ejectedUntil = now;
+    }
 }
 
 bool OutlierDetector::record(const UpstreamId& upstream, bool success, Milliseconds now)
@@ -40,7 +48,7 @@
     entry.outcomes = (entry.outcomes << 1) | (success ? 0U : 1U);
     entry.samples = std::min(windowSize, entry.samples + 1);
     entry.consecutiveFailures = success ? 0 : entry.consecutiveFailures + 1;
-    if (success || isEjected(upstream, now) || !isOutlier(upstream, entry) || !mayEject(now))
+    if (success || isEjected(upstream, now) || !isOutlier(upstream, entry) || !leavesEnough(countEjected(now) + 1))
         return false;
     entry.ejections = std::min(maximumSteps, entry.ejections + 1);
     entry.ejectedUntil = now + baseEjection * entry.ejections;
@@ -67,12 +75,16 @@
     return entry.samples >= minimumSamples && share >= minimumFailureShare && share > timesPeers * peerShare;
 }
 
-bool OutlierDetector::mayEject(Milliseconds now) const
+std::size_t OutlierDetector::countEjected(Milliseconds now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        entries_.begin(), entries_.end(), [&](const auto& entry) { return isEjected(entry.first, now); }));
+}
+
+bool OutlierDetector::leavesEnough(std::size_t ejected) const
 {
-    const auto ejected = std::count_if(
-        entries_.begin(), entries_.end(), [&](const auto& entry) { return isEjected(entry.first, now); });
-    return static_cast<double>(entries_.size()) - static_cast<double>(ejected + 1)
-        >= stayingShare * static_cast<double>(entries_.size());
+    const auto all = static_cast<double>(entries_.size());
+    return all - static_cast<double>(ejected) >= stayingShare * all;
 }
 
 bool OutlierDetector::isEjected(const UpstreamId& upstream, Milliseconds now) const
--- a/src/gateway/OutlierDetector.h
+++ b/src/gateway/OutlierDetector.h
@@ -14,8 +14,9 @@
 // of the upstreams stay in use, whatever fails.
 class OutlierDetector {
 public:
-    // Keeps what is known of upstreams that stay, and forgets the others.
-    void setUpstreams(const std::vector<UpstreamId>&);
+    // Keeps what is known of upstreams that stay, and forgets the others. Ejections that are too many for the new
+    // number of upstreams end, the oldest first.
+    void setUpstreams(const std::vector<UpstreamId>&, Milliseconds now);
 
     // Records the outcome of a request. Returns true when this ejects the upstream.
     bool record(const UpstreamId&, bool success, Milliseconds now);
@@ -35,7 +36,8 @@
     };
 
     bool isOutlier(const UpstreamId&, const Entry&) const;
-    bool mayEject(Milliseconds now) const;
+    std::size_t countEjected(Milliseconds now) const;
+    bool leavesEnough(std::size_t ejected) const;
 
     std::map<UpstreamId, Entry> entries_;
 };
--- a/src/gateway/RequestService.cpp
+++ b/src/gateway/RequestService.cpp
@@ -48,9 +48,11 @@
     HttpResponse recordResponse(attempts::AttemptRecord record)
     {
         const Verdict verdict = parseVerdict(record.verdict).value_or(Verdict::MayHaveRun);
+        const bool deadlinePassed = record.code == errorCodeName(ErrorCode::DeadlineExceeded);
         HttpResponse response;
         if (verdict != Verdict::Ran)
-            response = errorResponse(unavailable(record.message, verdict));
+            response = errorResponse(Error { deadlinePassed ? ErrorCode::DeadlineExceeded : ErrorCode::Unavailable,
+                record.message, verdict, std::nullopt });
         else if (record.answerOmitted)
             response = errorResponse(Error { ErrorCode::NotFound, "the request ran; its answer was too long to be kept",
                 Verdict::Ran, std::nullopt });
@@ -233,11 +235,15 @@
     const IdempotencyKey key = givenKey ? *givenKey : makeRandomId<IdempotencyKey>();
     SingleRun run(request, key, pool, log, singleOptions, clock, metrics);
     auto record = run.run();
-    HttpResponse response = record ? recordResponse(std::move(record).value()) : errorResponse(record.error());
-    response.headers["Idempotency-Key"] = key.value();
-    // A refused or unfinished request has no record to name its id.
-    if (!record)
+    HttpResponse response;
+    if (record) {
+        response = recordResponse(std::move(record).value());
+    } else {
+        // A refused or unfinished request has no record to name its id.
+        response = errorResponse(record.error());
         response.headers["Rosemarylink-Request-Id"] = request.upstreamRequest.id.value();
+    }
+    response.headers["Idempotency-Key"] = key.value();
     return response;
 }
 
--- a/src/gateway/ServicePool.cpp
+++ b/src/gateway/ServicePool.cpp
@@ -13,6 +13,8 @@
     constexpr double initialDuration = 5; // ms, until the first answer
     constexpr Milliseconds retryWithoutUpstream { 1000 };
 
+    Error callerLeft() { return makeError(ErrorCode::DeadlineExceeded, "the caller left while the request waited"); }
+
 } // namespace
 
 struct ServicePool::Waiter {
@@ -73,6 +75,7 @@
     std::unique_lock lock(mutex_);
     BOOST_OUTCOME_TRYV(enqueue(request, waiter));
     dispatch(clock_.monotonic());
+    const bool waited = !waiter.isSettled();
     while (!waiter.isSettled()) {
         waiter.changed.wait_for(lock, cancellationCheck);
         if (waiter.isSettled())
@@ -84,7 +87,7 @@
             break;
         if (gone) {
             leave(waiter);
-            return makeError(ErrorCode::DeadlineExceeded, "the caller left while the request waited");
+            return callerLeft();
         }
         // Time alone can make requests hopeless or end an ejection when no slot is given back.
         if (clock_.monotonic() - shedAt_ >= cancellationCheck)
@@ -92,6 +95,12 @@
     }
     if (waiter.refusal)
         return *waiter.refusal;
+    lock.unlock();
+    // In a wave of cancellations a freed slot would otherwise go to the next caller that has left, and its request out.
+    if (waited && cancelled && cancelled()) {
+        release(*waiter.slot, UpstreamOutcome::Unused);
+        return callerLeft();
+    }
     return *waiter.slot;
 }
 
--- a/src/gateway/SingleRun.cpp
+++ b/src/gateway/SingleRun.cpp
@@ -118,6 +118,7 @@
     auto answer = exchange(call);
     if (!answer) {
         outcome.verdict = std::string(verdictName(answer.error().verdict));
+        outcome.code = std::string(errorCodeName(answer.error().code));
         outcome.message = answer.error().message;
         return outcome;
     }
--- a/src/gateway/UpstreamSelector.cpp
+++ b/src/gateway/UpstreamSelector.cpp
@@ -54,7 +54,7 @@
         const bool forgotten = !position->second.listed && position->second.inFlight == 0;
         position = forgotten ? entries_.erase(position) : std::next(position);
     }
-    outliers_.setUpstreams(ids);
+    outliers_.setUpstreams(ids, now);
 }
 
 std::optional<UpstreamId> UpstreamSelector::choose(
@@ -67,7 +67,7 @@
         // Going further pays only when the wait that it saves is worth more.
         if (nearerExists && request.expectedWait <= costOf(place, request.bytes))
             return std::nullopt;
-        const auto chosen = chooseAt(place, except, random, now);
+        auto chosen = chooseAt(place, except, random, now);
         if (chosen)
             return chosen;
         nearerExists = nearerExists || anyUsable(except, place, now);
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -87,14 +87,6 @@
 
     void clearFaults() { upstreams.setFaultsOfAll({}); }
 
-    int mostExecutionsOfOneRequest() const
-    {
-        int most = 0;
-        for (const auto& [request, count] : upstreams.executionsByRequest())
-            most = std::max(most, count);
-        return most;
-    }
-
     std::int64_t totalExecutions() const
     {
         std::int64_t total = 0;
--- /dev/null
+++ b/tests/gateway/UpstreamFailureTest.cpp
@@ -0,0 +1,251 @@
+#include "GatewayFixture.h"
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <thread>
+
+namespace rosemarylink::gateway::testing {
+namespace {
+
+    using standin::UpstreamFault;
+
+    settings_gateway::GatewaySettings settingsWithRetries()
+    {
+        auto settings = makeSettings("gateway-1");
+        // Every request earns a whole retry, so that a single one can be tested.
+        settings.retryShare = 1;
+        return settings;
+    }
+
+    struct SingleFault {
+        UpstreamFault fault;
+        const char* verdict;
+        int executions;
+    };
+
+    TEST_CASE("a non-idempotent request has an honest verdict and runs at most once when its upstream fails")
+    {
+        const auto fault = GENERATE(SingleFault { UpstreamFault::Refuse, "NotRun", 0 },
+            SingleFault { UpstreamFault::FailBefore, "MayHaveRun", 0 },
+            SingleFault { UpstreamFault::FailAfter, "MayHaveRun", 1 },
+            SingleFault { UpstreamFault::Error, "MayHaveRun", 1 },
+            SingleFault { UpstreamFault::Swapped, "MayHaveRun", 1 },
+            SingleFault { UpstreamFault::Truncated, "MayHaveRun", 1 }, SingleFault { UpstreamFault::Late, "Ran", 1 },
+            SingleFault { UpstreamFault::Duplicated, "Ran", 1 });
+        FakeStore store;
+        UpstreamFleet fleet(3);
+        fleet.setFault(fault.fault);
+        TestGateway gateway(store, fleet.specs, settingsWithRetries());
+        CHECK(verdictOf(gateway.postOnce("run", "key").value()) == fault.verdict);
+        CHECK(fleet.totalExecutions() == fault.executions);
+        CHECK(fleet.upstreams.totalArrivals() == 1);
+        fleet.clearFaults();
+        CHECK(verdictOf(gateway.postOnce("run", "key").value()) == fault.verdict);
+        CHECK(verdictOf(gateway.outcomeOf("key").value()) == fault.verdict);
+        CHECK(fleet.upstreams.totalArrivals() == 1);
+    }
+
+    TEST_CASE("a non-idempotent request to an upstream that does not accept connections is not recorded")
+    {
+        FakeStore store;
+        std::vector<model::UpstreamSpec> specs;
+        {
+            const UpstreamFleet gone(1);
+            specs = gone.specs;
+        }
+        TestGateway gateway(store, specs, settingsWithRetries());
+        const auto reply = gateway.postOnce("run", "key").value();
+        CHECK(verdictOf(reply) == "NotRun");
+        CHECK(store.writes() == 0);
+        // The key is still free: the run must not be lost.
+        const UpstreamFleet back(1);
+        gateway.service.setUpstreams(back.specs);
+        CHECK(verdictOf(gateway.postOnce("run", "key").value()) == "Ran");
+    }
+
+    TEST_CASE(
+        "an idempotent request is sent again to another upstream when one dies before, during or after its answer")
+    {
+        const auto fault = GENERATE(UpstreamFault::Refuse, UpstreamFault::FailBefore, UpstreamFault::FailAfter,
+            UpstreamFault::Error, UpstreamFault::Swapped, UpstreamFault::Truncated);
+        FakeStore store;
+        UpstreamFleet fleet(2);
+        standin::UpstreamFaults faults;
+        faults.shares[fault] = 1;
+        fleet.upstreams.setFaults(UpstreamId("1"), faults);
+        TestGateway gateway(store, fleet.specs, settingsWithRetries());
+        for (int index = 0; index < 10; ++index) {
+            const auto reply = gateway.post("photo").value();
+            CHECK(reply.status == 200);
+            CHECK(reply.body == headerOf(reply, "Rosemarylink-Request-Id") + ":photo");
+        }
+        CHECK(fleet.upstreams.arrivals(UpstreamId("1")) > 0);
+    }
+
+    TEST_CASE("an idempotent request without retry budget fails with the verdict of its only copy")
+    {
+        FakeStore store;
+        UpstreamFleet fleet(2);
+        auto settings = makeSettings("gateway-1");
+        settings.retryShare = 0;
+        TestGateway gateway(store, fleet.specs, settings);
+        fleet.setFault(UpstreamFault::Refuse);
+        CHECK(verdictOf(gateway.post("photo").value()) == "NotRun");
+        fleet.setFault(UpstreamFault::FailAfter);
+        CHECK(verdictOf(gateway.post("photo").value()) == "MayHaveRun");
+        CHECK(fleet.upstreams.totalArrivals() == 2);
+    }
+
+    TEST_CASE("late, swapped, duplicated and truncated answers never reach another caller")
+    {
+        FakeStore store;
+        UpstreamFleet fleet(4);
+        standin::UpstreamFaults faults;
+        faults.lateBy = Milliseconds(20);
+        for (const auto fault :
+            { UpstreamFault::Late, UpstreamFault::Swapped, UpstreamFault::Duplicated, UpstreamFault::Truncated })
+            faults.shares[fault] = 0.15;
+        fleet.upstreams.setFaultsOfAll(faults);
+        TestGateway gateway(store, fleet.specs, settingsWithRetries());
+        std::atomic<int> wrong { 0 };
+        std::atomic<int> whole { 0 };
+        const auto caller = [&](int number) {
+            for (int index = 0; index < 100; ++index) {
+                const std::string body = std::to_string(number) + "/" + std::to_string(index);
+                const auto reply = gateway.post(body);
+                if (!reply || reply.value().status != 200)
+                    continue;
+                ++whole;
+                if (reply.value().body != headerOf(reply.value(), "Rosemarylink-Request-Id") + ":" + body)
+                    ++wrong;
+            }
+        };
+        std::vector<std::thread> callers;
+        for (int number = 0; number < 8; ++number)
+            callers.emplace_back(caller, number);
+        for (auto& thread : callers)
+            thread.join();
+        CHECK(wrong == 0);
+        CHECK(whole > 400);
+    }
+
+    TEST_CASE("with all upstreams failing half of the requests the retries stay within their share")
+    {
+        FakeStore store;
+        UpstreamFleet fleet(4, 8, { Milliseconds(0) });
+        fleet.setFault(UpstreamFault::FailBefore, 0.5);
+        TestGateway gateway(store, fleet.specs);
+        constexpr int requests = 500;
+        for (int index = 0; index < requests; ++index)
+            REQUIRE(gateway.post("photo"));
+        CHECK(fleet.upstreams.totalArrivals() <= requests * 11 / 10);
+        CHECK(fleet.upstreams.totalArrivals() >= requests);
+    }
+
+    TEST_CASE("a request to a silent connection is sent again when idempotent and ends as MayHaveRun otherwise")
+    {
+        FakeStore store;
+        UpstreamFleet fleet(2);
+        standin::UpstreamFaults faults;
+        faults.shares[UpstreamFault::Silent] = 1;
+        fleet.upstreams.setFaults(UpstreamId("1"), faults);
+        auto settings = settingsWithRetries();
+        settings.progressTimeout = Milliseconds(100);
+        TestGateway gateway(store, fleet.specs, settings);
+        for (int index = 0; index < 10; ++index)
+            CHECK(gateway.post("photo").value().status == 200);
+        CHECK(gateway.metrics.counter("rosemarylink_gateway_silent_connections_total", "").value() > 0);
+        gateway.service.setUpstreams({ fleet.specs.front() });
+        const auto reply = gateway.postOnce("run", "key", { { "Rosemarylink-Timeout-Ms", "300" } }).value();
+        CHECK(reply.status == 504);
+        CHECK(verdictOf(reply) == "MayHaveRun");
+        CHECK(fleet.upstreams.executionsByRequest()[headerOf(reply, "Rosemarylink-Request-Id")] == 1);
+    }
+
+    // Answers one request on each connection and nothing after it, without closing; new connections work.
+    class GoesSilent {
+    public:
+        GoesSilent()
+            : listener_(Poco::Net::SocketAddress("127.0.0.1", 0))
+            , thread_([this] { accept(); })
+        {
+        }
+
+        ~GoesSilent()
+        {
+            stopping_ = true;
+            Poco::Net::StreamSocket().connect(listener_.address());
+            thread_.join();
+        }
+
+        std::string address() const { return listener_.address().toString() + "/u/1"; }
+        int accepted() const { return accepted_; }
+
+    private:
+        void accept()
+        {
+            while (true) {
+                Poco::Net::StreamSocket socket = listener_.acceptConnection();
+                if (stopping_)
+                    return;
+                ++accepted_;
+                std::string head;
+                char byte = 0;
+                while (head.find("\r\n\r\n") == std::string::npos && socket.receiveBytes(&byte, 1) == 1)
+                    head += byte;
+                static const std::string name = "Rosemarylink-Request-Id: ";
+                const auto start = head.find(name) + name.size();
+                const std::string id = head.substr(start, head.find('\r', start) - start);
+                const std::string answer = "HTTP/1.1 200 OK\r\nConnection: Keep-Alive\r\nContent-Length: 2\r\n"
+                                           "Rosemarylink-Request-Id: "
+                    + id + "\r\n\r\nok";
+                socket.sendBytes(answer.data(), static_cast<int>(answer.size()));
+                open_.push_back(socket);
+            }
+        }
+
+        Poco::Net::ServerSocket listener_;
+        std::atomic<bool> stopping_ { false };
+        std::atomic<int> accepted_ { 0 };
+        std::vector<Poco::Net::StreamSocket> open_;
+        std::thread thread_;
+    };
+
+    TEST_CASE("an idle connection that went silent is replaced before a request is sent on it")
+    {
+        FakeStore store;
+        GoesSilent upstream;
+        UpstreamFleet fleet(1);
+        auto specs = fleet.specs;
+        specs.front().address = upstream.address();
+        auto settings = makeSettings("gateway-1");
+        settings.retryShare = 0;
+        settings.probeAfter = Milliseconds(0);
+        settings.probeTimeout = Milliseconds(100);
+        TestGateway gateway(store, specs, settings);
+        CHECK(gateway.post("").value().status == 200);
+        CHECK(gateway.post("").value().status == 200);
+        CHECK(verdictOf(gateway.postOnce("", "key").value()) == "Ran");
+        CHECK(upstream.accepted() == 3);
+        CHECK(gateway.metrics.counter("rosemarylink_gateway_silent_connections_total", "").value() == 2);
+    }
+
+    TEST_CASE("an urgent request is hedged at another upstream when the first one is slow")
+    {
+        FakeStore store;
+        UpstreamFleet fleet(2);
+        fleet.upstreams.setServiceTime(UpstreamId("1"), Milliseconds(3000));
+        TestGateway gateway(store, fleet.specs, settingsWithRetries());
+        const auto start = std::chrono::steady_clock::now();
+        auto& hedges = gateway.metrics.counter("rosemarylink_gateway_hedges_total", "");
+        for (int index = 0; index < 20 && hedges.value() == 0; ++index)
+            CHECK(gateway.post("quote", { { "Rosemarylink-Urgent", "true" } }).value().status == 200);
+        CHECK(hedges.value() == 1);
+        CHECK(std::chrono::steady_clock::now() - start < std::chrono::milliseconds(2900));
+    }
+
+} // namespace
+} // namespace rosemarylink::gateway::testing
