--- a/src/control/OperatorApiConfig.cpp
+++ b/src/control/OperatorApiConfig.cpp
@@ -58,7 +58,7 @@
 Result<api::ConfigChange> OperatorApi::change(
     model::Declarations declarations, const api::ConfigView& stored, const OperatorId& proposer, bool dryRun)
 {
-    api::ConfigChange result { stored.version, false, dryRun, {} };
+    api::ConfigChange result { stored.version, false, dryRun, {}, std::nullopt };
     const model::Declarations before = normalized(stored.declarations);
     if (stored.version.value() > 0 && model::toJson(declarations) == model::toJson(before))
         return result;
@@ -101,7 +101,8 @@
         BOOST_OUTCOME_TRY(declarations, readDeclarations(request));
         BOOST_OUTCOME_TRY(stored, backend_.storedConfig());
         // A repetition after a lost reply finds its own version stored and succeeds.
-        const bool same = model::toJson(declarations) == model::toJson(normalized(stored.declarations));
+        const bool same = stored.version.value() > 0
+            && model::toJson(declarations) == model::toJson(normalized(stored.declarations));
         if (stored.version != *expected && !same)
             return conflictWith(stored, *expected);
         return change(std::move(declarations), stored, *principal.operatorId, dryRun);
