--- a/src/control/JobCommands.cpp
+++ b/src/control/JobCommands.cpp
@@ -23,6 +23,7 @@
         addText(options, "account", "ACCOUNT", "Client account that pays; required.");
         addText(options, "kind", "KIND", "Declared kind of job; required.");
         addText(options, "runtime", "TIME", "Estimated run time, such as 90s, 30min or 2h; required.");
+        addText(options, "command", "TEXT", "What each task executes; the platform interprets it. Default: empty.");
         addText(options, "tasks", "N", "Gang size, 1 to 128. Default: 1.");
         addText(options, "accelerators", "N", "Accelerators of each task. Default: 1.");
         addText(options, "cores", "N", "Processor cores of each task. Default: 0.");
@@ -68,7 +69,7 @@
             { "perTask", { { "accelerators", accelerators }, { "cores", cores }, { "memory", memory } } },
             { "declaredRunTime", runTime.count() }, { "urgent", context.flag("urgent") },
             { "idempotent", !context.flag("once") }, { "checkpointable", context.flag("checkpointable") } };
-        for (const char* option : { "adjacency", "region" }) {
+        for (const char* option : { "command", "adjacency", "region" }) {
             if (const auto text = context.text(option))
                 body[option] = *text;
         }
