--- a/include/rosemarylink/scheduler/HttpWorkerAgent.h
+++ b/include/rosemarylink/scheduler/HttpWorkerAgent.h
@@ -23,6 +23,9 @@
     Result<state::WorkerReport> report(const WorkerId&) override;
     Result<std::vector<model::WorkerSpec>> listWorkers() override;
 
+    // Bytes of orders and answers since the start.
+    std::int64_t bytesTransferred() const { return client_.bytesTransferred(); }
+
 private:
     Result<nlohmann::json> send(const std::string& method, const std::string& path, const nlohmann::json& body);
     Result<nlohmann::json> order(const WorkerId&, const std::string& name, const nlohmann::json& body);
--- a/include/rosemarylink/transport/HttpClient.h
+++ b/include/rosemarylink/transport/HttpClient.h
@@ -3,6 +3,8 @@
 #include "rosemarylink/base/Error.h"
 #include "rosemarylink/transport/HttpServer.h"
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -26,9 +28,13 @@
     Result<HttpReply> send(const std::string& method, const std::string& target, const Headers&,
         const std::string& body, Milliseconds timeout);
 
+    // Bytes of requests and replies since the start, without TCP and IP headers.
+    std::int64_t bytesTransferred() const { return bytesTransferred_; }
+
 private:
     struct Pool;
     std::unique_ptr<Pool> pool_;
+    std::atomic<std::int64_t> bytesTransferred_ { 0 };
 };
 
 } // namespace rosemarylink::transport
--- a/src/base/Metrics.cpp
+++ b/src/base/Metrics.cpp
@@ -131,6 +131,7 @@
 {
     const std::lock_guard lock(mutex_);
     std::ostringstream out;
+    out.precision(15); // byte counts must not be rounded
     renderPlain(out, counters_, "counter");
     renderPlain(out, gauges_, "gauge");
     for (const auto& [name, family] : distributions_) {
--- a/src/node/InstanceNode.cpp
+++ b/src/node/InstanceNode.cpp
@@ -1,6 +1,7 @@
 #include "rosemarylink/node/InstanceNode.h"
 
 #include "rosemarylink/base/Log.h"
+#include "rosemarylink/base/ProcessUsage.h"
 
 #include <Poco/NumberParser.h>
 
@@ -254,6 +255,7 @@
 
 void InstanceNode::exportMetrics()
 {
+    exportProcessUsage(metrics_);
     metrics_.gauge("rosemarylink_config_version", "Configuration version in force on this instance.")
         .set(static_cast<double>(agent_->config().version().value()));
     metrics_.gauge("rosemarylink_link_bytes", "Bytes sent and received over the instance links.")
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -21,6 +21,16 @@
         return !session.connected() || session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
     }
 
+    // The size of the first line and the headers on the wire.
+    template <typename Message> std::size_t headSize(const Message& message, std::size_t firstLine)
+    {
+        constexpr std::size_t separators = 4; // ": " and the line end
+        std::size_t size = firstLine + 2;
+        for (const auto& [name, value] : message)
+            size += name.size() + value.size() + separators;
+        return size;
+    }
+
 } // namespace
 
 struct HttpClient::Pool {
@@ -87,6 +97,8 @@
         }
         verdict = Verdict::MayHaveRun;
         session->sendRequest(request).write(body.data(), static_cast<std::streamsize>(body.size()));
+        const std::size_t requestLine = method.size() + target.size() + sizeof("  HTTP/1.1");
+        bytesTransferred_ += static_cast<std::int64_t>(headSize(request, requestLine) + body.size());
         Poco::Net::HTTPResponse response;
         std::istream& input = session->receiveResponse(response);
         HttpReply reply;
@@ -94,6 +106,8 @@
         for (const auto& [name, value] : response)
             reply.headers[name] = value;
         Poco::StreamCopier::copyToString(input, reply.body);
+        const std::size_t statusLine = response.getReason().size() + sizeof("HTTP/1.1 200 ");
+        bytesTransferred_ += static_cast<std::int64_t>(headSize(response, statusLine) + reply.body.size());
         const bool truncated = response.hasContentLength() && method != "HEAD"
             && static_cast<Poco::Int64>(reply.body.size()) != response.getContentLength64();
         if (truncated)
