Keep gangs whole while a new owner waits for its configuration

Cause: a new owner with an older configuration waited in recovery without ending a gang that had lost a member; the state machine found it (seed 3, max_success=500, max_size=150, case 137). Change: after the workers' reports the new owner supervises the gangs at once, and decides once it has the version. Conclusion: the test of an older configuration now also clears a member.

--- a/src/state/CellCore.cpp
+++ b/src/state/CellCore.cpp
@@ -111,7 +111,7 @@
         decisionDue_ = true;
     };
     handlers.lost = [this](const WorkerId& worker) {
-        if (role_ == Role::Owner)
+        if (leadsGangs())
             gangs_.workerLost(worker);
     };
     handlers.fenced = [this](const std::string& reason) { noteLost(reason); };
@@ -131,10 +131,9 @@
     }
     if (!lostReason_ && role_ != Role::Away && !left_) {
         fleet_.step();
-        if (recoveryIsDue())
-            finishRecovery();
+        stepRecovery();
     }
-    if (!lostReason_ && role_ == Role::Owner && !leaving_) {
+    if (!lostReason_ && leadsGangs() && !leaving_) {
         ledger_.step();
         gangs_.step();
         decide();
@@ -215,7 +214,7 @@
 {
     const Milliseconds now = context_.now();
     // While the store fails, decisions could not be made durable and would be out of date when it is back.
-    if (writer_.failing() || ownership_.storeFailing() || now < nextDecision_)
+    if (role_ != Role::Owner || writer_.failing() || ownership_.storeFailing() || now < nextDecision_)
         return;
     if (!decisionDue_ && now < nextDecision_ + decisionInterval)
         return;
@@ -303,7 +302,7 @@
             requeue(job);
         return;
     }
-    if (disposition == policy::JobDisposition::Requeued)
+    if (disposition == policy::JobDisposition::Requeued && policy_)
         policy_->cancel(job, policyNow());
     ledger_.end(job, *state);
 }
@@ -318,7 +317,7 @@
 void CellCore::requeue(const JobId& job)
 {
     const LedgerEntry* entry = ledger_.find(job);
-    if (entry == nullptr || entry->ending || entry->record.state != JobState::Accepted)
+    if (!policy_ || entry == nullptr || entry->ending || entry->record.state != JobState::Accepted)
         return;
     const auto admission = policy_->submit(entry->record.spec, policyNow());
     if (!admission)
--- a/src/state/CellCore.h
+++ b/src/state/CellCore.h
@@ -59,7 +59,12 @@
     CellSnapshot snapshot() const;
 
 private:
-    enum class Role { Away, Recovering, Owner };
+    enum class Role {
+        Away,
+        Recovering, // collects the workers' reports
+        Supervising, // keeps the gangs, and waits for the configuration that decisions were made under
+        Owner,
+    };
 
     CellOwnership::Handlers ownershipHandlers();
     PlacementsWriter::Handlers writerHandlers();
@@ -73,8 +78,10 @@
     Timestamp policyNow();
 
     void applyClaim(ClaimedCell);
-    bool recoveryIsDue() const;
-    void finishRecovery();
+    void stepRecovery();
+    void takeUpGangs();
+    bool mayDecide() const;
+    bool leadsGangs() const { return role_ == Role::Supervising || role_ == Role::Owner; }
     void rebuildPolicy();
     void restoreGangs(std::initializer_list<GangStage>);
     void stopBrokenLaunches();
--- a/src/state/CellJobs.cpp
+++ b/src/state/CellJobs.cpp
@@ -30,6 +30,9 @@
         return okStatus();
     if (role_ == Role::Recovering)
         return notNow("cell " + context_.cell().value() + " is being recovered");
+    if (role_ == Role::Supervising)
+        return notNow(
+            "cell " + context_.cell().value() + " waits for configuration " + std::to_string(highestConfig_.value()));
     const std::string owner = ownership_.owner() ? "owned by " + ownership_.owner()->value() : "without an owner";
     return notNow("cell " + context_.cell().value() + " is " + owner);
 }
@@ -240,7 +243,7 @@
     snapshot.warnings = warnings_;
     if (ownership_.claiming())
         snapshot.role = CellRole::Claiming;
-    if (role_ == Role::Recovering)
+    if (role_ == Role::Recovering || role_ == Role::Supervising)
         snapshot.role = CellRole::Recovering;
     if (role_ != Role::Owner)
         return snapshot;
--- a/src/state/CellRecovery.cpp
+++ b/src/state/CellRecovery.cpp
@@ -26,21 +26,28 @@
     recoveryEnds_ = context_.now() + context_.timings().recoveryLimit;
 }
 
-bool CellCore::recoveryIsDue() const
-{
-    if (role_ != Role::Recovering || !fleet_.listKnown() || !config_)
-        return false;
-    // The earlier owner has decided under a later configuration, and no configuration reverts.
-    if (config_->version < highestConfig_)
-        return false;
-    return fleet_.allReported() || context_.now() >= recoveryEnds_;
-}
-
-void CellCore::finishRecovery()
+void CellCore::stepRecovery()
 {
+    const bool reported = fleet_.listKnown() && fleet_.allReported();
+    if (role_ == Role::Recovering && (reported || context_.now() >= recoveryEnds_))
+        takeUpGangs();
+    if (role_ != Role::Supervising || !mayDecide())
+        return;
     role_ = Role::Owner;
     highestConfig_ = config_->version;
     rebuildPolicy();
+    decisionDue_ = true;
+    context_.log.info("cell recovered",
+        { { "cell", context_.cell() }, { "gangs", table_.all().size() }, { "jobs", ledger_.entries().size() } });
+}
+
+// The earlier owner may have decided under a later configuration, and no configuration reverts.
+bool CellCore::mayDecide() const { return fleet_.listKnown() && config_ && config_->version >= highestConfig_; }
+
+// Gangs are kept whole from here on, with or without a policy.
+void CellCore::takeUpGangs()
+{
+    role_ = Role::Supervising;
     stopBrokenLaunches();
     const auto reports = std::exchange(recoveryReports_, {});
     for (const auto& [report, sent] : reports)
@@ -49,9 +56,6 @@
         if (worker.lost)
             gangs_.workerLost(id);
     }
-    decisionDue_ = true;
-    context_.log.info("cell recovered",
-        { { "cell", context_.cell() }, { "gangs", table_.all().size() }, { "jobs", ledger_.entries().size() } });
 }
 
 void CellCore::rebuildPolicy()
@@ -77,7 +81,6 @@
     for (auto& [job, gang] : table_.all()) {
         if (std::find(stages.begin(), stages.end(), gang.stage) == stages.end())
             continue;
-        gang.knownToPolicy = false;
         if (gang.terminal || gang.aborted)
             continue;
         policy::Placement placement;
--- a/src/state/GangLifecycle.cpp
+++ b/src/state/GangLifecycle.cpp
@@ -59,6 +59,7 @@
     if (spec != nullptr)
         gang.spec = *spec;
     gang.record = record;
+    gang.knownToPolicy = false;
     gang.written = record.phase;
     gang.end = record.end;
     gang.terminal = jobEnded;
--- a/tests/state/FailurePairTest.cpp
+++ b/tests/state/FailurePairTest.cpp
@@ -277,16 +277,23 @@
         policy::PolicyConfig later = harness.config;
         later.version = ConfigVersion(9);
         REQUIRE(first.controller->configure(later));
-        REQUIRE(first.controller->submit(makeJob("j1", 4)));
-        REQUIRE(harness.runUntil([&] { return harness.placements().configVersion == ConfigVersion(9); }));
+        REQUIRE(first.controller->submit(makeJob("j1", 12)));
+        REQUIRE(harness.runUntil(
+            [&] { return harness.runs("j1", 12) && harness.placements().configVersion == ConfigVersion(9); }));
         CHECK(first.controller->configure(harness.config).error().code == ErrorCode::Conflict);
         Scheduler& second = harness.addScheduler();
         first.process->dead = true;
         harness.run(Milliseconds(20000));
         CHECK(second.role() == CellRole::Recovering);
+        // Without the configuration it starts nothing, but it must not let a gang run on in part.
+        harness.fleet.worker(WorkerId("worker-10000")).tasks.clear();
+        CHECK(harness.runUntil([&] { return harness.runs("j1", 0); }, Milliseconds(20000)));
+        harness.run(Milliseconds(5000));
+        CHECK(second.role() == CellRole::Recovering);
         REQUIRE(second.controller->configure(later));
         CHECK(harness.runUntil([&] { return second.isOwner(); }, Milliseconds(1000)));
         CHECK(harness.placements().configVersion == ConfigVersion(9));
+        CHECK(harness.runUntil([&] { return harness.runs("j1", 12); }));
     }
 
     TEST_CASE("a worker that returns with old tasks is relieved of them")
