Place guarantees, reclaim, reserve for large gangs, learn run times, quarantine workers

Cause: the simple default policy honoured no guarantee and starved large gangs. Change: guaranteed slots with places held on paper, a planner for the cheapest reclaim, reservations, learned run times, quarantine with probes, the preset table and an order by worth for each accelerator-second.

--- a/src/policy/DefaultPolicy.h
+++ b/src/policy/DefaultPolicy.h
@@ -1,12 +1,78 @@
 #pragma once
 
+#include "GuaranteedSlots.h"
 #include "PolicyBase.h"
+#include "PresetTable.h"
+#include "Quarantine.h"
+#include "QueueOrder.h"
+#include "ReclaimPlanner.h"
+#include "Reservations.h"
 
 namespace rosemarylink::policy::internal {
 
+// The policy in use. Guarantees come first and are reclaimed by stopping borrowed work; urgent work follows; large
+// gangs get reservations and room is made for them when the wait has cost more than the move; everything else is
+// ordered by worth and filled in around them.
 class DefaultPolicy final : public PolicyBase {
+public:
+    DefaultPolicy();
+
+    const GuaranteedSlots& guaranteedSlots() const { return slots_; }
+
 protected:
     void choose(Decisions&, Timestamp) override;
+    void workerAdded(int) override;
+    void availabilityChanged(int) override;
+    void configured() override;
+    Status checkFeasible(const model::JobSpec&, const GangShape&) const override;
+    bool adoptPlace(Job&, bool borrowed) override;
+    void placeReleased(Job&) override;
+    void gangFinished(Job&, GangOutcome, Timestamp) override;
+    void taskFailedOn(Job&, int, Timestamp) override;
+    bool isQuarantined(int worker) const override { return quarantine_.isQuarantined(worker); }
+    void fillExplanation(Explanation&, const Job&, Timestamp) const override;
+    void fillGuarantees(PolicySnapshot&) const override;
+    Milliseconds expectedWait(const Job&, Timestamp) const override;
+
+private:
+    // A search that found nothing; the same search fails again until capacity is freed.
+    struct FailedSearch {
+        GangShape shape;
+        unsigned blockingSet;
+        bool firm;
+    };
+
+    void startClaims(Decisions&, Timestamp);
+    void startProbes(Decisions&, Timestamp);
+    void startLargeGangs(const std::vector<Job*>&, Decisions&, Timestamp);
+    void makeRoom(const Reservation&, Decisions&, Timestamp);
+    bool tryStart(Job&, Decisions&, Timestamp);
+    bool tryFree(Job&, Decisions&, Timestamp);
+    bool tryGuaranteed(Job&, bool mayReclaim, Decisions&, Timestamp);
+    bool tryUrgent(Job&, Decisions&, Timestamp);
+    bool mayLend(const Job&) const;
+    std::vector<std::vector<int>> groupsInSlot(const GuaranteedSlot&, const Job&) const;
+    std::optional<ReclaimPlan> planInSlot(int slot, const Job&, bool mayReclaim, Timestamp);
+    // Takes the place; stops what is in the way and starts at once when nothing is.
+    void carryOut(Job&, ReclaimPlan, Hold, int slot, StopReason, bool checkpointFirst, Decisions&, Timestamp);
+    bool startIfFree(Job&, Decisions&, Timestamp);
+    Timestamp expectedEnd(const Job&, Timestamp now) const;
+    void closeDrainingRacks();
+    const std::vector<char>* avoidedBy(const Job&);
+    const std::vector<char>* closedFor(const Job&, Timestamp);
+    void setShares();
+    ReclaimPlanner planner(Timestamp now) const { return { fleet_, free_, jobsOn_, now }; }
+    bool isLarge(const Job&) const;
+
+    RunTimeEstimates estimates_;
+    Quarantine quarantine_;
+    GuaranteedSlots slots_;
+    Reservations reservations_;
+    QueueOrder order_;
+    const PresetRules* rules_;
+    std::vector<FailedSearch> failedSearches_; // of the present decision
+    std::vector<char> closed_; // scratch, by worker
+    Timestamp nextReview_;
 };
 
 } // namespace rosemarylink::policy::internal
--- a/src/policy/Fleet.cpp
+++ b/src/policy/Fleet.cpp
@@ -29,6 +29,16 @@
     return found == workerByName_.end() ? none : found->second;
 }
 
+model::WorkerSpec Fleet::specOf(int index) const
+{
+    const Worker& found = worker(index);
+    const Rack& in = rack(found.rack);
+    const model::Resources capacity { Cores(found.capacity.cores), Megabytes(found.capacity.memory),
+        Accelerators(found.capacity.accelerators) };
+    return { found.id, in.id, domainIds_[static_cast<std::size_t>(in.domain)], regionId(in.region), capacity,
+        found.state };
+}
+
 int Fleet::findRegion(const RegionId& id) const
 {
     const auto found = std::find(regions_.begin(), regions_.end(), id);
@@ -46,8 +56,10 @@
 int Fleet::rackFor(const model::WorkerSpec& spec)
 {
     const auto [domain, isNew] = domains_.emplace(spec.failureDomain, static_cast<int>(racksByDomain_.size()));
-    if (isNew)
+    if (isNew) {
         racksByDomain_.emplace_back();
+        domainIds_.push_back(spec.failureDomain);
+    }
     auto& ordered = racksByDomain_[static_cast<std::size_t>(domain->second)];
     const auto [position, inserted] = ordered.emplace(spec.rack, static_cast<int>(racks_.size()));
     if (!inserted)
--- a/src/policy/Fleet.h
+++ b/src/policy/Fleet.h
@@ -43,6 +43,8 @@
     const Rack& rackOf(int workerIndex) const { return rack(worker(workerIndex).rack); }
     const std::vector<Worker>& workers() const { return workers_; }
     const std::vector<Rack>& racks() const { return racks_; }
+    const RegionId& regionId(int region) const { return regions_[static_cast<std::size_t>(region)]; }
+    model::WorkerSpec specOf(int worker) const;
     std::size_t regionCount() const { return regions_.size(); }
 
 private:
@@ -53,6 +55,7 @@
     std::vector<Rack> racks_;
     std::vector<RegionId> regions_;
     std::map<FailureDomainId, int> domains_;
+    std::vector<FailureDomainId> domainIds_;
     std::vector<std::map<RackId, int>> racksByDomain_;
     std::unordered_map<std::string, int> workerByName_;
 };
--- a/src/policy/Job.h
+++ b/src/policy/Job.h
@@ -35,15 +35,20 @@
     Hold hold = Hold::None;
     int slot = none; // the guaranteed slot that it runs in
     std::vector<int> workers; // by task, while it holds a place
+    std::vector<std::pair<int, int>> parts; // worker and number of tasks there, while it holds a place
     bool launched = false; // a StartDecision was given that was not refused
     bool cancelled = false;
     int failures = 0;
     StopReason stopReason = StopReason::Cancelled;
+    bool checkpointAsked = false; // by the stop
+    int moves = 0; // stops to make room for others
     Timestamp submitted;
     Timestamp started; // of the present run
     Timestamp notBefore; // a launch that was refused waits until then
     Milliseconds progress { 0 }; // kept by checkpoints
     std::vector<int> failedWorkers; // reported by taskFailed in the present run
+    std::vector<int> avoided; // workers where it failed before; the next attempt goes elsewhere
+    int probed = none; // the quarantined worker that its present run probes
 
     bool holdsPlace() const { return phase != Phase::Waiting; }
     bool mayBeStopped() const { return spec.idempotent || spec.checkpointable; }
--- a/src/policy/PolicyBase.cpp
+++ b/src/policy/PolicyBase.cpp
@@ -25,9 +25,10 @@
         setWorkerState(spec.id, spec.state, now);
         return okStatus();
     }
+    workerAdded(index);
     free_.addWorker(fleet_, index, isAvailable(index));
     capacity_.addWorker(fleet_, index, true);
-    workerAdded(index);
+    jobsOn_.emplace_back();
     changed_ = true;
     return okStatus();
 }
@@ -207,7 +208,7 @@
     if (outcome == GangOutcome::Failed)
         ++job->failures;
     gangFinished(*job, outcome, now);
-    if (outcome == GangOutcome::Stopped && job->spec.checkpointable && job->phase == Phase::Stopping)
+    if (outcome == GangOutcome::Stopped && job->checkpointAsked && job->phase == Phase::Stopping)
         job->progress += now - job->started;
     release(*job);
     const JobDisposition disposition = dispositionAfter(*job, outcome);
@@ -222,20 +223,28 @@
     return disposition;
 }
 
-void PolicyBase::taskFailed(const JobId& id, const WorkerId& workerId, Timestamp)
+void PolicyBase::taskFailed(const JobId& id, const WorkerId& workerId, Timestamp now)
 {
     Job* job = jobs_.find(id);
     const int worker = fleet_.find(workerId);
-    if (job != nullptr && worker != none && job->holdsPlace())
-        job->failedWorkers.push_back(worker);
+    if (job == nullptr || worker == none || !job->holdsPlace())
+        return;
+    job->failedWorkers.push_back(worker);
+    taskFailedOn(*job, worker, now);
 }
 
 void PolicyBase::occupy(Job& job, std::vector<int> workers, Hold hold, Phase phase)
 {
     job.workers = std::move(workers);
     job.hold = hold;
+    std::map<int, int> tasks;
     for (const int worker : job.workers)
-        free_.take(fleet_, worker, job.shape.perTask);
+        ++tasks[worker];
+    job.parts.assign(tasks.begin(), tasks.end());
+    for (const auto& [worker, count] : job.parts) {
+        free_.take(fleet_, worker, job.shape.perTask * count);
+        jobsOn_[static_cast<std::size_t>(worker)].push_back(&job);
+    }
     jobs_.clearWaiting(job, phase);
     AccountUse& use = account(job.spec.account);
     use.inUse += job.accelerators();
@@ -247,14 +256,18 @@
 void PolicyBase::release(Job& job)
 {
     placeReleased(job);
-    for (const int worker : job.workers)
-        free_.give(fleet_, worker, job.shape.perTask);
+    for (const auto& [worker, count] : job.parts) {
+        free_.give(fleet_, worker, job.shape.perTask * count);
+        auto& jobs = jobsOn_[static_cast<std::size_t>(worker)];
+        jobs.erase(std::find(jobs.begin(), jobs.end(), &job));
+    }
     AccountUse& use = account(job.spec.account);
     use.inUse -= job.accelerators();
     --use.running;
     if (job.hold == Hold::Borrowed)
         use.borrowed -= job.accelerators();
     job.workers.clear();
+    job.parts.clear();
     job.hold = Hold::None;
     job.slot = none;
 }
@@ -287,17 +300,12 @@
     decisions.starts.push_back(makeStart(job));
 }
 
-void PolicyBase::stop(Job& job, StopReason reason, Decisions& decisions)
+void PolicyBase::stop(Job& job, StopReason reason, bool checkpointFirst, Decisions& decisions)
 {
+    job.checkpointAsked = checkpointFirst && job.spec.checkpointable && job.phase == Phase::Running;
     job.phase = Phase::Stopping;
     job.stopReason = reason;
-    StopDecision decision;
-    decision.job = job.spec.id;
-    decision.reason = reason;
-    decision.checkpointFirst
-        = job.spec.checkpointable && reason != StopReason::Cancelled && reason != StopReason::WorkerLost;
-    decision.version = config_.version;
-    decisions.stops.push_back(std::move(decision));
+    decisions.stops.push_back({ job.spec.id, reason, job.checkpointAsked, config_.version });
 }
 
 // Losing a member ends the whole gang. A gang on a worker that leaves is moved when that costs it little.
@@ -307,7 +315,7 @@
         if (job->phase != Phase::Starting && job->phase != Phase::Running)
             continue;
         if (job->cancelled) {
-            stop(*job, StopReason::Cancelled, decisions);
+            stop(*job, StopReason::Cancelled, false, decisions);
             continue;
         }
         bool lost = false;
@@ -318,9 +326,9 @@
             leaving = leaving || state == model::ResourceState::Leaving;
         }
         if (lost)
-            stop(*job, StopReason::WorkerLost, decisions);
-        else if (leaving && job->spec.checkpointable)
-            stop(*job, StopReason::WorkerLeaving, decisions);
+            stop(*job, StopReason::WorkerLost, false, decisions);
+        else if (leaving && job->spec.checkpointable && job->phase == Phase::Running)
+            stop(*job, StopReason::WorkerLeaving, true, decisions);
     }
 }
 
@@ -353,7 +361,7 @@
         return { "unknown", "the job is not known to this cell", std::nullopt, {} };
     switch (job->phase) {
     case Phase::Waiting:
-        return { "waiting", waitReason(*job, now), std::nullopt, {} };
+        break;
     case Phase::Claiming:
         return { "waiting", "the work in its place is being stopped", std::nullopt, {} };
     case Phase::Starting:
@@ -364,7 +372,9 @@
     case Phase::Stopping:
         return { "stopping", "it was asked to stop", std::nullopt, {} };
     }
-    return {};
+    Explanation explanation { "waiting", waitReason(*job, now), std::nullopt, {} };
+    fillExplanation(explanation, *job, now);
+    return explanation;
 }
 
 PolicySnapshot PolicyBase::snapshot(Timestamp) const
@@ -382,6 +392,7 @@
         }
     }
     fillCapacity(result, fleet_, free_);
+    fillGuarantees(result);
     for (int worker = 0; worker < static_cast<int>(fleet_.workers().size()); ++worker) {
         if (isQuarantined(worker))
             result.quarantined.push_back(fleet_.worker(worker).id);
--- a/src/policy/PolicyBase.h
+++ b/src/policy/PolicyBase.h
@@ -43,7 +43,10 @@
     virtual bool adoptPlace(Job&, bool) { return true; }
     virtual void placeReleased(Job&) { }
     virtual void gangFinished(Job&, GangOutcome, Timestamp) { }
+    virtual void taskFailedOn(Job&, int, Timestamp) { }
     virtual bool isQuarantined(int) const { return false; }
+    virtual void fillExplanation(Explanation&, const Job&, Timestamp) const { }
+    virtual void fillGuarantees(PolicySnapshot&) const { }
     virtual Milliseconds expectedWait(const Job&, Timestamp) const { return Milliseconds(0); }
 
     bool isAvailable(int worker) const;
@@ -56,13 +59,14 @@
     void occupy(Job&, std::vector<int> workers, Hold, Phase);
     void release(Job&); // gives the place back; the phase is unchanged
     void start(Job&, Decisions&, Timestamp);
-    void stop(Job&, StopReason, Decisions&);
+    void stop(Job&, StopReason, bool checkpointFirst, Decisions&);
     StartDecision makeStart(const Job&) const;
 
     Fleet fleet_;
     JobTable jobs_;
     Ledger free_; // capacity less all places held
     Ledger capacity_; // the empty fleet, every worker open
+    std::vector<std::vector<Job*>> jobsOn_; // by worker: the jobs that hold a place there
     PolicyConfig config_;
     std::map<std::string, AccountUse> accounts_;
     bool changed_ = true; // something happened since the last decision
--- /dev/null
+++ b/src/policy/QueueOrder.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "PresetTable.h"
+#include "RunTimeEstimates.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace rosemarylink::policy::internal {
+
+// What the order needs to know of an account.
+struct AccountShare {
+    double weight = 1;
+    std::int64_t borrowed = 0; // accelerators
+};
+
+// Orders waiting jobs: urgent ones first, then by worth for each accelerator-second that they still need, which
+// minimises the worth-weighted completion time when capacity is short. Accounts that borrow more than the others for
+// their weight come later, by at most a factor of four.
+class QueueOrder {
+public:
+    explicit QueueOrder(const RunTimeEstimates&);
+
+    void configure(const model::Declarations&);
+    void setShares(std::map<std::string, AccountShare>);
+    std::vector<Job*> sorted(const std::map<std::uint64_t, Job*>& waiting, Timestamp now) const;
+    double worthOf(const model::JobSpec&) const;
+
+private:
+    double score(const Job&, Timestamp now) const;
+
+    const RunTimeEstimates& estimates_;
+    const PresetRules* rules_;
+    std::map<std::string, double> worths_;
+    std::map<std::string, double> factors_; // by account
+};
+
+} // namespace rosemarylink::policy::internal
