--- a/apps/rosemarylink-bench/PolicyFleetFake.h
+++ b/apps/rosemarylink-bench/PolicyFleetFake.h
@@ -28,7 +28,8 @@
     // Whether no worker of the gang is lost or has more in use than it has.
     bool isSound(const std::vector<std::size_t>& gang) const;
     bool isAdjacent(const std::vector<std::size_t>& gang, model::Adjacency) const;
-    std::vector<model::WorkerSpec> readyWorkers() const;
+    // The workers that can run tasks: neither lost nor failing.
+    std::vector<model::WorkerSpec> soundWorkers() const;
 
     // Share of the free accelerators that the gang could use if adjacency did not matter, but cannot use.
     double fragmentation(const model::JobSpec& gang) const;
--- a/apps/rosemarylink-bench/PolicyGuaranteeWatch.h
+++ b/apps/rosemarylink-bench/PolicyGuaranteeWatch.h
@@ -25,12 +25,12 @@
 
     void jobWaits(const model::JobSpec&, const std::vector<std::size_t>& shapes);
     void jobNoLongerWaits(const model::JobSpec&, const std::vector<std::size_t>& shapes);
-    void gangPlaced(const model::JobSpec&, const std::vector<std::size_t>& shapes, const RegionId&, bool borrowed);
-    void gangEnded(const model::JobSpec&, const std::vector<std::size_t>& shapes, const RegionId&, bool borrowed);
+    void gangPlaced(const model::JobSpec&, const RegionId&, bool borrowed);
+    void gangEnded(const model::JobSpec&, const RegionId&, bool borrowed);
     void startedFrom(const std::vector<std::size_t>& shapes, Timestamp);
 
-    // After the loss or return of workers; shapes that no longer fit are not watched until they fit again.
-    void fleetChanged(const std::vector<model::WorkerSpec>& readyWorkers, Timestamp);
+    // After a change of the workers that can run tasks; shapes that no longer fit are not watched until they fit again.
+    void fleetChanged(const std::vector<model::WorkerSpec>& soundWorkers, Timestamp);
 
     void check(Timestamp);
 
@@ -43,7 +43,7 @@
         std::optional<Timestamp> owedSince;
     };
     bool isOwed(const Shape&) const;
-    void count(const model::JobSpec&, const std::vector<std::size_t>& shapes, const RegionId&, bool borrowed, int sign);
+    void count(const model::JobSpec&, const RegionId&, bool borrowed, int sign);
 
     std::vector<Shape> shapes_;
     std::map<std::string, std::int64_t> quotaLeft_; // accelerators, by account
--- a/apps/rosemarylink-bench/PolicySimulation.cpp
+++ b/apps/rosemarylink-bench/PolicySimulation.cpp
@@ -215,6 +215,7 @@
             case FleetEventKind::WorkerFailsTasks:
             case FleetEventKind::WorkerRepaired:
                 fleet_.setFailsTasks(event.worker, event.kind == FleetEventKind::WorkerFailsTasks);
+                watch_.fleetChanged(fleet_.soundWorkers(), now_);
                 return;
             case FleetEventKind::CancelWave:
                 return cancelHalf(event.account);
@@ -234,7 +235,7 @@
                 if (std::find(workers.begin(), workers.end(), event.worker) != workers.end())
                     schedule(now_ + lossDetectionTime, EventKind::WorkerLost, index, jobs_[index].run);
             }
-            watch_.fleetChanged(fleet_.readyWorkers(), now_);
+            watch_.fleetChanged(fleet_.soundWorkers(), now_);
         }
 
         void cancelHalf(const AccountId& account)
@@ -300,7 +301,7 @@
             fleet_.give(job.workers, spec.perTask);
             busy_ -= spec.tasks * spec.perTask.accelerators.value();
             runningTasks_ -= spec.tasks;
-            watch_.gangEnded(spec, job.shapes, fleet_.spec(job.workers.front()).region, job.borrowed);
+            watch_.gangEnded(spec, fleet_.spec(job.workers.front()).region, job.borrowed);
             job.workers.clear();
             const auto disposition = timed([&] { return policy_->gangEnded(spec.id, outcome, now_); });
             ++job.run;
@@ -385,7 +386,7 @@
             measures_.runningTasksMax = std::max(measures_.runningTasksMax, runningTasks_);
             job.borrowed = start.borrowed;
             job.state = JobState::Launching;
-            watch_.gangPlaced(spec, job.shapes, fleet_.spec(job.workers.front()).region, start.borrowed);
+            watch_.gangPlaced(spec, fleet_.spec(job.workers.front()).region, start.borrowed);
             if (!start.borrowed)
                 watch_.startedFrom(job.shapes, now_);
             if (!job.everStarted)
--- a/src/policy/DefaultPolicy.cpp
+++ b/src/policy/DefaultPolicy.cpp
@@ -25,6 +25,18 @@
     // Work that started this recently is not stopped to make room; it would have been better not to start it.
     constexpr Milliseconds shortestRunBeforeMove { 60000 };
 
+    // What is kept for urgent work of a region or a quota: a thirty-second, and at least two jobs of the usual size.
+    constexpr std::int64_t urgentRoomDivisor = 32;
+    constexpr std::int64_t leastUrgentRoom = 4;
+
+    // A large gang that waits longer than this keeps its account's other work from using up the quota. Shorter waits are
+    // not worth the capacity that stays unused.
+    constexpr Milliseconds quotaHoldDelay { 30 * 60 * 1000 };
+
+    // A job of any size that has waited this long is treated like a large gang, so that a low worth delays a job but never
+    // for good.
+    constexpr Milliseconds longestWait { 4 * 60 * 60 * 1000 };
+
     // Under a preset that drains racks, work expected to run longer is kept off racks with a worker that leaves.
     constexpr Milliseconds longWork { 15 * 60 * 1000 };
 
@@ -199,16 +211,24 @@
 {
     std::vector<Job*> large;
     for (Job* job : waiting) {
-        if (job->phase == Phase::Waiting && isLarge(*job))
+        if (job->phase == Phase::Waiting && (isLarge(*job) || now - job->submitted >= longestWait))
             large.push_back(job);
     }
     std::sort(large.begin(), large.end(), [](const Job* a, const Job* b) { return a->sequence < b->sequence; });
+    largeWaiting_.clear();
+    for (Job* job : large) {
+        if (findPlacement({ fleet_, usable_ }, job->shape, FitRule::FirstFit))
+            largeWaiting_[job->spec.account.value()].push_back(job);
+    }
     std::vector<Job*> unplaced;
     for (Job* job : large) {
-        if (!tryStart(*job, decisions, now) && withinQuota(*job) && job->notBefore <= now)
+        if (tryStart(*job, decisions, now)) {
+            auto& ofAccount = largeWaiting_[job->spec.account.value()];
+            ofAccount.erase(std::remove(ofAccount.begin(), ofAccount.end(), job), ofAccount.end());
+        } else if (withinQuota(*job) && job->notBefore <= now)
             unplaced.push_back(job);
     }
-    reservations_.update(unplaced, { fleet_, free_, capacity_, jobsOn_, estimates_, now });
+    reservations_.update(unplaced, { fleet_, free_, usable_, jobsOn_, estimates_, now });
     const std::vector<Reservation> reserved = reservations_.all();
     for (const Reservation& reservation : reserved)
         makeRoom(reservation, decisions, now);
@@ -255,6 +275,47 @@
     return now + Milliseconds(static_cast<std::int64_t>(remaining * estimateMargin));
 }
 
+const Job* DefaultPolicy::quotaHeldFor(const Job& job, Timestamp now) const
+{
+    const auto waiting = largeWaiting_.find(job.spec.account.value());
+    if (waiting == largeWaiting_.end() || waiting->second.empty())
+        return nullptr;
+    const Job* gang = waiting->second.front();
+    if (gang == &job || now - gang->submitted < quotaHoldDelay)
+        return nullptr;
+    const Reservation* reservation = reservations_.find(*gang);
+    return reservation != nullptr && expectedEnd(job, now) <= reservation->start ? nullptr : gang;
+}
+
+// Keeps a little of the quota for urgent jobs, and room for the large gang of the account that has waited longest: its
+// smaller jobs would otherwise use the quota up for good.
+bool DefaultPolicy::leavesQuota(const Job& job, Timestamp now) const
+{
+    const AccountUse* use = findAccount(job.spec.account);
+    if (use == nullptr || !use->declared.quotaAccelerators || job.spec.urgent || job.accelerators() == 0 || use->inUse == 0)
+        return true;
+    std::int64_t limit = use->declared.quotaAccelerators->value();
+    limit -= std::max(leastUrgentRoom, limit / urgentRoomDivisor);
+    if (const Job* gang = quotaHeldFor(job, now))
+        limit -= gang->accelerators();
+    return use->inUse + job.accelerators() <= limit;
+}
+
+// Work that cannot be stopped leaves some capacity of its region that urgent work can take or reclaim.
+bool DefaultPolicy::leavesUrgentRoom(const Job& job, const std::vector<int>& workers) const
+{
+    if (job.spec.urgent || job.accelerators() == 0)
+        return true;
+    const int region = fleet_.rackOf(workers.front()).region;
+    std::int64_t total = 0;
+    std::int64_t unpromised = 0;
+    for (const auto& rack : capacity_.byAccelerators(region))
+        total += rack.first;
+    for (const auto& rack : slots_.unpromised().byAccelerators(region))
+        unpromised += rack.first;
+    return unpromised - job.accelerators() >= std::max(leastUrgentRoom, total / urgentRoomDivisor);
+}
+
 const std::vector<char>* DefaultPolicy::closedFor(const Job& job, Timestamp now)
 {
     const Timestamp end = expectedEnd(job, now);
@@ -282,15 +343,16 @@
         [&](int slot) { return slots_.slots()[static_cast<std::size_t>(slot)].gang.tasks < 2 * job.shape.tasks; });
     if (fillsSlot && tryGuaranteed(job, false, decisions, now))
         return true;
-    return tryFree(job, decisions, now) || tryGuaranteed(job, true, decisions, now)
-        || (job.spec.urgent && tryUrgent(job, decisions, now));
+    if (tryFree(job, decisions, now) || tryGuaranteed(job, false, decisions, now))
+        return true;
+    return (job.spec.urgent && tryUrgent(job, decisions, now)) || tryGuaranteed(job, true, decisions, now);
 }
 
 // Starts the job where capacity is free: as borrowed work if it can be stopped, else where no guarantee needs it.
 bool DefaultPolicy::tryFree(Job& job, Decisions& decisions, Timestamp now)
 {
     const bool firm = !job.mayBeStopped();
-    if (!firm && !mayLend(job))
+    if ((!firm && !mayLend(job)) || !leavesQuota(job, now))
         return false;
     const std::vector<char>* closed = closedFor(job, now);
     const unsigned set = closed == nullptr ? 0 : reservations_.blockingSet(expectedEnd(job, now), job);
@@ -308,6 +370,8 @@
             failedSearches_.push_back({ job.shape, set, firm });
         return false;
     }
+    if (firm && !leavesUrgentRoom(job, *place))
+        return false;
     ReclaimPlan plan;
     plan.workers = std::move(*place);
     carryOut(
@@ -323,7 +387,7 @@
     limits.mayStop = [](const Job& other) { return !other.spec.urgent && other.spec.idempotent; };
     if (firm)
         limits.limit = [this](int worker) { return slots_.unpromised().free(worker); };
-    auto plan = planner(now).withoutCheckpoints().anywhere(job.shape, limits, capacity_);
+    auto plan = planner(now, true).anywhere(job.shape, limits, usable_);
     if (!plan)
         return false;
     carryOut(
--- a/src/policy/DefaultPolicy.h
+++ b/src/policy/DefaultPolicy.h
@@ -51,6 +51,10 @@
     bool tryGuaranteed(Job&, bool mayReclaim, Decisions&, Timestamp);
     bool tryUrgent(Job&, Decisions&, Timestamp);
     bool mayLend(const Job&) const;
+    bool leavesQuota(const Job&, Timestamp) const;
+    const Job* quotaHeldFor(const Job&, Timestamp) const;
+    bool leavesUrgentRoom(const Job&, const std::vector<int>& workers) const;
+    bool isKeptForLarger(const GuaranteedSlot&, const Job&) const;
     std::vector<std::vector<int>> groupsInSlot(const GuaranteedSlot&, const Job&) const;
     std::optional<ReclaimPlan> planInSlot(int slot, const Job&, bool mayReclaim, Timestamp);
     // Takes the place; stops what is in the way and starts at once when nothing is.
@@ -61,7 +65,10 @@
     const std::vector<char>* avoidedBy(const Job&);
     const std::vector<char>* closedFor(const Job&, Timestamp);
     void setShares();
-    ReclaimPlanner planner(Timestamp now) const { return { fleet_, free_, jobsOn_, now }; }
+    ReclaimPlanner planner(Timestamp now, bool urgent = false) const
+    {
+        return { fleet_, free_, jobsOn_, now, !urgent };
+    }
     bool isLarge(const Job&) const;
 
     RunTimeEstimates estimates_;
@@ -71,6 +78,7 @@
     QueueOrder order_;
     const PresetRules* rules_;
     std::vector<FailedSearch> failedSearches_; // of the present decision
+    std::map<std::string, std::vector<Job*>> largeWaiting_; // by account, the longest waiting first
     std::vector<char> closed_; // scratch, by worker
     Timestamp nextReview_;
 };
--- a/src/policy/DefaultPolicyGuarantees.cpp
+++ b/src/policy/DefaultPolicyGuarantees.cpp
@@ -32,20 +32,33 @@
     return result;
 }
 
+// Smaller work does not enter a slot that a waiting gang of the account would fill; it would keep the gang out for good.
+bool DefaultPolicy::isKeptForLarger(const GuaranteedSlot& slot, const Job& job) const
+{
+    const auto waiting = largeWaiting_.find(job.spec.account.value());
+    if (waiting == largeWaiting_.end() || job.spec.urgent)
+        return false;
+    return std::any_of(waiting->second.begin(), waiting->second.end(), [&](const Job* gang) {
+        return gang->shape.tasks > job.shape.tasks && slots_.admits(slot, *gang)
+            && gang->shape.adjacency >= slot.gang.adjacency;
+    });
+}
+
 std::optional<ReclaimPlan> DefaultPolicy::planInSlot(int index, const Job& job, bool mayReclaim, Timestamp now)
 {
     const GuaranteedSlot& slot = slots_.slots()[static_cast<std::size_t>(index)];
-    if (!slots_.admits(slot, job) || !slot.hasPlace())
+    if (!slots_.admits(slot, job) || !slot.hasPlace() || isKeptForLarger(slot, job))
         return std::nullopt;
     ReclaimLimits limits;
     limits.limit = [&slot](int worker) { return slot.room.at(worker); };
-    limits.mayStop = [](const Job&) { return true; };
+    // Urgent work does not wait for checkpoints, so it may only stop what can be repeated.
+    limits.mayStop = [urgent = job.spec.urgent](const Job& other) { return !urgent || other.spec.idempotent; };
     limits.closed = avoidedBy(job);
     std::optional<ReclaimPlan> best;
     for (const std::vector<int>& workers : groupsInSlot(slot, job)) {
         std::optional<ReclaimPlan> plan;
         if (mayReclaim) {
-            plan = planner(now).within(workers, job.shape, limits);
+            plan = planner(now, job.spec.urgent).within(workers, job.shape, limits);
         } else {
             const PlaceAmounts place(workers, job.shape, free_, limits.limit, limits.closed);
             if (place.fit() >= job.shape.tasks)
@@ -93,7 +106,8 @@
     }
     if (!best)
         return false;
-    carryOut(job, std::move(*best), Hold::Guaranteed, bestSlot, StopReason::Reclaimed, true, decisions, now);
+    carryOut(
+        job, std::move(*best), Hold::Guaranteed, bestSlot, StopReason::Reclaimed, !job.spec.urgent, decisions, now);
     return true;
 }
 
--- a/src/policy/PolicyBase.cpp
+++ b/src/policy/PolicyBase.cpp
@@ -28,6 +28,7 @@
     workerAdded(index);
     free_.addWorker(fleet_, index, isAvailable(index));
     capacity_.addWorker(fleet_, index, true);
+    usable_.addWorker(fleet_, index, isAvailable(index));
     jobsOn_.emplace_back();
     changed_ = true;
     return okStatus();
@@ -50,6 +51,7 @@
 void PolicyBase::refreshAvailability(int worker)
 {
     free_.setOpen(fleet_, worker, isAvailable(worker));
+    usable_.setOpen(fleet_, worker, isAvailable(worker));
     availabilityChanged(worker);
     changed_ = true;
 }
--- a/src/policy/PolicyBase.h
+++ b/src/policy/PolicyBase.h
@@ -66,6 +66,7 @@
     JobTable jobs_;
     Ledger free_; // capacity less all places held
     Ledger capacity_; // the empty fleet, every worker open
+    Ledger usable_; // the empty fleet, only available workers open
     std::vector<std::vector<Job*>> jobsOn_; // by worker: the jobs that hold a place there
     PolicyConfig config_;
     std::map<std::string, AccountUse> accounts_;
--- a/src/policy/ReclaimPlanner.cpp
+++ b/src/policy/ReclaimPlanner.cpp
@@ -58,7 +58,7 @@
         for (Job* job : jobsOn_[static_cast<std::size_t>(worker)]) {
             if (!seen.insert(job).second)
                 continue;
-            if (job->phase == Phase::Stopping)
+            if (job->phase == Phase::Stopping && (checkpoints_ || !job->checkpointAsked))
                 place.change(*job, 1);
             else if (mayStopNow(*job) && limits.mayStop(*job))
                 candidates.push_back({ job, 0, costOf(*job) });
--- a/src/policy/ReclaimPlanner.h
+++ b/src/policy/ReclaimPlanner.h
@@ -27,11 +27,13 @@
 // Finds the cheapest set of borrowed work to stop so that a gang fits: the least lost work, checkpointed work first.
 class ReclaimPlanner {
 public:
-    ReclaimPlanner(const Fleet& fleet, const Ledger& free, const std::vector<std::vector<Job*>>& jobsOn, Timestamp now)
+    // Without checkpoints, stops are immediate, and capacity that waits for a checkpoint does not count as free.
+    ReclaimPlanner(const Fleet& fleet, const Ledger& free, const std::vector<std::vector<Job*>>& jobsOn, Timestamp now, bool checkpoints)
         : fleet_(fleet)
         , free_(free)
         , jobsOn_(jobsOn)
         , now_(now)
+        , checkpoints_(checkpoints)
     {
     }
 
@@ -42,14 +44,6 @@
     // The cheapest plan over all places of the fleet that satisfy the adjacency.
     std::optional<ReclaimPlan> anywhere(const GangShape&, const ReclaimLimits&, const Ledger& capacity) const;
 
-    // The same planner for stops that do not wait for a checkpoint.
-    ReclaimPlanner withoutCheckpoints() const
-    {
-        ReclaimPlanner changed = *this;
-        changed.checkpoints_ = false;
-        return changed;
-    }
-
     // What stopping the job loses, in accelerator-seconds.
     double costOf(const Job&) const;
 
@@ -60,7 +54,7 @@
     const Ledger& free_;
     const std::vector<std::vector<Job*>>& jobsOn_;
     Timestamp now_;
-    bool checkpoints_ = true;
+    bool checkpoints_;
 };
 
 // The size of a job for comparing costs: its accelerators, or for work without any, an eighth of its cores.
