--- a/include/rosemarylink/standin/StandInUpstream.h
+++ b/include/rosemarylink/standin/StandInUpstream.h
@@ -21,7 +21,7 @@
     Swapped, // the answer carries another request's id and body
     Duplicated, // the answer is sent twice on the same connection
     Truncated, // the answer stops in the middle
-    Silent, // runs it, then leaves the connection open without an answer
+    Silent, // runs it, then sends no answer for as long as the caller keeps the connection open
 };
 
 // Faults hit requests at random, by shares of all requests of the upstream. They add up to 1 at most.
@@ -34,6 +34,8 @@
     Milliseconds serviceTime { 5 };
     int queueLength = 0; // requests beyond the slots that wait; further ones are refused
     std::uint64_t seed = 1; // of the faults' choice
+    Milliseconds reportLag { 0 }; // age of the reported number of busy slots
+    bool countBodies = false; // keeps executionsByBody
 };
 
 // A stand-in for the platform's upstreams, for tests, benchmark and demo. Each answer's body is "ID:BODY" of its
@@ -55,7 +57,10 @@
 
     // Executions by request id, over all upstreams.
     std::map<std::string, int> executionsByRequest() const;
+    // Executions by the request's body, which stays the same when a caller submits a request twice.
+    std::map<std::string, int> executionsByBody() const;
     std::int64_t executions(const UpstreamId&) const;
+    int busySlots(const UpstreamId&) const;
     // Requests that arrived, whether they ran or not.
     std::int64_t arrivals(const UpstreamId&) const;
     std::int64_t totalArrivals() const;
--- a/src/gateway/AdmissionQueue.cpp
+++ b/src/gateway/AdmissionQueue.cpp
@@ -8,19 +8,18 @@
 
 namespace {
 
-    // A request is hopeless when less than this part of the mean service time is left: service times vary, so that some
-    // requests finish in less than the mean.
-    constexpr double neededPartOfServiceTime = 0.5;
+    // The wait is an estimate from means. Without a margin, an overloaded queue settles where every request that it takes
+    // ends just around its deadline, and half of the work is lost.
+    constexpr double waitMargin = 1.5;
 
     double waitFor(std::size_t ahead, const ServiceRate& rate)
     {
         return static_cast<double>(ahead) * rate.serviceTime / std::max(1, rate.capacity);
     }
 
-    bool finishesInTime(const AdmissionRequest& request, double wait, const ServiceRate& rate, Milliseconds now)
+    bool finishesInTime(const AdmissionRequest& request, double time, Milliseconds now)
     {
-        const double end = static_cast<double>(now.count()) + wait + neededPartOfServiceTime * rate.serviceTime;
-        return end < static_cast<double>(request.deadline.count());
+        return static_cast<double>(now.count()) + time < static_cast<double>(request.deadline.count());
     }
 
 } // namespace
@@ -42,7 +41,7 @@
     const double wait = waitFor(countAhead(request.account), rate);
     // With an empty queue the service time is not held against the request: were the estimate too high, no request
     // would ever pass to correct it.
-    const bool inTime = size_ == 0 ? now < request.deadline : finishesInTime(request, wait, rate, now);
+    const bool inTime = size_ == 0 ? now < request.deadline : finishesInTime(request, waitMargin * wait + rate.slowServiceTime, now);
     if (!inTime)
         return overloadError("the request could not finish before its deadline", wait);
     AccountQueue& queue = accounts_[request.account];
@@ -92,7 +91,7 @@
     for (const auto& [account, queue] : accounts_) {
         for (const auto* part : { &queue.urgent, &queue.other }) {
             for (const auto& [ticket, request] : *part) {
-                if (!finishesInTime(request, 0, rate, now))
+                if (!finishesInTime(request, rate.serviceTime, now))
                     hopeless.push_back(ticket);
             }
         }
--- a/src/gateway/AdmissionQueue.h
+++ b/src/gateway/AdmissionQueue.h
@@ -21,7 +21,8 @@
 // What a service can take at the moment.
 struct ServiceRate {
     int capacity = 1; // requests in progress at once
-    double serviceTime = 0; // ms
+    double serviceTime = 0; // ms, mean
+    double slowServiceTime = 0; // ms, 95th percentile
 };
 
 using AdmissionTicket = std::uint64_t;
--- a/src/gateway/IdempotentRun.cpp
+++ b/src/gateway/IdempotentRun.cpp
@@ -90,7 +90,7 @@
     if (isRetry)
         metrics_.retries.add();
     sent_ = true;
-    BOOST_OUTCOME_TRYV(call->send(request_.upstreamRequest, remaining()));
+    BOOST_OUTCOME_TRYV(call->send(request_.upstreamRequest, std::min(remaining(), options_.progressTimeout)));
     calls.push_back(std::move(call));
     return collect(calls);
 }
@@ -151,7 +151,7 @@
     auto call = openCall(pool_, *slot, false, request_.deadline, clock_, metrics_);
     if (!call)
         return false;
-    if (call.value()->send(request_.upstreamRequest, remaining()))
+    if (call.value()->send(request_.upstreamRequest, std::min(remaining(), options_.progressTimeout)))
         calls.push_back(std::move(call).value());
     return true;
 }
--- a/src/gateway/ServicePool.cpp
+++ b/src/gateway/ServicePool.cpp
@@ -228,7 +228,7 @@
 
 ServiceRate ServicePool::rate(Milliseconds now) const
 {
-    return { std::max(1, selector_.capacity(now)), durations_.mean() };
+    return { std::max(1, selector_.capacity(now)), durations_.mean(), durations_.percentile95() };
 }
 
 double ServicePool::meanDuration() const
