Read the platform's lists with entity tags

Cause: an owner reads the worker list every 2.5 s, and the list of 350 workers made up most of its traffic. Change: the lists carry an ETag and an unchanged one costs no body; PlatformClient reads workers for the owner too.

--- a/include/rosemarylink/scheduler/HttpWorkerAgent.h
+++ b/include/rosemarylink/scheduler/HttpWorkerAgent.h
@@ -2,6 +2,7 @@
 
 #include "rosemarylink/state/WorkerAgent.h"
 #include "rosemarylink/transport/HttpClient.h"
+#include "rosemarylink/transport/PlatformClient.h"
 
 #include <string>
 
@@ -24,13 +25,14 @@
     Result<std::vector<model::WorkerSpec>> listWorkers() override;
 
     // Bytes of orders and answers since the start.
-    std::int64_t bytesTransferred() const { return client_.bytesTransferred(); }
+    std::int64_t bytesTransferred() const { return client_.bytesTransferred() + platform_.bytesTransferred(); }
 
 private:
     Result<nlohmann::json> send(const std::string& method, const std::string& path, const nlohmann::json& body);
     Result<nlohmann::json> order(const WorkerId&, const std::string& name, const nlohmann::json& body);
 
     transport::HttpClient client_;
+    transport::PlatformClient platform_;
     Milliseconds timeout_;
 };
 
--- a/include/rosemarylink/transport/HttpServer.h
+++ b/include/rosemarylink/transport/HttpServer.h
@@ -51,6 +51,9 @@
 // Rosemarylink-Verdict and, when set, Retry-After in whole seconds.
 HttpResponse errorResponse(const Error&);
 
+// Adds an ETag to a 200 response, or turns it into 304 without a body when the request's If-None-Match names it.
+HttpResponse withEntityTag(const HttpRequest&, HttpResponse);
+
 // The HTTP status of an error code.
 int httpStatus(ErrorCode);
 
--- a/include/rosemarylink/transport/PlatformClient.h
+++ b/include/rosemarylink/transport/PlatformClient.h
@@ -4,12 +4,15 @@
 #include "rosemarylink/generated/Platform.h"
 #include "rosemarylink/transport/HttpClient.h"
 
+#include <map>
+#include <mutex>
 #include <string>
 #include <vector>
 
 namespace rosemarylink::transport {
 
-// The platform's lists of upstreams and instances; both lag. Safe to use from several threads.
+// The platform's lists of workers, upstreams and instances; all lag. An unchanged list costs no body, by its ETag. Safe
+// to use from several threads.
 class PlatformClient {
 public:
     // The address is IP:port; the time-out holds for each call.
@@ -21,11 +24,22 @@
     Status announceInstance(const platform::InstanceEntry&);
     Status announceLeaving(const InstanceId&);
 
+    // Bytes of requests and replies since the start.
+    std::int64_t bytesTransferred() const { return client_.bytesTransferred(); }
+
 private:
+    struct CachedList {
+        std::string entityTag;
+        nlohmann::json list;
+    };
+
+    Result<nlohmann::json> list(const std::string& path);
     Result<nlohmann::json> send(const std::string& method, const std::string& path, const std::string& body);
 
     HttpClient client_;
     Milliseconds timeout_;
+    std::mutex mutex_;
+    std::map<std::string, CachedList> lists_; // by path
 };
 
 } // namespace rosemarylink::transport
--- a/src/policy/DefaultPolicy.cpp
+++ b/src/policy/DefaultPolicy.cpp
@@ -29,12 +29,12 @@
     constexpr std::int64_t urgentRoomDivisor = 32;
     constexpr std::int64_t leastUrgentRoom = 4;
 
-    // A large gang that waits longer than this keeps its account's other work from using up the quota. Shorter waits are
-    // not worth the capacity that stays unused.
+    // A large gang that waits longer than this keeps its account's other work from using up the quota. Shorter waits
+    // are not worth the capacity that stays unused.
     constexpr Milliseconds quotaHoldDelay { 30 * 60 * 1000 };
 
-    // A job of any size that has waited this long is treated like a large gang, so that a low worth delays a job but never
-    // for good.
+    // A job of any size that has waited this long is treated like a large gang, so that a low worth delays a job but
+    // never for good.
     constexpr Milliseconds longestWait { 4 * 60 * 60 * 1000 };
 
     // Under a preset that drains racks, work expected to run longer is kept off racks with a worker that leaves.
@@ -292,7 +292,8 @@
 bool DefaultPolicy::leavesQuota(const Job& job, Timestamp now) const
 {
     const AccountUse* use = findAccount(job.spec.account);
-    if (use == nullptr || !use->declared.quotaAccelerators || job.spec.urgent || job.accelerators() == 0 || use->inUse == 0)
+    if (use == nullptr || !use->declared.quotaAccelerators || job.spec.urgent || job.accelerators() == 0
+        || use->inUse == 0)
         return true;
     std::int64_t limit = use->declared.quotaAccelerators->value();
     limit -= std::max(leastUrgentRoom, limit / urgentRoomDivisor);
--- a/src/policy/DefaultPolicyGuarantees.cpp
+++ b/src/policy/DefaultPolicyGuarantees.cpp
@@ -32,7 +32,8 @@
     return result;
 }
 
-// Smaller work does not enter a slot that a waiting gang of the account would fill; it would keep the gang out for good.
+// Smaller work does not enter a slot that a waiting gang of the account would fill; it would keep the gang out for
+// good.
 bool DefaultPolicy::isKeptForLarger(const GuaranteedSlot& slot, const Job& job) const
 {
     const auto waiting = largeWaiting_.find(job.spec.account.value());
--- a/src/scheduler/HttpWorkerAgent.cpp
+++ b/src/scheduler/HttpWorkerAgent.cpp
@@ -1,6 +1,5 @@
 #include "rosemarylink/scheduler/HttpWorkerAgent.h"
 
-#include "rosemarylink/base/JsonReader.h"
 #include "rosemarylink/generated/Platform.h"
 
 namespace rosemarylink::scheduler {
@@ -49,6 +48,7 @@
 
 HttpWorkerAgent::HttpWorkerAgent(const std::string& platformAddress, Milliseconds timeout)
     : client_(platformAddress, maximumIdleConnections)
+    , platform_(platformAddress, timeout)
     , timeout_(timeout)
 {
 }
@@ -112,11 +112,6 @@
     return convertReport(json);
 }
 
-Result<std::vector<model::WorkerSpec>> HttpWorkerAgent::listWorkers()
-{
-    BOOST_OUTCOME_TRY(json, send("GET", "/workers", nullptr));
-    return readArray<model::WorkerSpec>(json, "workers", {},
-        [](const nlohmann::json& element, const std::string& path) { return model::parseWorkerSpec(element, path); });
-}
+Result<std::vector<model::WorkerSpec>> HttpWorkerAgent::listWorkers() { return platform_.listWorkers(); }
 
 } // namespace rosemarylink::scheduler
--- a/src/standin/StandInInstances.cpp
+++ b/src/standin/StandInInstances.cpp
@@ -16,7 +16,8 @@
 
 void StandInInstances::registerRoutes(transport::HttpRouter& router)
 {
-    router.add("GET", "/instances", [this](const HttpRequest&) { return list(); });
+    router.add(
+        "GET", "/instances", [this](const HttpRequest& request) { return transport::withEntityTag(request, list()); });
     router.add("PUT", "/instances/{id}", [this](const HttpRequest& request) { return announce(request); });
     router.add("DELETE", "/instances/{id}", [this](const HttpRequest& request) { return markLeaving(request); });
 }
--- a/src/standin/StandInPlatform.cpp
+++ b/src/standin/StandInPlatform.cpp
@@ -72,7 +72,8 @@
 {
     for (const model::UpstreamSpec& upstream : makeUpstreams(settings_, ""))
         upstreams_.addUpstream(router_, upstream.id, static_cast<int>(upstream.slots));
-    router_.add("GET", "/upstreams", [this](const HttpRequest&) { return listUpstreams(); });
+    router_.add("GET", "/upstreams",
+        [this](const HttpRequest& request) { return transport::withEntityTag(request, listUpstreams()); });
     router_.add("GET", "/upstreams/executions",
         [this](const HttpRequest&) { return jsonResponse(upstreams_.executionsByRequest()); });
 }
--- a/src/standin/StandInWorkers.cpp
+++ b/src/standin/StandInWorkers.cpp
@@ -61,7 +61,8 @@
 
 void StandInWorkers::registerRoutes(transport::HttpRouter& router)
 {
-    router.add("GET", "/workers", [this](const HttpRequest&) { return listWorkers(); });
+    router.add("GET", "/workers",
+        [this](const HttpRequest& request) { return transport::withEntityTag(request, listWorkers()); });
     router.add("GET", "/workers/gangs", [this](const HttpRequest&) { return listGangs(); });
     addOrder(router, "reserve", &StandInWorkers::reserve);
     addOrder(router, "start", &StandInWorkers::start);
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/SHA1Engine.h>
 #include <Poco/String.h>
 #include <Poco/StringTokenizer.h>
 #include <Poco/ThreadPool.h>
@@ -45,6 +46,19 @@
     return response;
 }
 
+HttpResponse withEntityTag(const HttpRequest& request, HttpResponse response)
+{
+    Poco::SHA1Engine digest;
+    digest.update(response.body);
+    const std::string tag = "\"" + Poco::DigestEngine::digestToHex(digest.digest()) + "\"";
+    response.headers["ETag"] = tag;
+    if (request.header("If-None-Match") == tag) {
+        response.status = 304;
+        response.body.clear();
+    }
+    return response;
+}
+
 int httpStatus(ErrorCode code)
 {
     switch (code) {
--- a/src/transport/PlatformClient.cpp
+++ b/src/transport/PlatformClient.cpp
@@ -4,6 +4,20 @@
 
 namespace rosemarylink::transport {
 
+namespace {
+
+    Result<nlohmann::json> parseReply(const std::string& path, const HttpReply& reply)
+    {
+        if (reply.status != 200)
+            return errorFromResponse(reply.status, reply.body);
+        auto json = nlohmann::json::parse(reply.body, nullptr, false);
+        if (json.is_discarded())
+            return unavailable("the platform's answer to " + path + " is not JSON", Verdict::MayHaveRun);
+        return json;
+    }
+
+} // namespace
+
 PlatformClient::PlatformClient(const std::string& address, Milliseconds timeout)
     : client_(address)
     , timeout_(timeout)
@@ -13,31 +27,46 @@
 Result<nlohmann::json> PlatformClient::send(const std::string& method, const std::string& path, const std::string& body)
 {
     BOOST_OUTCOME_TRY(reply, client_.send(method, path, {}, body, timeout_));
-    if (reply.status != 200)
-        return errorFromResponse(reply.status, reply.body);
-    auto json = nlohmann::json::parse(reply.body, nullptr, false);
-    if (json.is_discarded())
-        return unavailable("the platform's answer to " + path + " is not JSON", Verdict::MayHaveRun);
+    return parseReply(path, reply);
+}
+
+Result<nlohmann::json> PlatformClient::list(const std::string& path)
+{
+    CachedList cached;
+    {
+        const std::lock_guard lock(mutex_);
+        cached = lists_[path];
+    }
+    Headers headers;
+    if (!cached.entityTag.empty())
+        headers["If-None-Match"] = cached.entityTag;
+    BOOST_OUTCOME_TRY(reply, client_.send("GET", path, headers, "", timeout_));
+    if (reply.status == 304)
+        return cached.list;
+    BOOST_OUTCOME_TRY(json, parseReply(path, reply));
+    const auto tag = reply.headers.find("ETag");
+    const std::lock_guard lock(mutex_);
+    lists_[path] = { tag == reply.headers.end() ? std::string() : tag->second, json };
     return json;
 }
 
 Result<std::vector<model::UpstreamSpec>> PlatformClient::listUpstreams()
 {
-    BOOST_OUTCOME_TRY(json, send("GET", "/upstreams", ""));
+    BOOST_OUTCOME_TRY(json, list("/upstreams"));
     return readArray<model::UpstreamSpec>(json, "upstreams", {},
         [](const nlohmann::json& element, const std::string& path) { return model::parseUpstreamSpec(element, path); });
 }
 
 Result<std::vector<model::WorkerSpec>> PlatformClient::listWorkers()
 {
-    BOOST_OUTCOME_TRY(json, send("GET", "/workers", ""));
+    BOOST_OUTCOME_TRY(json, list("/workers"));
     return readArray<model::WorkerSpec>(json, "workers", {},
         [](const nlohmann::json& element, const std::string& path) { return model::parseWorkerSpec(element, path); });
 }
 
 Result<std::vector<platform::InstanceEntry>> PlatformClient::listInstances()
 {
-    BOOST_OUTCOME_TRY(json, send("GET", "/instances", ""));
+    BOOST_OUTCOME_TRY(json, list("/instances"));
     return readArray<platform::InstanceEntry>(
         json, "instances", {}, [](const nlohmann::json& element, const std::string& path) {
             return platform::parseInstanceEntry(element, path);
