Apply the HTTP client's time-out to answers on connections it opened itself

Change: send sets both time-outs on the socket; a test with a silent server on new and kept connections. Conclusion: callers of the client get their error in time.

--- a/apps/rosemarylink-bench/RequestsFleet.cpp
+++ b/apps/rosemarylink-bench/RequestsFleet.cpp
@@ -156,7 +156,7 @@
     for (const model::UpstreamSpec& spec : upstreams) {
         const auto slash = spec.address.find('/');
         targets_.push_back({ spec.address.substr(slash) + "/run",
-            std::make_unique<transport::HttpClient>(spec.address.substr(0, slash), spec.connections) });
+            std::make_unique<transport::HttpClient>(spec.address.substr(0, slash)) });
     }
     router_.add(
         "POST", "/v1/requests/{service}", [this](const transport::HttpRequest& request) { return serve(request); });
--- a/apps/rosemarylink-bench/RequestsRouting.cpp
+++ b/apps/rosemarylink-bench/RequestsRouting.cpp
@@ -85,17 +85,19 @@
         std::int64_t across = 0;
     };
 
-    // Bodies start with the region of the caller. Half of the callers are in the first region, so that it needs most of
-    // its own capacity.
+    // Bodies start with the region of the caller. The first region has more callers than its own 16 slots can serve
+    // without long waits, so that some of its requests are worth sending away.
     template <typename MakeGateway> RegionTraffic regionTraffic(std::uint64_t seed, MakeGateway make)
     {
-        constexpr int requests = 3000;
+        constexpr int requests = 4000;
         const std::vector<std::string> regions { "amman", "irbid", "aqaba" };
-        const std::vector<int> callers { 14, 8, 6 };
+        const std::vector<int> callers { 60, 8, 8 };
         FleetOptions options;
         options.regions = regions;
         options.slots = 4;
-        options.upstreams.serviceTime = Milliseconds(5);
+        options.upstreams.serviceTime = Milliseconds(20);
+        // Refusals would add repeated bytes to the baseline only.
+        options.upstreams.queueLength = 100;
         options.upstreams.seed = seed;
         UpstreamFleet fleet(options);
         std::atomic<std::int64_t> total { 0 };
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -85,6 +85,9 @@
                 Poco::Net::SocketAddress(pool_->host, pool_->port), Poco::Timespan(timeout.count() * 1000));
             session->socket().setNoDelay(true);
         }
+        // The session applies its time-out only when it connects by itself.
+        session->socket().setSendTimeout(Poco::Timespan(timeout.count() * 1000));
+        session->socket().setReceiveTimeout(Poco::Timespan(timeout.count() * 1000));
         verdict = Verdict::MayHaveRun;
         session->sendRequest(request).write(body.data(), static_cast<std::streamsize>(body.size()));
         Poco::Net::HTTPResponse response;
--- a/tests/transport/HttpTest.cpp
+++ b/tests/transport/HttpTest.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <future>
+
 namespace rosemarylink::transport {
 namespace {
 
@@ -12,6 +14,7 @@
         HttpRouter router;
         std::unique_ptr<HttpServer> server;
         std::unique_ptr<HttpClient> client;
+        std::promise<void> released;
 
         EchoServer()
         {
@@ -34,6 +37,10 @@
                 return errorResponse(
                     { ErrorCode::ResourceExhausted, "queue full", Verdict::NotRun, Milliseconds(1500) });
             });
+            router.add("GET", "/silent", [this](const HttpRequest&) {
+                released.get_future().wait();
+                return HttpResponse {};
+            });
             server = std::make_unique<HttpServer>(router, HttpServerOptions {});
             REQUIRE(server->start());
             client = std::make_unique<HttpClient>("127.0.0.1:" + std::to_string(server->port()));
@@ -64,6 +71,22 @@
         }
     }
 
+    TEST_CASE("a server that stays silent ends the wait at the time-out, on new and on kept connections")
+    {
+        EchoServer echo;
+        const Milliseconds shortTimeout { 100 };
+        for (const bool kept : { false, true }) {
+            HttpClient client("127.0.0.1:" + std::to_string(echo.server->port()));
+            if (kept)
+                REQUIRE(client.send("GET", "/none", {}, "", timeout));
+            echo.released = {};
+            const auto reply = client.send("GET", "/silent", {}, "", shortTimeout);
+            REQUIRE_FALSE(reply);
+            CHECK(reply.error().verdict == Verdict::MayHaveRun);
+            echo.released.set_value();
+        }
+    }
+
     TEST_CASE("a refused connection has not run")
     {
         int port = 0;
