Send idempotent requests elsewhere when a connection goes silent inside an answer

Cause: a pause inside the answer's head or body was reported as a passed deadline and not retried; found by the test that lets a connection go silent at each step. Change: a pause within the request's time is a fault of the connection.

--- a/src/gateway/UpstreamConnection.cpp
+++ b/src/gateway/UpstreamConnection.cpp
@@ -28,6 +28,8 @@
     // Longer than any request; the pool decides when an idle connection is too old. The session would otherwise connect
     // again on its own, without the order of connect, record and send that at-most-once needs.
     constexpr int neverReconnectSeconds = 86400;
+    // Socket time-outs may fire a little before the time.
+    constexpr std::int64_t timerSlack = 5; // ms
 
 } // namespace
 
@@ -158,6 +160,9 @@
         broken_ = broken_ || !response.getKeepAlive();
         return answer;
     } catch (const Poco::TimeoutException&) {
+        // A pause within the time is a fault of the connection, after which the request may be sent elsewhere.
+        if (deadline - steadyMilliseconds() > timerSlack)
+            return unavailable("the connection went silent in the middle of the answer", Verdict::MayHaveRun);
         return late;
     } catch (const Poco::Exception&) {
         return unavailable("the connection closed before the upstream's answer", Verdict::MayHaveRun);
