--- a/tests/gateway/AttemptTest.cpp
+++ b/tests/gateway/AttemptTest.cpp
@@ -6,7 +6,6 @@
 
 #include <atomic>
 #include <stdexcept>
-#include <thread>
 
 namespace rosemarylink::gateway::testing {
 namespace {
@@ -137,17 +136,12 @@
         TestGateway second(store, fleet.specs, makeSettings("gateway-2"));
         for (int round = 0; round < 20; ++round) {
             const std::string key = "key-" + std::to_string(round);
-            std::vector<std::thread> callers;
             std::atomic<int> honest { 0 };
-            for (int caller = 0; caller < 6; ++caller) {
-                callers.emplace_back([&, caller] {
-                    const auto reply = (caller % 2 ? first : second).postOnce("run", key);
-                    if (reply && (verdictOf(reply.value()) == "Ran" || verdictOf(reply.value()) == "MayHaveRun"))
-                        ++honest;
-                });
-            }
-            for (auto& caller : callers)
-                caller.join();
+            Callers(6, [&](int caller) {
+                const auto reply = (caller % 2 ? first : second).postOnce("run", key);
+                if (reply && (verdictOf(reply.value()) == "Ran" || verdictOf(reply.value()) == "MayHaveRun"))
+                    ++honest;
+            }).join();
             CHECK(honest == 6);
         }
         CHECK(fleet.totalExecutions() == 20);
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -8,8 +8,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace rosemarylink::gateway::testing {
@@ -47,6 +49,30 @@
     return settings;
 }
 
+// Threads that run a function with their number, and are joined by the destructor.
+class Callers {
+public:
+    Callers(int count, const std::function<void(int)>& run)
+    {
+        threads_.reserve(static_cast<std::size_t>(count));
+        for (int number = 0; number < count; ++number)
+            threads_.emplace_back(run, number);
+    }
+    ~Callers() { join(); }
+    Callers(const Callers&) = delete;
+    Callers& operator=(const Callers&) = delete;
+
+    void join()
+    {
+        for (auto& thread : threads_)
+            thread.join();
+        threads_.clear();
+    }
+
+private:
+    std::vector<std::thread> threads_;
+};
+
 // Stand-in upstreams on loopback.
 struct UpstreamFleet {
     transport::HttpRouter router;
@@ -121,10 +147,10 @@
     }
 
     Result<transport::HttpReply> post(const std::string& body, transport::Headers headers = {},
-        const std::string& service_ = "invoices", const std::string& account = "franchise") const
+        const std::string& target = "invoices", const std::string& account = "franchise") const
     {
         headers.emplace("Authorization", "Bearer key-of-" + account);
-        return client->send("POST", "/v1/requests/" + service_, headers, body, Milliseconds(60000));
+        return client->send("POST", "/v1/requests/" + target, headers, body, Milliseconds(60000));
     }
 
     Result<transport::HttpReply> postOnce(
--- a/tests/gateway/LoadTest.cpp
+++ b/tests/gateway/LoadTest.cpp
@@ -3,8 +3,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <atomic>
-#include <condition_variable>
-#include <mutex>
+#include <chrono>
 #include <thread>
 
 namespace rosemarylink::gateway::testing {
@@ -33,6 +32,7 @@
         TestGateway gateway(store, fleet.specs, settings);
         {
             std::vector<Poco::Net::StreamSocket> callers;
+            callers.reserve(20);
             for (int index = 0; index < 20; ++index)
                 callers.push_back(openRequest(gateway));
             while (gateway.service.inProgress() < 20)
@@ -66,14 +66,11 @@
         UpstreamFleet fleet(1, 4, { Milliseconds(200) });
         TestGateway gateway(store, fleet.specs);
         std::atomic<int> whole { 0 };
-        std::vector<std::thread> callers;
-        for (int index = 0; index < 8; ++index) {
-            callers.emplace_back([&] {
-                const auto reply = gateway.post("photo");
-                if (reply && reply.value().status == 200)
-                    ++whole;
-            });
-        }
+        Callers callers(8, [&](int) {
+            const auto reply = gateway.post("photo");
+            if (reply && reply.value().status == 200)
+                ++whole;
+        });
         while (gateway.service.inProgress() < 8)
             std::this_thread::yield();
         gateway.service.beginDrain();
@@ -82,8 +79,7 @@
         CHECK(verdictOf(refused) == "NotRun");
         CHECK(headerOf(refused, "Connection") == "close");
         CHECK(gateway.service.waitUntilIdle(generousLimit));
-        for (auto& caller : callers)
-            caller.join();
+        callers.join();
         CHECK(whole == 8);
     }
 
@@ -98,16 +94,13 @@
         TestGateway gateway(store, fleet.specs, settings, declarations);
         std::atomic<bool> stop { false };
         std::atomic<int> refused { 0 };
-        std::vector<std::thread> flood;
-        for (int index = 0; index < 24; ++index) {
-            flood.emplace_back([&] {
-                while (!stop) {
-                    const auto reply = gateway.post("flood");
-                    if (!reply || reply.value().status == 429)
-                        ++refused;
-                }
-            });
-        }
+        Callers flood(24, [&](int) {
+            while (!stop) {
+                const auto reply = gateway.post("flood");
+                if (!reply || reply.value().status == 429)
+                    ++refused;
+            }
+        });
         while (refused == 0)
             std::this_thread::yield();
         int served = 0;
@@ -116,25 +109,54 @@
             served += reply && reply.value().status == 200 ? 1 : 0;
         }
         stop = true;
-        for (auto& thread : flood)
-            thread.join();
+        flood.join();
         CHECK(served == 50);
     }
 
+    TEST_CASE("when the waiting room is full the requests of the cheapest service leave it first")
+    {
+        FakeStore store;
+        UpstreamFleet fleet(2, 1, { Milliseconds(600000) });
+        auto specs = fleet.specs;
+        specs[0].service = ServiceId("photos");
+        specs[1].service = ServiceId("quotes");
+        auto settings = makeSettings("gateway-1");
+        settings.timeout = Milliseconds(300000);
+        settings.queueLength = 3;
+        auto declarations = makeDeclarations();
+        declarations.worths = { { KindId("photos"), 1 }, { KindId("quotes"), 10 } };
+        TestGateway gateway(store, specs, settings, declarations);
+        std::atomic<int> refusedPhotos { 0 };
+        std::atomic<int> refusedQuotes { 0 };
+        const auto caller = [&](const std::string& service, std::atomic<int>& refused) {
+            const auto reply = gateway.post("body", {}, service);
+            refused += reply && reply.value().status == 429 && verdictOf(reply.value()) == "NotRun" ? 1 : 0;
+        };
+        Callers photos(4, [&](int) { caller("photos", refusedPhotos); });
+        while (gateway.service.inProgress() < 4)
+            std::this_thread::yield();
+        Callers quotes(3, [&](int) { caller("quotes", refusedQuotes); });
+        const auto start = std::chrono::steady_clock::now();
+        while (refusedPhotos == 0 && std::chrono::steady_clock::now() - start < generousLimit)
+            std::this_thread::yield();
+        CHECK(refusedPhotos > 0);
+        fleet.upstreams.release();
+        photos.join();
+        quotes.join();
+        CHECK(refusedQuotes == 0);
+    }
+
     TEST_CASE("a leaving upstream gets nothing new and finishes what it has")
     {
         FakeStore store;
         UpstreamFleet fleet(2, 8, { Milliseconds(100) });
         TestGateway gateway(store, fleet.specs);
         std::atomic<int> whole { 0 };
-        std::vector<std::thread> callers;
-        for (int index = 0; index < 8; ++index) {
-            callers.emplace_back([&] {
-                const auto reply = gateway.post("photo");
-                if (reply && reply.value().status == 200)
-                    ++whole;
-            });
-        }
+        Callers callers(8, [&](int) {
+            const auto reply = gateway.post("photo");
+            if (reply && reply.value().status == 200)
+                ++whole;
+        });
         while (fleet.upstreams.totalArrivals() < 8)
             std::this_thread::yield();
         auto specs = fleet.specs;
@@ -143,8 +165,7 @@
         const auto before = fleet.upstreams.arrivals(UpstreamId("1"));
         for (int index = 0; index < 10; ++index)
             CHECK(gateway.post("photo").value().status == 200);
-        for (auto& caller : callers)
-            caller.join();
+        callers.join();
         CHECK(whole == 8);
         CHECK(fleet.upstreams.arrivals(UpstreamId("1")) == before);
     }
@@ -157,16 +178,12 @@
         REQUIRE(gateway.post("the first request shows the service time").value().status == 200);
         std::atomic<int> refused { 0 };
         std::atomic<int> late { 0 };
-        std::vector<std::thread> callers;
-        for (int index = 0; index < 10; ++index) {
-            callers.emplace_back([&] {
-                const auto reply = gateway.post("photo", { { "Rosemarylink-Timeout-Ms", "350" } }).value();
-                refused += reply.status == 429 && verdictOf(reply) == "NotRun" ? 1 : 0;
-                late += reply.status == 504 ? 1 : 0;
-            });
-        }
-        for (auto& caller : callers)
-            caller.join();
+        Callers callers(10, [&](int) {
+            const auto reply = gateway.post("photo", { { "Rosemarylink-Timeout-Ms", "350" } }).value();
+            refused += reply.status == 429 && verdictOf(reply) == "NotRun" ? 1 : 0;
+            late += reply.status == 504 ? 1 : 0;
+        });
+        callers.join();
         CHECK(refused >= 5);
         CHECK(late <= 1);
         CHECK(fleet.upstreams.totalArrivals() <= 6);
--- a/tests/gateway/UpstreamFailureTest.cpp
+++ b/tests/gateway/UpstreamFailureTest.cpp
@@ -2,8 +2,6 @@
 
 #include <atomic>
 #include <chrono>
-#include <future>
-#include <thread>
 
 namespace rosemarylink::gateway::testing {
 namespace {
@@ -121,11 +119,7 @@
                     ++wrong;
             }
         };
-        std::vector<std::thread> callers;
-        for (int number = 0; number < 8; ++number)
-            callers.emplace_back(caller, number);
-        for (auto& thread : callers)
-            thread.join();
+        Callers(8, caller).join();
         CHECK(wrong == 0);
         CHECK(whole > 400);
     }
