--- a/src/policy/DefaultPolicy.cpp
+++ b/src/policy/DefaultPolicy.cpp
@@ -29,12 +29,15 @@
     constexpr std::int64_t urgentRoomDivisor = 32;
     constexpr std::int64_t leastUrgentRoom = 4;
 
-    // A large gang that waits longer than this keeps its account's other work from using up the quota. Shorter waits are
-    // not worth the capacity that stays unused.
+    // Work that cannot be stopped uses the room for urgent work after this wait, so that it never waits for good.
+    constexpr Milliseconds urgentRoomDelay { 10 * 60 * 1000 };
+
+    // A large gang that waits longer than this keeps its account's other work from using up the quota. Shorter waits
+    // are not worth the capacity that stays unused.
     constexpr Milliseconds quotaHoldDelay { 30 * 60 * 1000 };
 
-    // A job of any size that has waited this long is treated like a large gang, so that a low worth delays a job but never
-    // for good.
+    // A job of any size that has waited this long is treated like a large gang, so that a low worth delays a job but
+    // never for good.
     constexpr Milliseconds longestWait { 4 * 60 * 60 * 1000 };
 
     // Under a preset that drains racks, work expected to run longer is kept off racks with a worker that leaves.
@@ -201,8 +204,10 @@
     }
     startLargeGangs(waiting, decisions, now);
     for (Job* job : waiting) {
-        if (job->phase == Phase::Waiting && !job->spec.urgent && reservations_.find(*job) == nullptr)
-            tryStart(*job, decisions, now);
+        if (job->phase != Phase::Waiting || job->spec.urgent || reservations_.find(*job) != nullptr)
+            continue;
+        if (!tryStart(*job, decisions, now) && !job->mayBeStopped())
+            makeFirmRoom(*job, decisions, now);
     }
 }
 
@@ -211,7 +216,8 @@
 {
     std::vector<Job*> large;
     for (Job* job : waiting) {
-        if (job->phase == Phase::Waiting && (isLarge(*job) || now - job->submitted >= longestWait))
+        if (job->phase == Phase::Waiting && job->mayBeStopped()
+            && (isLarge(*job) || now - job->submitted >= longestWait))
             large.push_back(job);
     }
     std::sort(large.begin(), large.end(), [](const Job* a, const Job* b) { return a->sequence < b->sequence; });
@@ -234,6 +240,32 @@
         makeRoom(reservation, decisions, now);
 }
 
+bool DefaultPolicy::paysOff(const ReclaimPlan& plan, const Job& job, Timestamp now) const
+{
+    const double waited = std::chrono::duration<double>(now - job.submitted).count() * jobSize(job);
+    return plan.cost * moveGainFactor <= waited;
+}
+
+// Work that cannot be stopped may use only what no guarantee needs; borrowed work there moves for it.
+void DefaultPolicy::makeFirmRoom(Job& job, Decisions& decisions, Timestamp now)
+{
+    if (!rules_->movesWork || job.notBefore > now || !withinQuota(job) || !leavesQuota(job, now)
+        || now - job.submitted < shortestRunBeforeMove)
+        return;
+    ReclaimLimits limits;
+    limits.limit = [this](int worker) { return slots_.unpromised().free(worker); };
+    limits.mayStop = [now](const Job& other) {
+        return !other.spec.urgent && other.moves < mostMoves && now - other.started >= shortestRunBeforeMove;
+    };
+    limits.closed = avoidedBy(job);
+    auto plan = planner(now).anywhere(job.shape, limits, usable_);
+    if (!plan || !paysOff(*plan, job, now) || !leavesUrgentRoom(job, plan->workers, now))
+        return;
+    for (Job* stopped : plan->stops)
+        ++stopped->moves;
+    carryOut(job, std::move(*plan), Hold::Firm, none, StopReason::Defragmented, true, decisions, now);
+}
+
 // Stops borrowed work in the reserved place when the gang's wait has cost more than the stops would.
 void DefaultPolicy::makeRoom(const Reservation& reservation, Decisions& decisions, Timestamp now)
 {
@@ -246,10 +278,7 @@
             && job.shape.tasks < gang.shape.tasks;
     };
     auto plan = planner(now).within(reservation.workers, gang.shape, limits);
-    if (!plan)
-        return;
-    const double waited = std::chrono::duration<double>(now - gang.submitted).count() * jobSize(gang);
-    if (plan->cost * moveGainFactor > waited)
+    if (!plan || !paysOff(*plan, gang, now))
         return;
     for (Job* job : plan->stops)
         ++job->moves;
@@ -292,7 +321,8 @@
 bool DefaultPolicy::leavesQuota(const Job& job, Timestamp now) const
 {
     const AccountUse* use = findAccount(job.spec.account);
-    if (use == nullptr || !use->declared.quotaAccelerators || job.spec.urgent || job.accelerators() == 0 || use->inUse == 0)
+    if (use == nullptr || !use->declared.quotaAccelerators || job.spec.urgent || job.accelerators() == 0
+        || use->inUse == 0)
         return true;
     std::int64_t limit = use->declared.quotaAccelerators->value();
     limit -= std::max(leastUrgentRoom, limit / urgentRoomDivisor);
@@ -302,9 +332,9 @@
 }
 
 // Work that cannot be stopped leaves some capacity of its region that urgent work can take or reclaim.
-bool DefaultPolicy::leavesUrgentRoom(const Job& job, const std::vector<int>& workers) const
+bool DefaultPolicy::leavesUrgentRoom(const Job& job, const std::vector<int>& workers, Timestamp now) const
 {
-    if (job.spec.urgent || job.accelerators() == 0)
+    if (job.spec.urgent || job.accelerators() == 0 || now - job.submitted >= urgentRoomDelay)
         return true;
     const int region = fleet_.rackOf(workers.front()).region;
     std::int64_t total = 0;
@@ -341,11 +371,11 @@
     // there is room elsewhere.
     const bool fillsSlot = std::any_of(slots_.slotsOf(job.spec.account).begin(), slots_.slotsOf(job.spec.account).end(),
         [&](int slot) { return slots_.slots()[static_cast<std::size_t>(slot)].gang.tasks < 2 * job.shape.tasks; });
-    if (fillsSlot && tryGuaranteed(job, false, decisions, now))
+    if (fillsSlot && tryFreeSlot(job, decisions, now))
         return true;
-    if (tryFree(job, decisions, now) || tryGuaranteed(job, false, decisions, now))
+    if (tryFree(job, decisions, now) || tryFreeSlot(job, decisions, now))
         return true;
-    return (job.spec.urgent && tryUrgent(job, decisions, now)) || tryGuaranteed(job, true, decisions, now);
+    return (job.spec.urgent && tryUrgent(job, decisions, now)) || tryReclaim(job, decisions, now);
 }
 
 // Starts the job where capacity is free: as borrowed work if it can be stopped, else where no guarantee needs it.
@@ -370,7 +400,7 @@
             failedSearches_.push_back({ job.shape, set, firm });
         return false;
     }
-    if (firm && !leavesUrgentRoom(job, *place))
+    if (firm && !leavesUrgentRoom(job, *place, now))
         return false;
     ReclaimPlan plan;
     plan.workers = std::move(*place);
--- a/src/policy/DefaultPolicy.h
+++ b/src/policy/DefaultPolicy.h
@@ -48,15 +48,20 @@
     void makeRoom(const Reservation&, Decisions&, Timestamp);
     bool tryStart(Job&, Decisions&, Timestamp);
     bool tryFree(Job&, Decisions&, Timestamp);
-    bool tryGuaranteed(Job&, bool mayReclaim, Decisions&, Timestamp);
+    bool tryFreeSlot(Job&, Decisions&, Timestamp);
+    bool tryReclaim(Job&, Decisions&, Timestamp);
+    std::vector<int> candidateSlots(const Job&) const;
     bool tryUrgent(Job&, Decisions&, Timestamp);
     bool mayLend(const Job&) const;
     bool leavesQuota(const Job&, Timestamp) const;
     const Job* quotaHeldFor(const Job&, Timestamp) const;
-    bool leavesUrgentRoom(const Job&, const std::vector<int>& workers) const;
+    bool leavesUrgentRoom(const Job&, const std::vector<int>& workers, Timestamp) const;
+    bool paysOff(const ReclaimPlan&, const Job&, Timestamp) const;
+    void makeFirmRoom(Job&, Decisions&, Timestamp);
     bool isKeptForLarger(const GuaranteedSlot&, const Job&) const;
     std::vector<std::vector<int>> groupsInSlot(const GuaranteedSlot&, const Job&) const;
-    std::optional<ReclaimPlan> planInSlot(int slot, const Job&, bool mayReclaim, Timestamp);
+    std::optional<ReclaimPlan> planInSlot(
+        int slot, const Job&, bool mayReclaim, const std::vector<char>* closed, Timestamp);
     // Takes the place; stops what is in the way and starts at once when nothing is.
     void carryOut(Job&, ReclaimPlan, Hold, int slot, StopReason, bool checkpointFirst, Decisions&, Timestamp);
     bool startIfFree(Job&, Decisions&, Timestamp);
--- a/src/policy/DefaultPolicyGuarantees.cpp
+++ b/src/policy/DefaultPolicyGuarantees.cpp
@@ -32,7 +32,8 @@
     return result;
 }
 
-// Smaller work does not enter a slot that a waiting gang of the account would fill; it would keep the gang out for good.
+// Smaller work does not enter a slot that a waiting gang of the account would fill; it would keep the gang out for
+// good.
 bool DefaultPolicy::isKeptForLarger(const GuaranteedSlot& slot, const Job& job) const
 {
     const auto waiting = largeWaiting_.find(job.spec.account.value());
@@ -44,7 +45,8 @@
     });
 }
 
-std::optional<ReclaimPlan> DefaultPolicy::planInSlot(int index, const Job& job, bool mayReclaim, Timestamp now)
+std::optional<ReclaimPlan> DefaultPolicy::planInSlot(
+    int index, const Job& job, bool mayReclaim, const std::vector<char>* closed, Timestamp now)
 {
     const GuaranteedSlot& slot = slots_.slots()[static_cast<std::size_t>(index)];
     if (!slots_.admits(slot, job) || !slot.hasPlace() || isKeptForLarger(slot, job))
@@ -53,7 +55,7 @@
     limits.limit = [&slot](int worker) { return slot.room.at(worker); };
     // Urgent work does not wait for checkpoints, so it may only stop what can be repeated.
     limits.mayStop = [urgent = job.spec.urgent](const Job& other) { return !urgent || other.spec.idempotent; };
-    limits.closed = avoidedBy(job);
+    limits.closed = closed;
     std::optional<ReclaimPlan> best;
     for (const std::vector<int>& workers : groupsInSlot(slot, job)) {
         std::optional<ReclaimPlan> plan;
@@ -70,35 +72,51 @@
     return best;
 }
 
-// Starts the job inside a guaranteed slot of its account: where the slot's place is free, else by moving an idle slot
-// to a free place, else by reclaiming.
-bool DefaultPolicy::tryGuaranteed(Job& job, bool mayReclaim, Decisions& decisions, Timestamp now)
+// The slots of the job's account: those in use first, then the smallest, so that large ones stay whole.
+std::vector<int> DefaultPolicy::candidateSlots(const Job& job) const
 {
     std::vector<int> candidates = slots_.slotsOf(job.spec.account);
     const auto& slots = slots_.slots();
-    // Slots in use come first, then the smallest, so that large ones stay whole.
     std::stable_sort(candidates.begin(), candidates.end(), [&slots](int a, int b) {
         const GuaranteedSlot& first = slots[static_cast<std::size_t>(a)];
         const GuaranteedSlot& second = slots[static_cast<std::size_t>(b)];
         return (first.users > 0) != (second.users > 0) ? first.users > 0 : first.gang.tasks < second.gang.tasks;
     });
-    for (const int slot : candidates) {
-        auto plan = planInSlot(slot, job, false, now);
-        const GuaranteedSlot& candidate = slots[static_cast<std::size_t>(slot)];
-        const bool fills = candidate.gang.tasks < 2 * job.shape.tasks;
-        if (!plan && fills && slots_.admits(candidate, job) && slots_.moveToFree(slot, free_))
-            plan = planInSlot(slot, job, false, now);
-        if (!plan)
+    return candidates;
+}
+
+// Starts the job inside a guaranteed slot of its account where the slot's place is free, or else moves an idle slot to
+// a free place. Places that are reserved for large gangs come last.
+bool DefaultPolicy::tryFreeSlot(Job& job, Decisions& decisions, Timestamp now)
+{
+    const std::vector<int> candidates = candidateSlots(job);
+    for (const bool mayUseReserved : { false, true }) {
+        const std::vector<char>* closed = mayUseReserved ? avoidedBy(job) : closedFor(job, now);
+        if (mayUseReserved && reservations_.all().empty())
             continue;
-        carryOut(job, std::move(*plan), Hold::Guaranteed, slot, StopReason::Reclaimed, true, decisions, now);
-        return true;
+        for (const int slot : candidates) {
+            auto plan = planInSlot(slot, job, false, closed, now);
+            const GuaranteedSlot& candidate = slots_.slots()[static_cast<std::size_t>(slot)];
+            const bool fills = candidate.gang.tasks < 2 * job.shape.tasks;
+            if (!plan && fills && slots_.admits(candidate, job) && slots_.moveToFree(slot, free_))
+                plan = planInSlot(slot, job, false, closed, now);
+            if (!plan)
+                continue;
+            carryOut(job, std::move(*plan), Hold::Guaranteed, slot, StopReason::Reclaimed, true, decisions, now);
+            return true;
+        }
     }
-    if (!mayReclaim)
-        return false;
+    return false;
+}
+
+// Starts the job inside the slot of its account whose capacity is cheapest to reclaim.
+bool DefaultPolicy::tryReclaim(Job& job, Decisions& decisions, Timestamp now)
+{
     std::optional<ReclaimPlan> best;
     int bestSlot = none;
-    for (const int slot : candidates) {
-        auto plan = planInSlot(slot, job, true, now);
+    const std::vector<char>* closed = avoidedBy(job);
+    for (const int slot : candidateSlots(job)) {
+        auto plan = planInSlot(slot, job, true, closed, now);
         if (!plan || (best && best->cost <= plan->cost))
             continue;
         best = std::move(plan);
--- a/src/policy/ReclaimPlanner.h
+++ b/src/policy/ReclaimPlanner.h
@@ -28,7 +28,8 @@
 class ReclaimPlanner {
 public:
     // Without checkpoints, stops are immediate, and capacity that waits for a checkpoint does not count as free.
-    ReclaimPlanner(const Fleet& fleet, const Ledger& free, const std::vector<std::vector<Job*>>& jobsOn, Timestamp now, bool checkpoints)
+    ReclaimPlanner(const Fleet& fleet, const Ledger& free, const std::vector<std::vector<Job*>>& jobsOn, Timestamp now,
+        bool checkpoints)
         : fleet_(fleet)
         , free_(free)
         , jobsOn_(jobsOn)
