Keep promised places of lost workers and stop reservations from slipping

Cause: firm work settled in a place whose worker was away, and the start of a reservation moved back with each job that was let in. Change: a slot keeps its place on paper, a reservation's start never moves back, places fill fragments first, probes pass after 5 min.

--- a/apps/rosemarylink-bench/PolicyFleetFake.cpp
+++ b/apps/rosemarylink-bench/PolicyFleetFake.cpp
@@ -24,7 +24,7 @@
     for (const model::WorkerSpec& spec : specs) {
         indices_[spec.id.value()] = workers_.size();
         workers_.push_back({ spec, {}, racks[{ spec.failureDomain.value(), spec.rack.value() }],
-            domains[spec.failureDomain.value()], false, false });
+            domains[spec.failureDomain.value()], false, false, true });
     }
 }
 
@@ -84,7 +84,7 @@
 {
     std::vector<model::WorkerSpec> ready;
     for (const Worker& worker : workers_) {
-        if (!worker.lost && !worker.failsTasks)
+        if (!worker.lost && worker.trusted)
             ready.push_back(worker.spec);
     }
     return ready;
--- a/apps/rosemarylink-bench/PolicyFleetFake.h
+++ b/apps/rosemarylink-bench/PolicyFleetFake.h
@@ -22,13 +22,15 @@
     bool failsTasks(std::size_t worker) const { return workers_[worker].failsTasks; }
     void setFailsTasks(std::size_t worker, bool fails) { workers_[worker].failsTasks = fails; }
 
+    void setTrusted(std::size_t worker, bool trusted) { workers_[worker].trusted = trusted; }
+
     void take(const std::vector<std::size_t>& gang, const model::Resources& perTask);
     void give(const std::vector<std::size_t>& gang, const model::Resources& perTask);
 
     // Whether no worker of the gang is lost or has more in use than it has.
     bool isSound(const std::vector<std::size_t>& gang) const;
     bool isAdjacent(const std::vector<std::size_t>& gang, model::Adjacency) const;
-    // The workers that can run tasks: neither lost nor failing.
+    // The workers that can run tasks: neither lost nor failing, nor only just repaired.
     std::vector<model::WorkerSpec> soundWorkers() const;
 
     // Share of the free accelerators that the gang could use if adjacency did not matter, but cannot use.
@@ -42,6 +44,7 @@
         std::size_t domain = 0;
         bool lost = false;
         bool failsTasks = false;
+        bool trusted = true;
     };
     std::int64_t tasksThatFit(const Worker&, const model::Resources& perTask) const;
     std::int64_t usableGangs(const std::vector<std::int64_t>& fits, const model::JobSpec&) const;
--- a/apps/rosemarylink-bench/PolicySimulation.cpp
+++ b/apps/rosemarylink-bench/PolicySimulation.cpp
@@ -215,6 +215,12 @@
             case FleetEventKind::WorkerFailsTasks:
             case FleetEventKind::WorkerRepaired:
                 fleet_.setFailsTasks(event.worker, event.kind == FleetEventKind::WorkerFailsTasks);
+                if (event.kind == FleetEventKind::WorkerFailsTasks)
+                    fleet_.setTrusted(event.worker, false);
+                watch_.fleetChanged(fleet_.soundWorkers(), now_);
+                return;
+            case FleetEventKind::WorkerTrusted:
+                fleet_.setTrusted(event.worker, true);
                 watch_.fleetChanged(fleet_.soundWorkers(), now_);
                 return;
             case FleetEventKind::CancelWave:
--- a/apps/rosemarylink-bench/PolicyWorkload.cpp
+++ b/apps/rosemarylink-bench/PolicyWorkload.cpp
@@ -185,6 +185,7 @@
                     const double hour = random_.uniform(1, profile_.hours * 0.7);
                     workload_.events.push_back({ atHours(hour), FleetEventKind::WorkerFailsTasks, worker, {} });
                     workload_.events.push_back({ atHours(hour + 6), FleetEventKind::WorkerRepaired, worker, {} });
+                    workload_.events.push_back({ atHours(hour + 7), FleetEventKind::WorkerTrusted, worker, {} });
                 }
             }
             if (has(PolicyFault::CancelWaves)) {
--- a/apps/rosemarylink-bench/PolicyWorkload.h
+++ b/apps/rosemarylink-bench/PolicyWorkload.h
@@ -33,6 +33,7 @@
     WorkerReady,
     WorkerFailsTasks,
     WorkerRepaired,
+    WorkerTrusted, // a policy may take this long to find out by probing
     CancelWave, // half of the unfinished jobs of one account
 };
 
--- a/src/policy/DefaultPolicy.cpp
+++ b/src/policy/DefaultPolicy.cpp
@@ -231,7 +231,7 @@
         if (tryStart(*job, decisions, now)) {
             auto& ofAccount = largeWaiting_[job->spec.account.value()];
             ofAccount.erase(std::remove(ofAccount.begin(), ofAccount.end(), job), ofAccount.end());
-        } else if (withinQuota(*job) && job->notBefore <= now)
+        } else if ((withinQuota(*job) || reservations_.find(*job) != nullptr) && job->notBefore <= now)
             unplaced.push_back(job);
     }
     reservations_.update(unplaced, { fleet_, free_, usable_, jobsOn_, estimates_, now });
@@ -270,7 +270,7 @@
 void DefaultPolicy::makeRoom(const Reservation& reservation, Decisions& decisions, Timestamp now)
 {
     Job& gang = *reservation.job;
-    if (!rules_->movesWork || !gang.mayBeStopped() || !mayLend(gang))
+    if (!rules_->movesWork || !withinQuota(gang) || !mayLend(gang))
         return;
     ReclaimLimits limits;
     limits.mayStop = [&gang, now](const Job& job) {
--- a/src/policy/DefaultPolicyGuarantees.cpp
+++ b/src/policy/DefaultPolicyGuarantees.cpp
@@ -11,6 +11,9 @@
     constexpr Milliseconds checkpointStop { 60000 };
     constexpr Milliseconds plainStop { 5000 };
 
+    // A worker that fails every task fails them soon; a probe that has run this long has passed.
+    constexpr Milliseconds probeTime { 5 * 60 * 1000 };
+
     // A probe should not hold a worker that may be sound for long.
     constexpr std::int64_t mostProbeTasks = 8;
 
@@ -152,6 +155,13 @@
 // Gives each quarantined worker whose time has passed one small job that can be repeated.
 void DefaultPolicy::startProbes(Decisions& decisions, Timestamp now)
 {
+    for (const auto& [sequence, job] : jobs_.placed()) {
+        if (job->probed == none || job->phase != Phase::Running || now - job->started < probeTime)
+            continue;
+        if (quarantine_.taskCompleted(job->probed))
+            refreshAvailability(job->probed);
+        job->probed = none;
+    }
     for (const int worker : quarantine_.dueForProbe(now)) {
         if (fleet_.worker(worker).state != model::ResourceState::Ready)
             continue;
@@ -181,7 +191,7 @@
     if (reservation == nullptr)
         return;
     explanation.reason = "a place is reserved for it; it starts when the work there has ended";
-    explanation.reservedStart = reservation->start;
+    explanation.reservedStart = reservation->expected;
     std::set<std::uint64_t> seen;
     for (const int worker : reservation->workers) {
         for (const Job* other : jobsOn_[static_cast<std::size_t>(worker)]) {
--- a/src/policy/GuaranteedSlots.cpp
+++ b/src/policy/GuaranteedSlots.cpp
@@ -166,17 +166,28 @@
     if (!stale_)
         return;
     stale_ = false;
-    bool missing = false;
-    for (GuaranteedSlot& slot : slots_) {
-        if (slot.users == 0 && !isSound(slot))
-            dropPlace(slot);
-    }
+    hasUnsound_ = false;
+    std::vector<std::pair<GuaranteedSlot*, std::vector<int>>> unsound;
     for (GuaranteedSlot& slot : slots_) {
-        if (slot.users == 0 && !slot.hasPlace())
-            missing = !findPlace(slot) || missing;
+        if (slot.users > 0 || isSound(slot))
+            continue;
+        unsound.emplace_back(&slot, slot.place);
+        dropPlace(slot);
     }
+    bool missing = false;
+    for (auto& [slot, old] : unsound)
+        missing = !findPlace(*slot) || missing;
     if (missing)
         replanAllIdle();
+    // A slot without another place keeps its old one. Its workers may return, and work that cannot be stopped must not
+    // settle there meanwhile.
+    for (auto& [slot, old] : unsound) {
+        if (slot->hasPlace())
+            continue;
+        hasUnsound_ = true;
+        if (!old.empty())
+            setPlace(*slot, std::move(old));
+    }
 }
 
 void GuaranteedSlots::enter(int slot, const Job& job, const std::vector<int>& workers)
@@ -208,9 +219,8 @@
 {
     for (const int worker : job.workers)
         unpromised_.give(fleet_, worker, job.shape.perTask);
-    // A slot that lacked a place may have one now.
-    stale_ = stale_
-        || std::any_of(slots_.begin(), slots_.end(), [](const GuaranteedSlot& slot) { return !slot.hasPlace(); });
+    // A slot that lacked a sound place may have one now.
+    stale_ = stale_ || hasUnsound_;
 }
 
 bool GuaranteedSlots::moveToFree(int index, const Ledger& free)
--- a/src/policy/GuaranteedSlots.h
+++ b/src/policy/GuaranteedSlots.h
@@ -70,7 +70,8 @@
     Ledger unpromised_; // capacity less places and firm work
     std::vector<GuaranteedSlot> slots_; // from the hardest to place to the easiest
     std::map<std::string, std::vector<int>> byAccount_;
-    bool stale_ = false;
+    bool stale_ = false; // something changed that may need a new place
+    bool hasUnsound_ = false; // some idle slot lacks a sound place
 };
 
 // Whether the workers are as close as the adjacency demands.
--- a/src/policy/PlaceAmounts.cpp
+++ b/src/policy/PlaceAmounts.cpp
@@ -39,12 +39,17 @@
 {
     std::vector<std::pair<std::int64_t, int>> fits;
     for (std::size_t index = 0; index < workers_.size(); ++index)
-        fits.emplace_back(-fit(index), workers_[index]);
+        fits.emplace_back(fit(index), workers_[index]);
     std::sort(fits.begin(), fits.end());
     std::vector<int> chosen;
+    const auto tightest = std::lower_bound(fits.begin(), fits.end(), std::make_pair(gang_.tasks, none));
+    if (tightest != fits.end()) {
+        chosen.assign(static_cast<std::size_t>(gang_.tasks), tightest->second);
+        return chosen;
+    }
     for (const auto& [count, worker] : fits) {
         const auto left = gang_.tasks - static_cast<std::int64_t>(chosen.size());
-        chosen.insert(chosen.end(), static_cast<std::size_t>(std::min(left, -count)), worker);
+        chosen.insert(chosen.end(), static_cast<std::size_t>(std::min(left, count)), worker);
     }
     return chosen;
 }
--- a/src/policy/PlaceAmounts.h
+++ b/src/policy/PlaceAmounts.h
@@ -20,7 +20,8 @@
     // How many tasks of the gang fit.
     std::int64_t fit() const;
 
-    // The worker of each task. Workers with most room come first, so that few are used.
+    // The worker of each task: the one that fits all most tightly, or else those with least room first, so that whole
+    // workers stay whole.
     std::vector<int> choose() const;
 
 private:
--- a/src/policy/Quarantine.cpp
+++ b/src/policy/Quarantine.cpp
@@ -10,7 +10,7 @@
     constexpr std::size_t jobsForQuarantine = 3;
 
     constexpr Milliseconds firstQuarantine { 10 * 60 * 1000 };
-    constexpr Milliseconds longestQuarantine { 2 * 60 * 60 * 1000 };
+    constexpr Milliseconds longestQuarantine { 20 * 60 * 1000 };
 
 } // namespace
 
--- a/src/policy/Reservations.cpp
+++ b/src/policy/Reservations.cpp
@@ -47,14 +47,14 @@
     visitPlaces(view.fleet, view.capacity, gang.shape, [&](const std::vector<int>& workers) {
         const auto start = startAt(gang, workers, view, taken);
         if (start && (!best || *start < best->start))
-            best = Reservation { &gang, workers, *start, view.now };
+            best = Reservation { &gang, workers, *start, *start };
     });
     return best;
 }
 
 bool Reservations::worthChanging(const Reservation& kept, const Reservation& found, Timestamp now) const
 {
-    return found.start + changeMargin < kept.start && (found.start - now) * 2 < kept.start - now;
+    return found.expected + changeMargin < kept.expected && (found.expected - now) * 2 < kept.expected - now;
 }
 
 void Reservations::update(const std::vector<Job*>& gangs, const View& view)
@@ -70,7 +70,8 @@
             Reservation renewed = *kept;
             const auto start = startAt(*gang, kept->workers, view, taken);
             if (start) {
-                renewed.start = *start;
+                renewed.expected = *start;
+                renewed.start = std::min(renewed.start, renewed.expected);
                 if (!chosen || !worthChanging(renewed, *chosen, view.now))
                     chosen = std::move(renewed);
             }
--- a/src/policy/Reservations.h
+++ b/src/policy/Reservations.h
@@ -11,8 +11,8 @@
 struct Reservation {
     Job* job = nullptr;
     std::vector<int> workers; // the whole place, in rising order
-    Timestamp start;
-    Timestamp since;
+    Timestamp start; // work that would end later is kept out; it never moves back, so that the place does drain
+    Timestamp expected; // when the place is now expected to be free
 };
 
 // Reservations in time for the large waiting gangs. A place stays with its gang until the gang starts, unless another
