Limit reservations to a third of the accelerators

Cause: three reservations closed a small fleet; all other work moved into slots inside the reserved places.

--- a/src/policy/Reservations.cpp
+++ b/src/policy/Reservations.cpp
@@ -62,8 +62,12 @@
     std::vector<Reservation> updated;
     workerCount_ = view.fleet.workers().size();
     std::vector<char> taken(workerCount_, 0);
+    std::int64_t left = 0;
+    for (const Worker& worker : view.fleet.workers())
+        left += worker.capacity.accelerators;
+    left /= shareDivisor;
     for (Job* gang : gangs) {
-        if (updated.size() == most)
+        if (updated.size() == most || left <= 0)
             break;
         std::optional<Reservation> chosen = earliest(*gang, view, taken);
         if (const Reservation* kept = find(*gang)) {
@@ -78,8 +82,10 @@
         }
         if (!chosen)
             continue;
-        for (const int worker : chosen->workers)
+        for (const int worker : chosen->workers) {
             taken[static_cast<std::size_t>(worker)] = 1;
+            left -= view.fleet.worker(worker).capacity.accelerators;
+        }
         updated.push_back(std::move(*chosen));
     }
     reservations_ = std::move(updated);
--- a/src/policy/Reservations.h
+++ b/src/policy/Reservations.h
@@ -19,8 +19,11 @@
 // is expected to be free much sooner: a place that kept changing would give no bound on the wait.
 class Reservations {
 public:
-    // Each reservation keeps work out of a place; more of them would idle a small fleet.
-    static constexpr std::size_t most = 3;
+    static constexpr std::size_t most = 4;
+
+    // Reserved places may hold this part of all accelerators at most, beyond the first reservation. With more, a small
+    // fleet has no other place left, all other work moves into guaranteed slots, and the reserved places never drain.
+    static constexpr std::int64_t shareDivisor = 3;
 
     struct View {
         const Fleet& fleet;
