Weigh reclaim candidates by what the gang needs and spare large gangs

Cause: stopping a large gang for four tasks looked as cheap per task as stopping a small job; gangs of 32 and over started 2.6 to 2.9 times each. Change: a candidate's cost is spread over the tasks needed only, and large gangs cost 600 s more.

--- a/src/policy/ReclaimPlanner.cpp
+++ b/src/policy/ReclaimPlanner.cpp
@@ -12,6 +12,10 @@
     // Writing a checkpoint and resuming from it takes a job about this long.
     constexpr double checkpointSeconds = 60;
 
+    // A large gang waits long for another adjacent place, so stopping it costs more than its lost work.
+    constexpr std::int64_t largeTasks = 16;
+    constexpr double largeRequeueSeconds = 600;
+
     // Keeps plans with fewer stops ahead of others that lose as little.
     constexpr double stopSeconds = 5;
 
@@ -45,7 +49,8 @@
 {
     const double ran = std::chrono::duration<double>(now_ - job.started).count();
     const double lost = checkpoints_ && job.spec.checkpointable ? checkpointSeconds : ran;
-    return jobSize(job) * (std::max(lost, 0.0) + stopSeconds) * (job.spec.urgent ? urgentFactor : 1);
+    const double requeue = job.shape.tasks >= largeTasks ? largeRequeueSeconds : 0;
+    return jobSize(job) * (std::max(lost, 0.0) + requeue + stopSeconds) * (job.spec.urgent ? urgentFactor : 1);
 }
 
 std::optional<ReclaimPlan> ReclaimPlanner::within(
@@ -68,7 +73,7 @@
         std::int64_t tasksHere = 0;
         for (const auto& [worker, count] : candidate.job->parts)
             tasksHere += std::binary_search(workers.begin(), workers.end(), worker) ? count : 0;
-        candidate.costPerTask = candidate.cost / static_cast<double>(std::max<std::int64_t>(tasksHere, 1));
+        candidate.costPerTask = candidate.cost / static_cast<double>(std::clamp<std::int64_t>(tasksHere, 1, gang.tasks));
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
         return a.costPerTask != b.costPerTask ? a.costPerTask < b.costPerTask : a.job->sequence < b.job->sequence;
