Let jobs return to workers where they failed

Cause: a job that had failed on a worker of its guaranteed place could neither use the place nor let others in. Change: a worker is avoided for 30 min at most, and not after another gang completed there.

--- a/src/policy/DefaultPolicy.cpp
+++ b/src/policy/DefaultPolicy.cpp
@@ -138,10 +138,11 @@
 {
     if (quarantine_.taskFailed(worker, job.spec.id, now))
         refreshAvailability(worker);
-    for (const int earlier : job.avoided) {
+    for (const AvoidedWorker& earlier : job.avoided) {
         // A job that fails on several good workers is likely at fault itself.
-        if (earlier != worker && !quarantine_.isQuarantined(earlier) && !quarantine_.isQuarantined(worker)) {
-            quarantine_.forgive(earlier, job.spec.id);
+        if (earlier.worker != worker && !quarantine_.isQuarantined(earlier.worker)
+            && !quarantine_.isQuarantined(worker)) {
+            quarantine_.forgive(earlier.worker, job.spec.id);
             quarantine_.forgive(worker, job.spec.id);
         }
     }
@@ -152,7 +153,7 @@
     if (outcome == GangOutcome::Completed) {
         estimates_.observe(job.spec, job.progress + (now - job.started));
         for (const auto& [worker, count] : job.parts) {
-            if (quarantine_.taskCompleted(worker))
+            if (quarantine_.taskCompleted(worker, now))
                 refreshAvailability(worker);
         }
     }
@@ -160,8 +161,7 @@
         bool atFault = true;
         for (const int worker : job.failedWorkers) {
             atFault = atFault && !quarantine_.isQuarantined(worker);
-            if (std::find(job.avoided.begin(), job.avoided.end(), worker) == job.avoided.end())
-                job.avoided.push_back(worker);
+            job.avoided.push_back({ worker, now });
         }
         if (!atFault)
             --job.failures;
@@ -257,7 +257,7 @@
     limits.mayStop = [now](const Job& other) {
         return !other.spec.urgent && other.moves < mostMoves && now - other.started >= shortestRunBeforeMove;
     };
-    limits.closed = avoidedBy(job);
+    limits.closed = avoidedBy(job, now);
     auto plan = planner(now).anywhere(job.shape, limits, usable_);
     if (!plan || !paysOff(*plan, job, now) || !leavesUrgentRoom(job, plan->workers, now))
         return;
@@ -351,13 +351,13 @@
     const Timestamp end = expectedEnd(job, now);
     const std::vector<char>* reserved = job.spec.urgent ? nullptr : reservations_.closedUntil(end, job);
     const bool drains = rules_->drainsRacks && end - now > longWork;
-    if (job.avoided.empty() && !drains)
+    const bool avoids = hasAvoided(job, now);
+    if (!avoids && !drains)
         return reserved;
     closed_.assign(fleet_.workers().size(), 0);
     if (reserved != nullptr)
         closed_ = *reserved;
-    for (const int worker : job.avoided)
-        closed_[static_cast<std::size_t>(worker)] = 1;
+    closeAvoided(job, now);
     if (drains)
         closeDrainingRacks();
     return &closed_;
--- a/src/policy/DefaultPolicy.h
+++ b/src/policy/DefaultPolicy.h
@@ -58,7 +58,7 @@
     bool leavesUrgentRoom(const Job&, const std::vector<int>& workers, Timestamp) const;
     bool paysOff(const ReclaimPlan&, const Job&, Timestamp) const;
     void makeFirmRoom(Job&, Decisions&, Timestamp);
-    bool isKeptForLarger(const GuaranteedSlot&, const Job&) const;
+    bool isKeptForLarger(const GuaranteedSlot&, const Job&, Timestamp) const;
     std::vector<std::vector<int>> groupsInSlot(const GuaranteedSlot&, const Job&) const;
     std::optional<ReclaimPlan> planInSlot(
         int slot, const Job&, bool mayReclaim, const std::vector<char>* closed, Timestamp);
@@ -67,7 +67,10 @@
     bool startIfFree(Job&, Decisions&, Timestamp);
     Timestamp expectedEnd(const Job&, Timestamp now) const;
     void closeDrainingRacks();
-    const std::vector<char>* avoidedBy(const Job&);
+    bool isAvoided(const AvoidedWorker&, Timestamp) const;
+    bool hasAvoided(const Job&, Timestamp) const;
+    void closeAvoided(const Job&, Timestamp);
+    const std::vector<char>* avoidedBy(const Job&, Timestamp);
     const std::vector<char>* closedFor(const Job&, Timestamp);
     void setShares();
     ReclaimPlanner planner(Timestamp now, bool urgent = false) const
--- a/src/policy/DefaultPolicyGuarantees.cpp
+++ b/src/policy/DefaultPolicyGuarantees.cpp
@@ -11,6 +11,9 @@
     constexpr Milliseconds checkpointStop { 60000 };
     constexpr Milliseconds plainStop { 5000 };
 
+    // Long enough for a worker that fails every task to be found out.
+    constexpr Milliseconds avoidTime { 30 * 60 * 1000 };
+
     // A worker that fails every task fails them soon; a probe that has run this long has passed.
     constexpr Milliseconds probeTime { 5 * 60 * 1000 };
 
@@ -37,13 +40,13 @@
 
 // Smaller work does not enter a slot that a waiting gang of the account would fill; it would keep the gang out for
 // good.
-bool DefaultPolicy::isKeptForLarger(const GuaranteedSlot& slot, const Job& job) const
+bool DefaultPolicy::isKeptForLarger(const GuaranteedSlot& slot, const Job& job, Timestamp now) const
 {
     const auto waiting = largeWaiting_.find(job.spec.account.value());
     if (waiting == largeWaiting_.end() || job.spec.urgent)
         return false;
     return std::any_of(waiting->second.begin(), waiting->second.end(), [&](const Job* gang) {
-        return gang->shape.tasks > job.shape.tasks && slots_.admits(slot, *gang)
+        return gang->shape.tasks > job.shape.tasks && !hasAvoided(*gang, now) && slots_.admits(slot, *gang)
             && gang->shape.adjacency >= slot.gang.adjacency;
     });
 }
@@ -52,7 +55,7 @@
     int index, const Job& job, bool mayReclaim, const std::vector<char>* closed, Timestamp now)
 {
     const GuaranteedSlot& slot = slots_.slots()[static_cast<std::size_t>(index)];
-    if (!slots_.admits(slot, job) || !slot.hasPlace() || isKeptForLarger(slot, job))
+    if (!slots_.admits(slot, job) || !slot.hasPlace() || isKeptForLarger(slot, job, now))
         return std::nullopt;
     ReclaimLimits limits;
     limits.limit = [&slot](int worker) { return slot.room.at(worker); };
@@ -94,7 +97,7 @@
 {
     const std::vector<int> candidates = candidateSlots(job);
     for (const bool mayUseReserved : { false, true }) {
-        const std::vector<char>* closed = mayUseReserved ? avoidedBy(job) : closedFor(job, now);
+        const std::vector<char>* closed = mayUseReserved ? avoidedBy(job, now) : closedFor(job, now);
         if (mayUseReserved && reservations_.all().empty())
             continue;
         for (const int slot : candidates) {
@@ -117,7 +120,7 @@
 {
     std::optional<ReclaimPlan> best;
     int bestSlot = none;
-    const std::vector<char>* closed = avoidedBy(job);
+    const std::vector<char>* closed = avoidedBy(job, now);
     for (const int slot : candidateSlots(job)) {
         auto plan = planInSlot(slot, job, true, closed, now);
         if (!plan || (best && best->cost <= plan->cost))
@@ -132,13 +135,33 @@
     return true;
 }
 
-const std::vector<char>* DefaultPolicy::avoidedBy(const Job& job)
+// Whether the job still keeps away from a worker where it failed. The worker is cleared by another gang that completed
+// there, and by time, since the slots of an account may leave the job no other place.
+bool DefaultPolicy::isAvoided(const AvoidedWorker& avoided, Timestamp now) const
+{
+    return now - avoided.since < avoidTime && quarantine_.lastCompleted(avoided.worker) < avoided.since;
+}
+
+bool DefaultPolicy::hasAvoided(const Job& job, Timestamp now) const
+{
+    return std::any_of(
+        job.avoided.begin(), job.avoided.end(), [&](const AvoidedWorker& each) { return isAvoided(each, now); });
+}
+
+void DefaultPolicy::closeAvoided(const Job& job, Timestamp now)
+{
+    for (const AvoidedWorker& each : job.avoided) {
+        if (isAvoided(each, now))
+            closed_[static_cast<std::size_t>(each.worker)] = 1;
+    }
+}
+
+const std::vector<char>* DefaultPolicy::avoidedBy(const Job& job, Timestamp now)
 {
-    if (job.avoided.empty())
+    if (!hasAvoided(job, now))
         return nullptr;
     closed_.assign(fleet_.workers().size(), 0);
-    for (const int worker : job.avoided)
-        closed_[static_cast<std::size_t>(worker)] = 1;
+    closeAvoided(job, now);
     return &closed_;
 }
 
@@ -158,7 +181,7 @@
     for (const auto& [sequence, job] : jobs_.placed()) {
         if (job->probed == none || job->phase != Phase::Running || now - job->started < probeTime)
             continue;
-        if (quarantine_.taskCompleted(job->probed))
+        if (quarantine_.taskCompleted(job->probed, now))
             refreshAvailability(job->probed);
         job->probed = none;
     }
@@ -171,7 +194,8 @@
                 && job->shape.tasks <= mostProbeTasks
                 && tasksThatFit(free_.free(worker), job->shape.perTask, job->shape.tasks) >= job->shape.tasks
                 && (job->shape.region == none || job->shape.region == fleet_.rackOf(worker).region)
-                && std::find(job->avoided.begin(), job->avoided.end(), worker) == job->avoided.end();
+                && std::none_of(job->avoided.begin(), job->avoided.end(),
+                    [worker = worker](const AvoidedWorker& each) { return each.worker == worker; });
             if (suits && (probe == nullptr || job->accelerators() < probe->accelerators()))
                 probe = job;
         }
--- a/src/policy/Job.h
+++ b/src/policy/Job.h
@@ -27,6 +27,12 @@
     Borrowed, // may be stopped for reclaiming
 };
 
+// A worker where a job failed.
+struct AvoidedWorker {
+    int worker = none;
+    Timestamp since;
+};
+
 struct Job {
     model::JobSpec spec;
     GangShape shape;
@@ -47,7 +53,7 @@
     Timestamp notBefore; // a launch that was refused waits until then
     Milliseconds progress { 0 }; // kept by checkpoints
     std::vector<int> failedWorkers; // reported by taskFailed in the present run
-    std::vector<int> avoided; // workers where it failed before; the next attempt goes elsewhere
+    std::vector<AvoidedWorker> avoided; // the next attempt goes elsewhere
     int probed = none; // the quarantined worker that its present run probes
 
     bool holdsPlace() const { return phase != Phase::Waiting; }
--- a/src/policy/Quarantine.cpp
+++ b/src/policy/Quarantine.cpp
@@ -45,9 +45,10 @@
     jobs.erase(std::remove(jobs.begin(), jobs.end(), job), jobs.end());
 }
 
-bool Quarantine::taskCompleted(int workerIndex)
+bool Quarantine::taskCompleted(int workerIndex, Timestamp now)
 {
     State& worker = state(workerIndex);
+    worker.lastCompleted = now;
     worker.failedJobs.clear();
     if (!worker.quarantined || !worker.probing)
         return false;
--- a/src/policy/Quarantine.h
+++ b/src/policy/Quarantine.h
@@ -20,7 +20,9 @@
     void forgive(int worker, const JobId&);
 
     // A gang with a task on the worker completed. Gives true when that returns it from quarantine.
-    bool taskCompleted(int worker);
+    bool taskCompleted(int worker, Timestamp);
+
+    Timestamp lastCompleted(int worker) const { return state(worker).lastCompleted; }
 
     bool isQuarantined(int worker) const { return state(worker).quarantined; }
 
@@ -36,6 +38,7 @@
         bool quarantined = false;
         bool probing = false;
         Timestamp until;
+        Timestamp lastCompleted;
         Milliseconds length { 0 };
     };
     State& state(int worker) { return workers_[static_cast<std::size_t>(worker)]; }
--- a/src/policy/ReclaimPlanner.cpp
+++ b/src/policy/ReclaimPlanner.cpp
@@ -73,7 +73,8 @@
         std::int64_t tasksHere = 0;
         for (const auto& [worker, count] : candidate.job->parts)
             tasksHere += std::binary_search(workers.begin(), workers.end(), worker) ? count : 0;
-        candidate.costPerTask = candidate.cost / static_cast<double>(std::clamp<std::int64_t>(tasksHere, 1, gang.tasks));
+        candidate.costPerTask
+            = candidate.cost / static_cast<double>(std::clamp<std::int64_t>(tasksHere, 1, gang.tasks));
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
         return a.costPerTask != b.costPerTask ? a.costPerTask < b.costPerTask : a.job->sequence < b.job->sequence;
