Check the policy's promises with random events

Cause: guarantees, whole gangs and capacity need a check over event orders that no example covers. Change: five RapidCheck properties over a fake cluster; a gang that was reported as started is never launched again after a refused launch, which the first run of the properties found.

--- a/src/policy/Job.h
+++ b/src/policy/Job.h
@@ -42,7 +42,7 @@
     int slot = none; // the guaranteed slot that it runs in
     std::vector<int> workers; // by task, while it holds a place
     std::vector<std::pair<int, int>> parts; // worker and number of tasks there, while it holds a place
-    bool launched = false; // a StartDecision was given that was not refused
+    bool reportedStarted = false; // gangStarted was called for the present run
     bool cancelled = false;
     int failures = 0;
     StopReason stopReason = StopReason::Cancelled;
--- a/src/policy/PolicyBase.cpp
+++ b/src/policy/PolicyBase.cpp
@@ -150,7 +150,7 @@
     if (job == nullptr)
         job = &jobs_.add(spec, std::max(regionOf(spec), none), started);
     occupy(*job, std::move(workers), borrowed ? Hold::Borrowed : Hold::Firm, Phase::Running);
-    job->launched = true;
+    job->reportedStarted = true;
     job->started = started;
     adoptPlace(*job, borrowed);
     changed_ = true;
@@ -175,9 +175,11 @@
 void PolicyBase::gangStarted(const JobId& id, Timestamp now)
 {
     Job* job = jobs_.find(id);
-    if (job == nullptr || job->phase != Phase::Starting)
+    if (job == nullptr || (job->phase != Phase::Starting && job->phase != Phase::Stopping))
         return;
-    job->phase = Phase::Running;
+    job->reportedStarted = true;
+    if (job->phase == Phase::Starting)
+        job->phase = Phase::Running;
     job->started = now;
 }
 
@@ -191,7 +193,10 @@
         return job.cancelled || !job.spec.idempotent || job.failures >= maxFailures ? JobDisposition::Finished
                                                                                     : JobDisposition::Requeued;
     case GangOutcome::LaunchRefused:
-        return job.cancelled ? JobDisposition::Finished : JobDisposition::Requeued;
+        // A gang that was reported as started has run, whatever is said of it later.
+        if (!job.reportedStarted)
+            return job.cancelled ? JobDisposition::Finished : JobDisposition::Requeued;
+        break;
     case GangOutcome::Stopped:
     case GangOutcome::WorkerLost:
         break;
@@ -297,7 +302,7 @@
 void PolicyBase::start(Job& job, Decisions& decisions, Timestamp now)
 {
     job.phase = Phase::Starting;
-    job.launched = true;
+    job.reportedStarted = false;
     job.started = now;
     decisions.starts.push_back(makeStart(job));
 }
--- /dev/null
+++ b/tests/policy/PolicyPropertyTest.cpp
@@ -0,0 +1,274 @@
+#include "FakeCluster.h"
+
+#include "DefaultPolicy.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <memory>
+
+namespace rosemarylink::policy {
+namespace {
+
+    using namespace testing;
+    using internal::DefaultPolicy;
+    using internal::GuaranteedSlot;
+
+    constexpr int racks = 3;
+    constexpr int workersPerRack = 4;
+
+    std::unique_ptr<DefaultPolicy> makeGuaranteedPolicy(const std::vector<model::WorkerSpec>& workers)
+    {
+        auto policy = std::make_unique<DefaultPolicy>();
+        for (const model::WorkerSpec& worker : workers)
+            policy->addWorker(worker, at(0)).value();
+        policy->configure(makeGuaranteedConfig(1), at(0)).value();
+        return policy;
+    }
+
+    model::JobSpec randomJob(int number)
+    {
+        using model::Adjacency;
+        model::JobSpec job
+            = makeJob("job-" + std::to_string(number), *rc::gen::element<std::int64_t>(1, 2, 4, 8, 16, 32),
+                *rc::gen::element(Adjacency::Worker, Adjacency::Rack, Adjacency::NeighbouringRacks, Adjacency::Region));
+        job.account = AccountId(*rc::gen::element<std::string>("moves", "quotes"));
+        job.kind = KindId(*rc::gen::element<std::string>("sorting", "matching"));
+        job.idempotent = *rc::gen::arbitrary<bool>();
+        job.checkpointable = *rc::gen::arbitrary<bool>();
+        job.urgent = *rc::gen::inRange(0, 8) == 0;
+        job.declaredRunTime = Milliseconds(*rc::gen::element(10000, 600000, 36000000));
+        return job;
+    }
+
+    template <typename Ids> JobId pick(const Ids& ids)
+    {
+        auto next = ids.begin();
+        std::advance(next, *rc::gen::inRange<std::size_t>(0, ids.size()));
+        return *next;
+    }
+
+    std::vector<JobId> runningJobs(const FakeCluster& cluster)
+    {
+        std::vector<JobId> ids;
+        for (const auto& [id, gang] : cluster.running())
+            ids.push_back(id);
+        return ids;
+    }
+
+    class RandomRun {
+    public:
+        RandomRun()
+            : workers_(makeWorkers(racks, workersPerRack))
+            , policy_(makeGuaranteedPolicy(workers_))
+            , cluster_(*policy_, workers_)
+        {
+        }
+
+        void step(bool withFailures)
+        {
+            now_ += Milliseconds(*rc::gen::element(0, 100, 5000, 60000, 3600000));
+            const int action = *rc::gen::inRange(0, withFailures ? 10 : 7);
+            const std::vector<JobId> running = runningJobs(cluster_);
+            if (action <= 2)
+                cluster_.submit(randomJob(nextJob_++), now_);
+            else if (action == 3 && !running.empty())
+                cluster_.end(pick(running), GangOutcome::Completed, now_);
+            else if (action == 4 && !cluster_.waiting().empty())
+                cluster_.cancel(pick(cluster_.waiting()), now_);
+            else if (action == 5)
+                configure();
+            else if (action == 6)
+                cluster_.settle(now_);
+            else if (action == 7 && !running.empty())
+                cluster_.end(
+                    pick(running), *rc::gen::element(GangOutcome::LaunchRefused, GangOutcome::WorkerLost), now_);
+            else if (action == 8 && !running.empty())
+                fail(pick(running));
+            else if (action == 9)
+                changeWorker();
+            cluster_.decide(now_);
+        }
+
+        void configure()
+        {
+            PolicyConfig config = makeGuaranteedConfig(++version_);
+            config.declarations.preset
+                = *rc::gen::element(model::Preset::Ordinary, model::Preset::Peak, model::Preset::Maintenance);
+            if (*rc::gen::inRange(0, 4) == 0)
+                config.declarations.guarantees.pop_back();
+            RC_ASSERT(policy_->configure(config, now_).has_value());
+        }
+
+        void fail(const JobId& id)
+        {
+            policy_->taskFailed(id, cluster_.running().at(id).placement.workers.front(), now_);
+            cluster_.end(id, GangOutcome::Failed, now_);
+        }
+
+        void changeWorker()
+        {
+            const WorkerId id = workers_[*rc::gen::inRange<std::size_t>(0, workers_.size())].id;
+            cluster_.setState(id,
+                *rc::gen::element(
+                    model::ResourceState::Ready, model::ResourceState::Lost, model::ResourceState::Leaving),
+                now_);
+        }
+
+        // Every promised place is whole and adjacent, and all of them and the firm work fit at once.
+        void checkPromises() const
+        {
+            const auto& slots = policy_->guaranteedSlots();
+            for (int worker = 0; worker < static_cast<int>(workers_.size()); ++worker) {
+                const bool ready = cluster_.workers().at(workers_[static_cast<std::size_t>(worker)].id).state
+                    == model::ResourceState::Ready;
+                RC_ASSERT(!ready || slots.unpromised().free(worker).covers({}));
+            }
+            for (const GuaranteedSlot& slot : slots.slots()) {
+                RC_ASSERT(slot.place.empty() || static_cast<std::int64_t>(slot.place.size()) == slot.gang.tasks);
+                for (const auto& [worker, room] : slot.room)
+                    RC_ASSERT(room.covers({}));
+            }
+        }
+
+        std::vector<model::WorkerSpec> workers_;
+        std::unique_ptr<DefaultPolicy> policy_;
+        FakeCluster cluster_;
+        Timestamp now_ = at(0);
+        int nextJob_ = 0;
+        std::int64_t version_ = 1;
+    };
+
+    std::string joined(const std::vector<std::string>& lines)
+    {
+        std::string text;
+        for (const std::string& line : lines)
+            text += line + "\n";
+        return text;
+    }
+
+    TEST_CASE("gangs are whole, adjacent and within capacity in any order of events")
+    {
+        rc::prop("no breach", [] {
+            RandomRun run;
+            const int steps = *rc::gen::inRange(1, 80);
+            for (int step = 0; step < steps; ++step) {
+                run.step(true);
+                if (!run.cluster_.breaches().empty())
+                    RC_FAIL(joined(run.cluster_.breaches()));
+            }
+        });
+    }
+
+    TEST_CASE("all guarantees stay placed at once while work is lent")
+    {
+        rc::prop("promises fit", [] {
+            RandomRun run;
+            const int steps = *rc::gen::inRange(1, 80);
+            for (int step = 0; step < steps; ++step) {
+                run.step(false);
+                run.checkPromises();
+            }
+        });
+    }
+
+    TEST_CASE("all idle guaranteed gangs can be reclaimed together at any moment")
+    {
+        rc::prop("every owed gang starts after stops of borrowed work alone", [] {
+            RandomRun run;
+            const int steps = *rc::gen::inRange(1, 60);
+            for (int step = 0; step < steps; ++step)
+                run.step(false);
+            const std::set<JobId> waiting = run.cluster_.waiting();
+            for (const JobId& id : waiting)
+                run.cluster_.cancel(id, run.now_);
+            run.cluster_.settle(run.now_);
+            std::vector<JobId> owed;
+            const std::vector<GuaranteedSlot> slots = run.policy_->guaranteedSlots().slots();
+            for (const GuaranteedSlot& slot : slots) {
+                if (slot.users > 0)
+                    continue;
+                model::JobSpec job
+                    = makeJob("owed-" + std::to_string(owed.size()), slot.gang.tasks, slot.declared.adjacency);
+                job.account = slot.declared.account;
+                job.idempotent = false;
+                job.checkpointable = false;
+                RC_ASSERT(run.cluster_.submit(job, run.now_));
+                owed.push_back(job.id);
+            }
+            run.cluster_.settle(run.now_);
+            for (const JobId& id : owed)
+                RC_ASSERT(run.cluster_.isRunning(id));
+        });
+    }
+
+    TEST_CASE("capacity is conserved over starts, stops, failures and cancellations")
+    {
+        rc::prop("all accelerators are free again at the end", [] {
+            RandomRun run;
+            const int steps = *rc::gen::inRange(1, 60);
+            for (int step = 0; step < steps; ++step)
+                run.step(true);
+            for (const model::WorkerSpec& worker : run.workers_)
+                run.cluster_.setState(worker.id, model::ResourceState::Ready, run.now_);
+            const std::set<JobId> waiting = run.cluster_.waiting();
+            for (const JobId& id : waiting)
+                run.cluster_.cancel(id, run.now_);
+            for (const JobId& id : runningJobs(run.cluster_)) {
+                run.policy_->cancel(id, run.now_);
+                run.cluster_.end(id, GangOutcome::Completed, run.now_);
+            }
+            run.cluster_.settle(run.now_);
+            const PolicySnapshot snapshot = run.policy_->snapshot(run.now_);
+            const auto quarantined = static_cast<std::int64_t>(snapshot.quarantined.size());
+            RC_ASSERT(snapshot.freeAccelerators.value() == racks * workersPerRack * 8 - 8 * quarantined);
+            for (const AccountStatus& account : snapshot.accounts) {
+                RC_ASSERT(account.acceleratorsInUse.value() == 0);
+                RC_ASSERT(account.acceleratorsBorrowed.value() == 0);
+            }
+        });
+    }
+
+    TEST_CASE("a large gang starts within its bound under a stream of small jobs with wrong run times")
+    {
+        // The longest run of a small job is 600 s. The gang waits until its wait has cost four times the stops, each
+        // of which loses at most 600 s of work and 5 s; one more run covers the drain of what is let in before.
+        constexpr std::int64_t boundSeconds = 4 * 605 + 600;
+        rc::prop("bound holds", [] {
+            const auto workers = makeWorkers(racks, workersPerRack);
+            auto policy = std::make_unique<DefaultPolicy>();
+            for (const model::WorkerSpec& worker : workers)
+                policy->addWorker(worker, at(0)).value();
+            policy->configure(makeConfig(1), at(0)).value();
+            FakeCluster cluster(*policy, workers);
+            std::multimap<std::int64_t, JobId> ends;
+            model::JobSpec gang = makeJob("gang", 32, model::Adjacency::Rack);
+            int number = 0;
+            for (std::int64_t second = 0; second <= 600 + boundSeconds && !cluster.isRunning(gang.id); second += 20) {
+                if (second == 600)
+                    cluster.submit(gang, at(second));
+                for (int count = 0; count < 4; ++count) {
+                    model::JobSpec job = makeJob("small-" + std::to_string(number++), 4, model::Adjacency::Worker);
+                    job.account = AccountId("quotes");
+                    job.checkpointable = false;
+                    const std::int64_t run = *rc::gen::inRange<std::int64_t>(60, 600);
+                    job.declaredRunTime = Milliseconds(run * *rc::gen::element(100, 1000, 10000));
+                    cluster.submit(job, at(second));
+                    ends.emplace(second + run, job.id);
+                }
+                for (auto next = ends.begin(); next != ends.end() && next->first <= second;) {
+                    // A job that still waits runs for its time once it has started.
+                    if (cluster.isRunning(next->second) && !cluster.running().at(next->second).stopping)
+                        cluster.end(next->second, GangOutcome::Completed, at(second));
+                    else
+                        ends.emplace(second + 60, next->second);
+                    next = ends.erase(next);
+                }
+                cluster.settle(at(second));
+            }
+            RC_ASSERT(cluster.isRunning(gang.id));
+        });
+    }
+
+} // namespace
+} // namespace rosemarylink::policy
