--- a/src/policy/DefaultPolicy.cpp
+++ b/src/policy/DefaultPolicy.cpp
@@ -29,6 +29,9 @@
     constexpr std::int64_t urgentRoomDivisor = 32;
     constexpr std::int64_t leastUrgentRoom = 4;
 
+    // Work that cannot be stopped uses the room for urgent work after this wait, so that it never waits for good.
+    constexpr Milliseconds urgentRoomDelay { 10 * 60 * 1000 };
+
     // A large gang that waits longer than this keeps its account's other work from using up the quota. Shorter waits
     // are not worth the capacity that stays unused.
     constexpr Milliseconds quotaHoldDelay { 30 * 60 * 1000 };
@@ -135,10 +138,11 @@
 {
     if (quarantine_.taskFailed(worker, job.spec.id, now))
         refreshAvailability(worker);
-    for (const int earlier : job.avoided) {
+    for (const AvoidedWorker& earlier : job.avoided) {
         // A job that fails on several good workers is likely at fault itself.
-        if (earlier != worker && !quarantine_.isQuarantined(earlier) && !quarantine_.isQuarantined(worker)) {
-            quarantine_.forgive(earlier, job.spec.id);
+        if (earlier.worker != worker && !quarantine_.isQuarantined(earlier.worker)
+            && !quarantine_.isQuarantined(worker)) {
+            quarantine_.forgive(earlier.worker, job.spec.id);
             quarantine_.forgive(worker, job.spec.id);
         }
     }
@@ -149,7 +153,7 @@
     if (outcome == GangOutcome::Completed) {
         estimates_.observe(job.spec, job.progress + (now - job.started));
         for (const auto& [worker, count] : job.parts) {
-            if (quarantine_.taskCompleted(worker))
+            if (quarantine_.taskCompleted(worker, now))
                 refreshAvailability(worker);
         }
     }
@@ -157,8 +161,7 @@
         bool atFault = true;
         for (const int worker : job.failedWorkers) {
             atFault = atFault && !quarantine_.isQuarantined(worker);
-            if (std::find(job.avoided.begin(), job.avoided.end(), worker) == job.avoided.end())
-                job.avoided.push_back(worker);
+            job.avoided.push_back({ worker, now });
         }
         if (!atFault)
             --job.failures;
@@ -201,8 +204,10 @@
     }
     startLargeGangs(waiting, decisions, now);
     for (Job* job : waiting) {
-        if (job->phase == Phase::Waiting && !job->spec.urgent && reservations_.find(*job) == nullptr)
-            tryStart(*job, decisions, now);
+        if (job->phase != Phase::Waiting || job->spec.urgent || reservations_.find(*job) != nullptr)
+            continue;
+        if (!tryStart(*job, decisions, now) && !job->mayBeStopped())
+            makeFirmRoom(*job, decisions, now);
     }
 }
 
@@ -211,7 +216,8 @@
 {
     std::vector<Job*> large;
     for (Job* job : waiting) {
-        if (job->phase == Phase::Waiting && (isLarge(*job) || now - job->submitted >= longestWait))
+        if (job->phase == Phase::Waiting && job->mayBeStopped()
+            && (isLarge(*job) || now - job->submitted >= longestWait))
             large.push_back(job);
     }
     std::sort(large.begin(), large.end(), [](const Job* a, const Job* b) { return a->sequence < b->sequence; });
@@ -225,7 +231,7 @@
         if (tryStart(*job, decisions, now)) {
             auto& ofAccount = largeWaiting_[job->spec.account.value()];
             ofAccount.erase(std::remove(ofAccount.begin(), ofAccount.end(), job), ofAccount.end());
-        } else if (withinQuota(*job) && job->notBefore <= now)
+        } else if ((withinQuota(*job) || reservations_.find(*job) != nullptr) && job->notBefore <= now)
             unplaced.push_back(job);
     }
     reservations_.update(unplaced, { fleet_, free_, usable_, jobsOn_, estimates_, now });
@@ -234,11 +240,37 @@
         makeRoom(reservation, decisions, now);
 }
 
+bool DefaultPolicy::paysOff(const ReclaimPlan& plan, const Job& job, Timestamp now) const
+{
+    const double waited = std::chrono::duration<double>(now - job.submitted).count() * jobSize(job);
+    return plan.cost * moveGainFactor <= waited;
+}
+
+// Work that cannot be stopped may use only what no guarantee needs; borrowed work there moves for it.
+void DefaultPolicy::makeFirmRoom(Job& job, Decisions& decisions, Timestamp now)
+{
+    if (!rules_->movesWork || job.notBefore > now || !withinQuota(job) || !leavesQuota(job, now)
+        || now - job.submitted < shortestRunBeforeMove)
+        return;
+    ReclaimLimits limits;
+    limits.limit = [this](int worker) { return slots_.unpromised().free(worker); };
+    limits.mayStop = [now](const Job& other) {
+        return !other.spec.urgent && other.moves < mostMoves && now - other.started >= shortestRunBeforeMove;
+    };
+    limits.closed = avoidedBy(job, now);
+    auto plan = planner(now).anywhere(job.shape, limits, usable_);
+    if (!plan || !paysOff(*plan, job, now) || !leavesUrgentRoom(job, plan->workers, now))
+        return;
+    for (Job* stopped : plan->stops)
+        ++stopped->moves;
+    carryOut(job, std::move(*plan), Hold::Firm, none, StopReason::Defragmented, true, decisions, now);
+}
+
 // Stops borrowed work in the reserved place when the gang's wait has cost more than the stops would.
 void DefaultPolicy::makeRoom(const Reservation& reservation, Decisions& decisions, Timestamp now)
 {
     Job& gang = *reservation.job;
-    if (!rules_->movesWork || !gang.mayBeStopped() || !mayLend(gang))
+    if (!rules_->movesWork || !withinQuota(gang) || !mayLend(gang))
         return;
     ReclaimLimits limits;
     limits.mayStop = [&gang, now](const Job& job) {
@@ -246,10 +278,7 @@
             && job.shape.tasks < gang.shape.tasks;
     };
     auto plan = planner(now).within(reservation.workers, gang.shape, limits);
-    if (!plan)
-        return;
-    const double waited = std::chrono::duration<double>(now - gang.submitted).count() * jobSize(gang);
-    if (plan->cost * moveGainFactor > waited)
+    if (!plan || !paysOff(*plan, gang, now))
         return;
     for (Job* job : plan->stops)
         ++job->moves;
@@ -303,9 +332,9 @@
 }
 
 // Work that cannot be stopped leaves some capacity of its region that urgent work can take or reclaim.
-bool DefaultPolicy::leavesUrgentRoom(const Job& job, const std::vector<int>& workers) const
+bool DefaultPolicy::leavesUrgentRoom(const Job& job, const std::vector<int>& workers, Timestamp now) const
 {
-    if (job.spec.urgent || job.accelerators() == 0)
+    if (job.spec.urgent || job.accelerators() == 0 || now - job.submitted >= urgentRoomDelay)
         return true;
     const int region = fleet_.rackOf(workers.front()).region;
     std::int64_t total = 0;
@@ -322,13 +351,13 @@
     const Timestamp end = expectedEnd(job, now);
     const std::vector<char>* reserved = job.spec.urgent ? nullptr : reservations_.closedUntil(end, job);
     const bool drains = rules_->drainsRacks && end - now > longWork;
-    if (job.avoided.empty() && !drains)
+    const bool avoids = hasAvoided(job, now);
+    if (!avoids && !drains)
         return reserved;
     closed_.assign(fleet_.workers().size(), 0);
     if (reserved != nullptr)
         closed_ = *reserved;
-    for (const int worker : job.avoided)
-        closed_[static_cast<std::size_t>(worker)] = 1;
+    closeAvoided(job, now);
     if (drains)
         closeDrainingRacks();
     return &closed_;
@@ -342,11 +371,11 @@
     // there is room elsewhere.
     const bool fillsSlot = std::any_of(slots_.slotsOf(job.spec.account).begin(), slots_.slotsOf(job.spec.account).end(),
         [&](int slot) { return slots_.slots()[static_cast<std::size_t>(slot)].gang.tasks < 2 * job.shape.tasks; });
-    if (fillsSlot && tryGuaranteed(job, false, decisions, now))
+    if (fillsSlot && tryFreeSlot(job, decisions, now))
         return true;
-    if (tryFree(job, decisions, now) || tryGuaranteed(job, false, decisions, now))
+    if (tryFree(job, decisions, now) || tryFreeSlot(job, decisions, now))
         return true;
-    return (job.spec.urgent && tryUrgent(job, decisions, now)) || tryGuaranteed(job, true, decisions, now);
+    return (job.spec.urgent && tryUrgent(job, decisions, now)) || tryReclaim(job, decisions, now);
 }
 
 // Starts the job where capacity is free: as borrowed work if it can be stopped, else where no guarantee needs it.
@@ -371,7 +400,7 @@
             failedSearches_.push_back({ job.shape, set, firm });
         return false;
     }
-    if (firm && !leavesUrgentRoom(job, *place))
+    if (firm && !leavesUrgentRoom(job, *place, now))
         return false;
     ReclaimPlan plan;
     plan.workers = std::move(*place);
--- a/src/policy/DefaultPolicyGuarantees.cpp
+++ b/src/policy/DefaultPolicyGuarantees.cpp
@@ -11,6 +11,12 @@
     constexpr Milliseconds checkpointStop { 60000 };
     constexpr Milliseconds plainStop { 5000 };
 
+    // Long enough for a worker that fails every task to be found out.
+    constexpr Milliseconds avoidTime { 30 * 60 * 1000 };
+
+    // A worker that fails every task fails them soon; a probe that has run this long has passed.
+    constexpr Milliseconds probeTime { 5 * 60 * 1000 };
+
     // A probe should not hold a worker that may be sound for long.
     constexpr std::int64_t mostProbeTasks = 8;
 
@@ -34,27 +40,28 @@
 
 // Smaller work does not enter a slot that a waiting gang of the account would fill; it would keep the gang out for
 // good.
-bool DefaultPolicy::isKeptForLarger(const GuaranteedSlot& slot, const Job& job) const
+bool DefaultPolicy::isKeptForLarger(const GuaranteedSlot& slot, const Job& job, Timestamp now) const
 {
     const auto waiting = largeWaiting_.find(job.spec.account.value());
     if (waiting == largeWaiting_.end() || job.spec.urgent)
         return false;
     return std::any_of(waiting->second.begin(), waiting->second.end(), [&](const Job* gang) {
-        return gang->shape.tasks > job.shape.tasks && slots_.admits(slot, *gang)
+        return gang->shape.tasks > job.shape.tasks && !hasAvoided(*gang, now) && slots_.admits(slot, *gang)
             && gang->shape.adjacency >= slot.gang.adjacency;
     });
 }
 
-std::optional<ReclaimPlan> DefaultPolicy::planInSlot(int index, const Job& job, bool mayReclaim, Timestamp now)
+std::optional<ReclaimPlan> DefaultPolicy::planInSlot(
+    int index, const Job& job, bool mayReclaim, const std::vector<char>* closed, Timestamp now)
 {
     const GuaranteedSlot& slot = slots_.slots()[static_cast<std::size_t>(index)];
-    if (!slots_.admits(slot, job) || !slot.hasPlace() || isKeptForLarger(slot, job))
+    if (!slots_.admits(slot, job) || !slot.hasPlace() || isKeptForLarger(slot, job, now))
         return std::nullopt;
     ReclaimLimits limits;
     limits.limit = [&slot](int worker) { return slot.room.at(worker); };
     // Urgent work does not wait for checkpoints, so it may only stop what can be repeated.
     limits.mayStop = [urgent = job.spec.urgent](const Job& other) { return !urgent || other.spec.idempotent; };
-    limits.closed = avoidedBy(job);
+    limits.closed = closed;
     std::optional<ReclaimPlan> best;
     for (const std::vector<int>& workers : groupsInSlot(slot, job)) {
         std::optional<ReclaimPlan> plan;
@@ -71,35 +78,51 @@
     return best;
 }
 
-// Starts the job inside a guaranteed slot of its account: where the slot's place is free, else by moving an idle slot
-// to a free place, else by reclaiming.
-bool DefaultPolicy::tryGuaranteed(Job& job, bool mayReclaim, Decisions& decisions, Timestamp now)
+// The slots of the job's account: those in use first, then the smallest, so that large ones stay whole.
+std::vector<int> DefaultPolicy::candidateSlots(const Job& job) const
 {
     std::vector<int> candidates = slots_.slotsOf(job.spec.account);
     const auto& slots = slots_.slots();
-    // Slots in use come first, then the smallest, so that large ones stay whole.
     std::stable_sort(candidates.begin(), candidates.end(), [&slots](int a, int b) {
         const GuaranteedSlot& first = slots[static_cast<std::size_t>(a)];
         const GuaranteedSlot& second = slots[static_cast<std::size_t>(b)];
         return (first.users > 0) != (second.users > 0) ? first.users > 0 : first.gang.tasks < second.gang.tasks;
     });
-    for (const int slot : candidates) {
-        auto plan = planInSlot(slot, job, false, now);
-        const GuaranteedSlot& candidate = slots[static_cast<std::size_t>(slot)];
-        const bool fills = candidate.gang.tasks < 2 * job.shape.tasks;
-        if (!plan && fills && slots_.admits(candidate, job) && slots_.moveToFree(slot, free_))
-            plan = planInSlot(slot, job, false, now);
-        if (!plan)
+    return candidates;
+}
+
+// Starts the job inside a guaranteed slot of its account where the slot's place is free, or else moves an idle slot to
+// a free place. Places that are reserved for large gangs come last.
+bool DefaultPolicy::tryFreeSlot(Job& job, Decisions& decisions, Timestamp now)
+{
+    const std::vector<int> candidates = candidateSlots(job);
+    for (const bool mayUseReserved : { false, true }) {
+        const std::vector<char>* closed = mayUseReserved ? avoidedBy(job, now) : closedFor(job, now);
+        if (mayUseReserved && reservations_.all().empty())
             continue;
-        carryOut(job, std::move(*plan), Hold::Guaranteed, slot, StopReason::Reclaimed, true, decisions, now);
-        return true;
+        for (const int slot : candidates) {
+            auto plan = planInSlot(slot, job, false, closed, now);
+            const GuaranteedSlot& candidate = slots_.slots()[static_cast<std::size_t>(slot)];
+            const bool fills = candidate.gang.tasks < 2 * job.shape.tasks;
+            if (!plan && fills && slots_.admits(candidate, job) && slots_.moveToFree(slot, free_))
+                plan = planInSlot(slot, job, false, closed, now);
+            if (!plan)
+                continue;
+            carryOut(job, std::move(*plan), Hold::Guaranteed, slot, StopReason::Reclaimed, true, decisions, now);
+            return true;
+        }
     }
-    if (!mayReclaim)
-        return false;
+    return false;
+}
+
+// Starts the job inside the slot of its account whose capacity is cheapest to reclaim.
+bool DefaultPolicy::tryReclaim(Job& job, Decisions& decisions, Timestamp now)
+{
     std::optional<ReclaimPlan> best;
     int bestSlot = none;
-    for (const int slot : candidates) {
-        auto plan = planInSlot(slot, job, true, now);
+    const std::vector<char>* closed = avoidedBy(job, now);
+    for (const int slot : candidateSlots(job)) {
+        auto plan = planInSlot(slot, job, true, closed, now);
         if (!plan || (best && best->cost <= plan->cost))
             continue;
         best = std::move(plan);
@@ -112,13 +135,33 @@
     return true;
 }
 
-const std::vector<char>* DefaultPolicy::avoidedBy(const Job& job)
+// Whether the job still keeps away from a worker where it failed. The worker is cleared by another gang that completed
+// there, and by time, since the slots of an account may leave the job no other place.
+bool DefaultPolicy::isAvoided(const AvoidedWorker& avoided, Timestamp now) const
 {
-    if (job.avoided.empty())
+    return now - avoided.since < avoidTime && quarantine_.lastCompleted(avoided.worker) < avoided.since;
+}
+
+bool DefaultPolicy::hasAvoided(const Job& job, Timestamp now) const
+{
+    return std::any_of(
+        job.avoided.begin(), job.avoided.end(), [&](const AvoidedWorker& each) { return isAvoided(each, now); });
+}
+
+void DefaultPolicy::closeAvoided(const Job& job, Timestamp now)
+{
+    for (const AvoidedWorker& each : job.avoided) {
+        if (isAvoided(each, now))
+            closed_[static_cast<std::size_t>(each.worker)] = 1;
+    }
+}
+
+const std::vector<char>* DefaultPolicy::avoidedBy(const Job& job, Timestamp now)
+{
+    if (!hasAvoided(job, now))
         return nullptr;
     closed_.assign(fleet_.workers().size(), 0);
-    for (const int worker : job.avoided)
-        closed_[static_cast<std::size_t>(worker)] = 1;
+    closeAvoided(job, now);
     return &closed_;
 }
 
@@ -135,6 +178,13 @@
 // Gives each quarantined worker whose time has passed one small job that can be repeated.
 void DefaultPolicy::startProbes(Decisions& decisions, Timestamp now)
 {
+    for (const auto& [sequence, job] : jobs_.placed()) {
+        if (job->probed == none || job->phase != Phase::Running || now - job->started < probeTime)
+            continue;
+        if (quarantine_.taskCompleted(job->probed, now))
+            refreshAvailability(job->probed);
+        job->probed = none;
+    }
     for (const int worker : quarantine_.dueForProbe(now)) {
         if (fleet_.worker(worker).state != model::ResourceState::Ready)
             continue;
@@ -144,7 +194,8 @@
                 && job->shape.tasks <= mostProbeTasks
                 && tasksThatFit(free_.free(worker), job->shape.perTask, job->shape.tasks) >= job->shape.tasks
                 && (job->shape.region == none || job->shape.region == fleet_.rackOf(worker).region)
-                && std::find(job->avoided.begin(), job->avoided.end(), worker) == job->avoided.end();
+                && std::none_of(job->avoided.begin(), job->avoided.end(),
+                    [worker = worker](const AvoidedWorker& each) { return each.worker == worker; });
             if (suits && (probe == nullptr || job->accelerators() < probe->accelerators()))
                 probe = job;
         }
@@ -164,7 +215,7 @@
     if (reservation == nullptr)
         return;
     explanation.reason = "a place is reserved for it; it starts when the work there has ended";
-    explanation.reservedStart = reservation->start;
+    explanation.reservedStart = reservation->expected;
     std::set<std::uint64_t> seen;
     for (const int worker : reservation->workers) {
         for (const Job* other : jobsOn_[static_cast<std::size_t>(worker)]) {
--- a/src/policy/Job.h
+++ b/src/policy/Job.h
@@ -27,6 +27,12 @@
     Borrowed, // may be stopped for reclaiming
 };
 
+// A worker where a job failed.
+struct AvoidedWorker {
+    int worker = none;
+    Timestamp since;
+};
+
 struct Job {
     model::JobSpec spec;
     GangShape shape;
@@ -36,7 +42,7 @@
     int slot = none; // the guaranteed slot that it runs in
     std::vector<int> workers; // by task, while it holds a place
     std::vector<std::pair<int, int>> parts; // worker and number of tasks there, while it holds a place
-    bool launched = false; // a StartDecision was given that was not refused
+    bool reportedStarted = false; // gangStarted was called for the present run
     bool cancelled = false;
     int failures = 0;
     StopReason stopReason = StopReason::Cancelled;
@@ -47,7 +53,7 @@
     Timestamp notBefore; // a launch that was refused waits until then
     Milliseconds progress { 0 }; // kept by checkpoints
     std::vector<int> failedWorkers; // reported by taskFailed in the present run
-    std::vector<int> avoided; // workers where it failed before; the next attempt goes elsewhere
+    std::vector<AvoidedWorker> avoided; // the next attempt goes elsewhere
     int probed = none; // the quarantined worker that its present run probes
 
     bool holdsPlace() const { return phase != Phase::Waiting; }
--- a/src/policy/Quarantine.cpp
+++ b/src/policy/Quarantine.cpp
@@ -10,7 +10,7 @@
     constexpr std::size_t jobsForQuarantine = 3;
 
     constexpr Milliseconds firstQuarantine { 10 * 60 * 1000 };
-    constexpr Milliseconds longestQuarantine { 2 * 60 * 60 * 1000 };
+    constexpr Milliseconds longestQuarantine { 20 * 60 * 1000 };
 
 } // namespace
 
@@ -45,9 +45,10 @@
     jobs.erase(std::remove(jobs.begin(), jobs.end(), job), jobs.end());
 }
 
-bool Quarantine::taskCompleted(int workerIndex)
+bool Quarantine::taskCompleted(int workerIndex, Timestamp now)
 {
     State& worker = state(workerIndex);
+    worker.lastCompleted = now;
     worker.failedJobs.clear();
     if (!worker.quarantined || !worker.probing)
         return false;
--- a/src/policy/Reservations.cpp
+++ b/src/policy/Reservations.cpp
@@ -47,14 +47,14 @@
     visitPlaces(view.fleet, view.capacity, gang.shape, [&](const std::vector<int>& workers) {
         const auto start = startAt(gang, workers, view, taken);
         if (start && (!best || *start < best->start))
-            best = Reservation { &gang, workers, *start, view.now };
+            best = Reservation { &gang, workers, *start, *start };
     });
     return best;
 }
 
 bool Reservations::worthChanging(const Reservation& kept, const Reservation& found, Timestamp now) const
 {
-    return found.start + changeMargin < kept.start && (found.start - now) * 2 < kept.start - now;
+    return found.expected + changeMargin < kept.expected && (found.expected - now) * 2 < kept.expected - now;
 }
 
 void Reservations::update(const std::vector<Job*>& gangs, const View& view)
@@ -62,23 +62,30 @@
     std::vector<Reservation> updated;
     workerCount_ = view.fleet.workers().size();
     std::vector<char> taken(workerCount_, 0);
+    std::int64_t left = 0;
+    for (const Worker& worker : view.fleet.workers())
+        left += worker.capacity.accelerators;
+    left /= shareDivisor;
     for (Job* gang : gangs) {
-        if (updated.size() == most)
+        if (updated.size() == most || left <= 0)
             break;
         std::optional<Reservation> chosen = earliest(*gang, view, taken);
         if (const Reservation* kept = find(*gang)) {
             Reservation renewed = *kept;
             const auto start = startAt(*gang, kept->workers, view, taken);
             if (start) {
-                renewed.start = *start;
+                renewed.expected = *start;
+                renewed.start = std::min(renewed.start, renewed.expected);
                 if (!chosen || !worthChanging(renewed, *chosen, view.now))
                     chosen = std::move(renewed);
             }
         }
         if (!chosen)
             continue;
-        for (const int worker : chosen->workers)
+        for (const int worker : chosen->workers) {
             taken[static_cast<std::size_t>(worker)] = 1;
+            left -= view.fleet.worker(worker).capacity.accelerators;
+        }
         updated.push_back(std::move(*chosen));
     }
     reservations_ = std::move(updated);
--- a/src/policy/Reservations.h
+++ b/src/policy/Reservations.h
@@ -11,16 +11,19 @@
 struct Reservation {
     Job* job = nullptr;
     std::vector<int> workers; // the whole place, in rising order
-    Timestamp start;
-    Timestamp since;
+    Timestamp start; // work that would end later is kept out; it never moves back, so that the place does drain
+    Timestamp expected; // when the place is now expected to be free
 };
 
 // Reservations in time for the large waiting gangs. A place stays with its gang until the gang starts, unless another
 // is expected to be free much sooner: a place that kept changing would give no bound on the wait.
 class Reservations {
 public:
-    // Each reservation keeps work out of a place; more of them would idle a small fleet.
-    static constexpr std::size_t most = 3;
+    static constexpr std::size_t most = 4;
+
+    // Reserved places may hold this part of all accelerators at most, beyond the first reservation. With more, a small
+    // fleet has no other place left, all other work moves into guaranteed slots, and the reserved places never drain.
+    static constexpr std::int64_t shareDivisor = 3;
 
     struct View {
         const Fleet& fleet;
