--- a/include/rosemarylink/state/CellController.h
+++ b/include/rosemarylink/state/CellController.h
@@ -27,8 +27,8 @@
 struct CellTimings {
     Milliseconds leaseTtl { 6000 }; // of the cell's lease in the store
     Milliseconds leaseRenewal { 2000 };
-    Milliseconds candidatePoll { 1000 }; // of the first candidate; the n-th polls n times as slowly
-    Milliseconds claimStagger { 1000 }; // the n-th candidate waits n times this once it sees no owner
+    Milliseconds candidatePoll { 1000 }; // of the first two candidates; those after them poll ever more slowly
+    Milliseconds claimStagger { 500 }; // each candidate waits this much longer than the one before it to claim
     Milliseconds batchInterval { 100 }; // at most one placements write in this time
     Milliseconds workerLeaseTtl { 20000 };
     Milliseconds workerRenewal { 6000 };
@@ -51,6 +51,9 @@
     Executor& workerCalls;
     MetricsRegistry& metrics;
     std::function<std::unique_ptr<policy::SchedulingPolicy>()> makePolicy; // called at each takeover
+    // For the calls of submit and cancel, in a role of its own so that a burst of them does not use up the call limit
+    // of the owner's writes. Null: the store above.
+    KeyValueStore* submissionStore = nullptr;
 };
 
 struct CellSettings {
--- a/include/rosemarylink/state/ResilientStore.h
+++ b/include/rosemarylink/state/ResilientStore.h
@@ -22,8 +22,8 @@
     std::int64_t failuresToOpen = 5; // in a row
     Milliseconds openTime { 1000 }; // until the first probe; doubled after each that fails, with jitter
     Milliseconds openTimeMaximum { 8000 };
-    double callsPerSecond = 50;
-    double callBurst = 100;
+    double callsPerSecond = 40; // 4 owners in 2 roles stay below half of what the store serves
+    double callBurst = 40;
     Milliseconds limitWait { 250 }; // longest wait for the call limit
 };
 
--- a/src/state/CellController.cpp
+++ b/src/state/CellController.cpp
@@ -16,7 +16,7 @@
 class CellController::Impl {
 public:
     Impl(CellSettings settings, CellDependencies dependencies)
-        : store(dependencies.store)
+        : store(dependencies.submissionStore != nullptr ? *dependencies.submissionStore : dependencies.store)
         , cell(settings.scope.cell)
         , core(std::move(settings), std::move(dependencies))
     {
--- a/src/state/CellOwnership.cpp
+++ b/src/state/CellOwnership.cpp
@@ -158,6 +158,8 @@
 {
     if (!result) {
         nextCall_ = retryTime();
+        // After an outage the owner, whose lease has lapsed, comes back first: moving the cell would cost a recovery.
+        claimAfter_ = context_.now() + 2 * context_.timings().storeRetryMaximum + context_.timings().leaseRenewal;
         return;
     }
     retry_.succeeded();
@@ -168,13 +170,14 @@
         const auto record = decodeRecord<records::CellLeaseRecord>(result.value()->bytes, cellLeaseKey(context_.cell()),
             [](const auto& json, const auto& path) { return records::parseCellLeaseRecord(json, path); });
         owner_ = record ? std::optional(record.value().owner) : std::nullopt;
-        nextCall_ = now + std::min(context_.timings().candidatePoll * (rank + 1), slowestPoll);
+        // The first candidate is often the owner that was lost, so the second polls as fast.
+        nextCall_ = now + std::min(context_.timings().candidatePoll * std::max<std::int64_t>(rank, 1), slowestPoll);
         return;
     }
     owner_.reset();
     if (!absentSince_)
         absentSince_ = now;
-    nextCall_ = *absentSince_ + context_.timings().claimStagger * rank;
+    nextCall_ = std::max(*absentSince_ + context_.timings().claimStagger * rank, claimAfter_);
     if (now >= nextCall_)
         claim();
 }
--- a/src/state/CellOwnership.h
+++ b/src/state/CellOwnership.h
@@ -61,6 +61,7 @@
     RetryDelay retry_;
     std::optional<std::size_t> rank_; // in the preference order; none when this instance is no candidate
     std::optional<Milliseconds> absentSince_;
+    Milliseconds claimAfter_ { 0 };
     std::optional<InstanceId> owner_;
     LeaseId lease_;
     OperationId leaseOperation_;
--- a/src/state/GangLifecycle.cpp
+++ b/src/state/GangLifecycle.cpp
@@ -18,6 +18,7 @@
     for (const WorkerId& worker : placement.workers)
         ++tasks[worker];
     std::vector<records::GangMember> members;
+    members.reserve(tasks.size());
     for (const auto& [worker, count] : tasks)
         members.push_back({ worker, count });
     return members;
--- a/src/state/PreferenceOrder.cpp
+++ b/src/state/PreferenceOrder.cpp
@@ -41,10 +41,12 @@
     std::vector<InstanceId> rendezvous(const CellId& cell, const std::vector<InstanceId>& instances)
     {
         std::vector<std::pair<std::uint64_t, InstanceId>> scored;
+        scored.reserve(instances.size());
         for (const InstanceId& instance : instances)
             scored.emplace_back(stableHash(cell.value() + "\n" + instance.value()), instance);
         std::sort(scored.begin(), scored.end());
         std::vector<InstanceId> order;
+        order.reserve(instances.size());
         for (auto& [score, instance] : scored)
             order.push_back(std::move(instance));
         return order;
@@ -77,7 +79,7 @@
 std::vector<InstanceId> preferenceOrder(
     OrderMethod method, const CellId& cell, const std::vector<CellId>& cells, const std::vector<InstanceId>& candidates)
 {
-    const std::vector<InstanceId> instances = sortedUnique(candidates);
+    std::vector<InstanceId> instances = sortedUnique(candidates);
     std::vector<CellId> numbered = cells;
     numbered.push_back(cell);
     numbered = sortedUnique(std::move(numbered));
--- a/tests/state/CellHarness.h
+++ b/tests/state/CellHarness.h
@@ -46,6 +46,7 @@
     std::unique_ptr<FakeKeyValueStore> store;
     std::unique_ptr<FakeWorkerAgent> workers;
     std::unique_ptr<ResilientStore> resilient;
+    std::unique_ptr<ResilientStore> submissions;
     std::unique_ptr<CellController> controller;
     FirstFitPolicy* policy = nullptr; // of the present ownership
     bool paused = false;
@@ -57,13 +58,16 @@
 // A cell, its store and workers, and the schedulers that may own it, on one manual clock.
 class CellHarness {
 public:
-    explicit CellHarness(std::int64_t workers = 4, std::uint64_t seed = 1)
+    explicit CellHarness(std::int64_t workers = 4, std::uint64_t seed = 1, std::int64_t coresPerWorker = 64)
         : store(clock)
         , fleet(clock)
         , seed_(seed)
     {
-        for (std::int64_t index = 0; index < workers; ++index)
-            fleet.addWorker(makeWorker(index));
+        for (std::int64_t index = 0; index < workers; ++index) {
+            model::WorkerSpec spec = makeWorker(index);
+            spec.capacity.cores = Cores(coresPerWorker);
+            fleet.addWorker(std::move(spec));
+        }
         clock.advance(Milliseconds(1000000));
     }
 
@@ -156,8 +160,18 @@
         }).value();
     }
 
+    // Bursts of tests must not meet the call limit, which has tests of its own.
+    static StoreLimits unlimitedCalls()
+    {
+        StoreLimits limits;
+        limits.callsPerSecond = 1e6;
+        limits.callBurst = 1e6;
+        return limits;
+    }
+
     bool runs(const std::string& id, std::int64_t tasks) { return fleet.runningTasks(JobId(id)) == tasks; }
 
+    StoreLimits limits = unlimitedCalls();
     bool resilient = true; // puts a ResilientStore in front of each scheduler's store
     policy::PolicyConfig config;
     const CellId cell { "cell" };
@@ -184,17 +198,18 @@
         settings.scope = { cell, RegionId("region"), std::nullopt };
         settings.seed = ++seed_;
         config.version = std::max(config.version, ConfigVersion(1));
-        StoreLimits limits;
-        limits.callsPerSecond = 1e6;
-        limits.callBurst = 1e6;
         scheduler.resilient = std::make_unique<ResilientStore>(
             *scheduler.store, clock, metrics, "scheduler", limits, seed_, [](Milliseconds) {});
+        scheduler.submissions = std::make_unique<ResilientStore>(
+            *scheduler.store, clock, metrics, "submissions", limits, seed_ + 1000, [](Milliseconds) {});
         KeyValueStore& used = resilient ? static_cast<KeyValueStore&>(*scheduler.resilient) : *scheduler.store;
-        CellDependencies dependencies { used, *scheduler.workers, clock, inline_, inline_, metrics, [&scheduler] {
-                                           auto policy = std::make_unique<FirstFitPolicy>();
-                                           scheduler.policy = policy.get();
-                                           return policy;
-                                       } };
+        CellDependencies dependencies { used, *scheduler.workers, clock, inline_, inline_, metrics,
+            [&scheduler] {
+                auto policy = std::make_unique<FirstFitPolicy>();
+                scheduler.policy = policy.get();
+                return policy;
+            },
+            resilient ? scheduler.submissions.get() : nullptr };
         scheduler.controller = std::make_unique<CellController>(std::move(settings), std::move(dependencies));
         if (!scheduler.controller->configure(config))
             std::abort();
--- a/tests/state/FailurePairTest.cpp
+++ b/tests/state/FailurePairTest.cpp
@@ -214,12 +214,61 @@
         CHECK(harness.runs("j1", 12));
         for (const auto& scheduler : harness.schedulers)
             scheduler->store->faults.down = false;
+        // The owner gets its lapsed lease again before another instance claims the cell.
+        const FencingToken token = harness.placements().token;
         REQUIRE(harness.runUntil([&] { return owner.controller->submit(makeJob("j2", 1)).has_value(); }));
+        CHECK(harness.placements().token == token);
         CHECK(harness.runUntil([&] { return harness.runs("j2", 1); }));
         CHECK(harness.runs("j1", 12));
         CHECK(harness.fleet.startedAttempts(JobId("j1")).size() == 1);
     }
 
+    TEST_CASE("the next owner decides within 8 s of the owner's death, and raises the token by one")
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            CellHarness harness(4, seed);
+            for (int index = 0; index < 6; ++index)
+                harness.addScheduler();
+            REQUIRE(harness.waitForOwner());
+            harness.run(Milliseconds(10000 + static_cast<std::int64_t>(seed) * 150));
+            const FencingToken token = harness.placements().token;
+            harness.owner()->process->dead = true;
+            CHECK(harness.waitForOwner(Milliseconds(8000)));
+            CHECK(harness.placements().token == token + FencingToken(1));
+        }
+    }
+
+    TEST_CASE("24 instances do not return to the store at once after an outage")
+    {
+        CellHarness harness;
+        for (int index = 0; index < 24; ++index)
+            harness.addScheduler();
+        REQUIRE(harness.waitForOwner());
+        harness.run(Milliseconds(10000));
+        const auto setDown = [&](bool down) {
+            for (const auto& scheduler : harness.schedulers)
+                scheduler->store->faults.down = down;
+        };
+        const auto calls = [&] {
+            std::int64_t total = 0;
+            for (const auto& scheduler : harness.schedulers)
+                total += scheduler->store->totalCalls();
+            return total;
+        };
+        setDown(true);
+        harness.run(Milliseconds(120000));
+        setDown(false);
+        std::int64_t peak = 0;
+        for (int index = 0; index < 200; ++index) {
+            const std::int64_t before = calls();
+            harness.run(Milliseconds(100));
+            peak = std::max(peak, calls() - before);
+        }
+        // Together they would make 24 calls in one of these tenths of a second.
+        CHECK(peak <= 8);
+        CHECK(harness.owner() != nullptr);
+    }
+
     TEST_CASE("a cancellation whose reply was lost is found and followed once the store answers")
     {
         CellHarness harness;
--- a/tests/state/FakeKeyValueStore.h
+++ b/tests/state/FakeKeyValueStore.h
@@ -162,7 +162,7 @@
         Milliseconds expires { 0 };
     };
     struct Data {
-        std::mutex mutex;
+        std::recursive_mutex mutex; // also guards the counts and faults of all clients
         std::map<std::string, Value> values;
         std::map<LeaseId, Lease> leases;
         std::vector<WatchEvent> events;
@@ -214,6 +214,7 @@
 
     template <typename T, typename Effect> Result<T> write(const char* kind, Effect effect)
     {
+        const std::lock_guard lock(data_->mutex);
         ++writes;
         if (isDue(faults.lapseAtWrite))
             lapseAllLeases();
@@ -228,10 +229,10 @@
 
     template <typename T, typename Effect> Result<T> call(const char* kind, Effect effect)
     {
+        const std::lock_guard lock(data_->mutex);
         ++callsByKind[kind];
         if (faults.down || (process_ && !process_->beginCall()))
             return unavailable("the store refused the connection", Verdict::NotRun);
-        const std::lock_guard lock(data_->mutex);
         expireLeases();
         Result<T> result = effect();
         if (process_)
--- a/tests/state/FakeWorkerAgent.h
+++ b/tests/state/FakeWorkerAgent.h
@@ -82,6 +82,7 @@
     // Ends all running tasks of a job in a state.
     void finishJob(const JobId& job, TaskState state)
     {
+        const std::lock_guard lock(fleet_->mutex);
         for (auto& [id, worker] : fleet_->workers) {
             for (auto& [key, task] : worker.tasks) {
                 if (key.first == job && task.state == TaskState::Running)
@@ -108,6 +109,7 @@
     // Tasks of a job that run now.
     std::int64_t runningTasks(const JobId& job)
     {
+        const std::lock_guard lock(fleet_->mutex);
         expireTasks();
         std::int64_t running = 0;
         for (const auto& [id, worker] : fleet_->workers) {
@@ -192,6 +194,7 @@
 
     Result<std::vector<model::WorkerSpec>> listWorkers() override
     {
+        const std::lock_guard lock(fleet_->mutex);
         if (cutOff || (process_ && !process_->beginCall()))
             return unavailable("the platform cannot be reached", Verdict::NotRun);
         std::vector<model::WorkerSpec> specs;
@@ -206,7 +209,7 @@
 
 private:
     struct Fleet {
-        std::mutex mutex;
+        std::recursive_mutex mutex;
         std::map<WorkerId, Worker> workers;
         std::map<JobId, std::set<std::int64_t>> started;
     };
@@ -237,6 +240,7 @@
 
     void expireTasks()
     {
+        const std::lock_guard lock(fleet_->mutex);
         for (auto& [id, worker] : fleet_->workers)
             expireTasks(worker);
     }
@@ -260,11 +264,11 @@
 
     template <typename T, typename Effect> Result<T> call(const WorkerId& id, const FencingToken* token, Effect effect)
     {
+        const std::lock_guard lock(fleet_->mutex);
         if (token != nullptr)
             ++orders;
         if (cutOff || (process_ && !process_->beginCall()))
             return unavailable("the worker cannot be reached", Verdict::NotRun);
-        const std::lock_guard lock(fleet_->mutex);
         const auto found = fleet_->workers.find(id);
         if (found == fleet_->workers.end() || found->second.unreachable)
             return unavailable("the worker cannot be reached", Verdict::NotRun);
--- a/tests/state/PreferenceOrderTest.cpp
+++ b/tests/state/PreferenceOrderTest.cpp
@@ -12,6 +12,7 @@
     template <typename Id> std::vector<Id> names(const std::string& prefix, int count)
     {
         std::vector<Id> ids;
+        ids.reserve(static_cast<std::size_t>(count));
         for (int index = 0; index < count; ++index)
             ids.push_back(Id(prefix + std::to_string(100 + index)));
         return ids;
