--- a/tests/control/CommandRun.h
+++ b/tests/control/CommandRun.h
@@ -45,7 +45,7 @@
     // A directory of declarations; the name must be new.
     std::string declarations(const std::string& name, const model::Declarations& all) const
     {
-        const std::string path = directory.path() + "/" + name;
+        std::string path = directory.path() + "/" + name;
         REQUIRE(writeDeclarationDirectory(path, all, false));
         return path;
     }
