Test commas and optional keys in the base settings

Cause: both were changed in base for the declarations and were tested there only. Change: two test cases in tests/base. Measured: base, control and transport tests pass.

--- a/tests/base/SettingsTest.cpp
+++ b/tests/base/SettingsTest.cpp
@@ -48,5 +48,30 @@
             == "command line: unknown setting \"listen.prot\"; did you mean \"listen.port\"?");
     }
 
+    // POCO's parsers skip thousands separators, so that a decimal comma made a weight of 1,5 ten times as large.
+    TEST_CASE("numbers with commas are refused")
+    {
+        CHECK(failureOf("[listen]\naddress = a\nport = 8,080\n")
+            == "gateway.ini:3: [listen] key \"port\" has the value \"8,080\"; it must be a whole number from 0 to "
+               "65535");
+        const IniSection section { "weights", 1, { { "completion", "1,5", 2 } } };
+        const auto number = resolveSection(
+            "d.ini", section, { { "weights", "completion", SettingType::Number, "", 0.0, 100.0, {}, "1", "Weight." } });
+        REQUIRE_FALSE(number);
+        CHECK(number.error().message
+            == "d.ini:2: [weights] key \"completion\" has the value \"1,5\"; it must be a number from 0 to 100");
+    }
+
+    TEST_CASE("an optional key without a default may be left out, and is checked when given")
+    {
+        const std::vector<SettingSpec> specs {
+            { "a", "quota", SettingType::Integer, "", 0.0, 9.0, {}, std::nullopt, "Quota.", true },
+        };
+        CHECK(resolveSection("d.ini", { "a", 1, {} }, specs).value().empty());
+        CHECK(resolveSection("d.ini", { "a", 1, { { "quota", "5", 2 } } }, specs).value()["quota"] == 5);
+        CHECK_FALSE(resolveSection("d.ini", { "a", 1, { { "quota", "10", 2 } } }, specs));
+        CHECK(settingsTable(specs).find("| none | Quota. |") != std::string::npos);
+    }
+
 } // namespace
 } // namespace rosemarylink
