Accept idempotency keys of visible ASCII characters only

Cause: a key with a line end given to rosemarylinkctl would have added a header to its request. Conclusion: a key means the same on the command line and over HTTP.

--- a/src/control/JobCommands.cpp
+++ b/src/control/JobCommands.cpp
@@ -2,6 +2,7 @@
 #include "rosemarylink/control/TimeText.h"
 
 #include "Command.h"
+#include "RequestInput.h"
 
 namespace rosemarylink::control::internal {
 
@@ -106,6 +107,7 @@
     {
         BOOST_OUTCOME_TRY(submission, submissionOf(context));
         const std::string key = context.text("key").value_or(randomHex128());
+        BOOST_OUTCOME_TRYV(checkedInput(checkIdempotencyKey("--key", key)));
         auto answer = context.client->send(
             "POST", "/v1/jobs", { { "Idempotency-Key", key } }, api::toJson(submission), Repetition::Safe);
         if (!answer) {
--- a/src/control/OperatorApiJobs.cpp
+++ b/src/control/OperatorApiJobs.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-    constexpr std::size_t maximumKeyLength = 128;
-
     // The account that a submission is for.
     Result<AccountId> submittingAccount(const api::JobSubmission& submission, const Principal& principal)
     {
@@ -37,11 +35,10 @@
     Result<IdempotencyKey> idempotencyKey(const HttpRequest& request)
     {
         const std::string key = request.header("Idempotency-Key");
-        if (key.size() > maximumKeyLength) {
-            return invalidArgument("the header Idempotency-Key has " + std::to_string(key.size())
-                + " characters; it must have 1 to " + std::to_string(maximumKeyLength));
-        }
-        return key.empty() ? makeRandomId<IdempotencyKey>() : IdempotencyKey(key);
+        if (key.empty())
+            return makeRandomId<IdempotencyKey>();
+        BOOST_OUTCOME_TRYV(internal::checkIdempotencyKey("the header Idempotency-Key", key));
+        return IdempotencyKey(key);
     }
 
     bool isDeclared(const model::Declarations& declarations, const AccountId& id)
--- a/src/control/RequestInput.cpp
+++ b/src/control/RequestInput.cpp
@@ -63,6 +63,16 @@
     return value == "true";
 }
 
+Status checkIdempotencyKey(const std::string& where, const std::string& key)
+{
+    constexpr std::size_t maximumLength = 128;
+    const bool visible = std::all_of(key.begin(), key.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+    if (!key.empty() && key.size() <= maximumLength && visible)
+        return okStatus();
+    return invalidArgument(where + " has " + std::to_string(key.size())
+        + " characters; it must have 1 to 128 visible ASCII characters without spaces");
+}
+
 Result<ConfigVersion> parseVersion(const std::string& where, const std::string& text)
 {
     Poco::Int64 number = 0;
--- a/src/control/RequestInput.h
+++ b/src/control/RequestInput.h
@@ -31,6 +31,9 @@
 // The version in the header If-Match, with or without quotes, or nothing when the header is absent.
 Result<std::optional<ConfigVersion>> ifMatchVersion(const transport::HttpRequest&);
 
+// Fails unless the key has 1 to 128 visible ASCII characters, which are safe in headers. Where names it in the error.
+Status checkIdempotencyKey(const std::string& where, const std::string& key);
+
 // A version written as a plain number.
 Result<ConfigVersion> parseVersion(const std::string& where, const std::string& text);
 
--- a/tests/control/CommandLineTest.cpp
+++ b/tests/control/CommandLineTest.cpp
@@ -131,6 +131,8 @@
         };
         CHECK(contains(failure("--runtime", "soon"), "it must look like 250ms, 30s, 5min, 2h or 7d"));
         CHECK(contains(failure("--tasks", "1,000"), "--tasks has the value \"1,000\"; it must be a whole number"));
+        CHECK(contains(
+            failure("--key", "k\r\nRosemarylink-Urgent: true"), "--key has 28 characters; it must have 1 to 128"));
         CHECK(contains(failure("--tasks", "129"), "job submit.tasks"));
         CHECK(contains(failure("--adjacency", "near"), "worker, rack, neighbouring-racks, region"));
         CHECK(contains(run({ "job", "submit", "--kind", "k" }).errors, "the option --account is missing"));
--- a/tests/control/OperatorApiAccessTest.cpp
+++ b/tests/control/OperatorApiAccessTest.cpp
@@ -175,7 +175,8 @@
         job["account"] = "nobody";
         CHECK(message("k", job).find("it must be a declared client account") != std::string::npos);
         job["account"] = "harbor";
-        CHECK(message(std::string(129, 'k'), job).find("it must have 1 to 128") != std::string::npos);
+        for (const std::string& key : { std::string(129, 'k'), std::string("two words") })
+            CHECK(message(key, job).find("it must have 1 to 128 visible ASCII characters") != std::string::npos);
         job["tasks"] = 129;
         CHECK(message("k", job).find("JobSubmission.tasks") != std::string::npos);
         CHECK(fixture.backend.submissions == 0);
