--- a/apps/rosemarylink-bench/SpreadMeasure.cpp
+++ b/apps/rosemarylink-bench/SpreadMeasure.cpp
@@ -90,6 +90,7 @@
         std::vector<double> run(Spread spread, int changes)
         {
             std::vector<double> samples;
+            samples.reserve(static_cast<std::size_t>(changes));
             for (int change = 0; change < changes; ++change)
                 samples.push_back(spreadOne(spread));
             return samples;
@@ -206,28 +207,29 @@
         return cost;
     }
 
-    std::vector<Measure> measureCosts(std::uint64_t seed)
+    std::vector<Measure> measureCosts(std::uint64_t seed, const std::vector<int>& sizes)
     {
         std::vector<Measure> measures;
-        Cost smallest;
-        for (const int instances : { 7, 14, 24, 28 }) {
+        measures.reserve(sizes.size() * 3);
+        Cost first;
+        for (const int instances : sizes) {
             const Cost cost = measureCost(instances, seed);
-            if (instances == 7)
-                smallest = cost;
+            if (measures.empty())
+                first = cost;
             const std::string size = "-" + std::to_string(instances) + "-instances";
-            measures.push_back({ "link-bytes" + size, cost.bytes, "bytes/s", smallest.bytes, 14000 });
-            measures.push_back({ "link-processor" + size, cost.processor, "% of a core", smallest.processor, 1.1 });
-            measures.push_back({ "link-memory" + size, cost.memory, "MB", smallest.memory, 64 });
+            measures.push_back({ "link-bytes" + size, cost.bytes, "bytes/s", first.bytes, 14000 });
+            measures.push_back({ "link-processor" + size, cost.processor, "% of a core", first.processor, 1.1 });
+            measures.push_back({ "link-memory" + size, cost.memory, "MB", first.memory, 64 });
         }
         return measures;
     }
 
 } // namespace
 
-bool measureSpread(std::uint64_t seed, bool json, std::ostream& out)
+bool measureSpread(std::uint64_t seed, bool json, std::ostream& out, const std::vector<int>& sizes)
 {
     std::vector<Measure> measures = measureTimes(seed);
-    const std::vector<Measure> costs = measureCosts(seed);
+    const std::vector<Measure> costs = measureCosts(seed, sizes);
     measures.insert(measures.end(), costs.begin(), costs.end());
     for (const Measure& measure : measures)
         print(measure, json, out);
