Test the whole path inside one process over real sockets

Change: SchedulerProcess and GatewayProcess are a library; tests/process kills owners, loses replies, stops the store, replaces all instances and restarts a gateway under load. A submission that fails before a cell was asked is NotRun. Before: such a submission came back as MayHaveRun. After: NotRun with a retry time. One case still fails: requests in progress are cut off when a gateway ends; its cause is looked for next. Conclusion: the failing case stays until the shutdown is right.

--- a/apps/rosemarylink-gateway/Main.cpp
+++ b/apps/rosemarylink-gateway/Main.cpp
@@ -1,8 +1,7 @@
-#include "GatewayProcess.h"
-
 #include "rosemarylink/base/Log.h"
 #include "rosemarylink/base/SettingsCommandLine.h"
 #include "rosemarylink/base/ShutdownSignal.h"
+#include "rosemarylink/process/GatewayProcess.h"
 
 #include <glog/logging.h>
 
@@ -35,7 +34,7 @@
         return *commandLine.exitCode;
     FLAGS_minloglevel = static_cast<int>(settings->level);
     ShutdownSignal shutdown;
-    gateway::GatewayProcess process(*settings, control::parseOperatorKeys(settings->keys).value());
+    process::GatewayProcess process(*settings, control::parseOperatorKeys(settings->keys).value());
     if (const auto started = process.start(); !started) {
         Logger("gateway").error(started.error().message);
         return 1;
--- a/apps/rosemarylink-scheduler/Main.cpp
+++ b/apps/rosemarylink-scheduler/Main.cpp
@@ -1,10 +1,9 @@
-#include "SchedulerProcess.h"
-
 #include "rosemarylink/base/Log.h"
 #include "rosemarylink/base/SettingsCommandLine.h"
 #include "rosemarylink/base/ShutdownSignal.h"
 #include "rosemarylink/generated/SettingsScheduler.h"
 #include "rosemarylink/policy/SchedulingPolicy.h"
+#include "rosemarylink/process/SchedulerProcess.h"
 
 #include <glog/logging.h>
 
@@ -37,7 +36,7 @@
         return *commandLine.exitCode;
     FLAGS_minloglevel = static_cast<int>(settings->level);
     ShutdownSignal shutdown;
-    scheduler::SchedulerProcess process(*settings);
+    process::SchedulerProcess process(*settings);
     if (const auto started = process.start(); !started) {
         Logger("scheduler").error(started.error().message);
         return 1;
--- a/include/rosemarylink/node/InstanceNode.h
+++ b/include/rosemarylink/node/InstanceNode.h
@@ -65,6 +65,10 @@
     transport::InstanceLinks& links() { return *links_; }
     state::ConfigStore& configStore() { return configStore_; }
     transport::PlatformClient& platform() { return platform_; }
+    // True once this instance has been ready for long enough to have heard every other live one. Duties that are shared
+    // by an order of the instances start only then, since the first ready instance would take them all.
+    bool settled() const;
+
     const InstanceNodeOptions& options() const { return options_; }
 
     // True while the last call of the store by the watch duty succeeded or none was due.
@@ -90,6 +94,7 @@
     std::function<void()> beatListener_;
     std::atomic<bool> storeReachable_ { true };
     Milliseconds lastAnnouncement_ { 0 };
+    std::atomic<Milliseconds> readySince_ { Milliseconds(0) }; // 0 before the first time
 
     std::mutex mutex_;
     std::condition_variable stopRequested_;
--- a/apps/rosemarylink-gateway/GatewayProcess.h
+++ b/include/rosemarylink/process/GatewayProcess.h
@@ -17,7 +17,7 @@
 #include <thread>
 #include <vector>
 
-namespace rosemarylink::gateway {
+namespace rosemarylink::process {
 
 // The parts of a gateway process, put together from its settings.
 class GatewayProcess {
@@ -30,6 +30,9 @@
     // Fails when a port cannot be bound.
     Status start();
 
+    // The port of the HTTP server; known after start.
+    int httpPort() const { return server_->port(); }
+
     // Lets the load balancer notice, finishes the requests in progress and ends. False when some were still in progress
     // at the limit.
     bool shutDown();
@@ -43,7 +46,7 @@
     MetricsRegistry metrics_;
     state::HttpKeyValueStore remoteStore_;
     state::ResilientStore store_;
-    RequestService requests_;
+    gateway::RequestService requests_;
     std::unique_ptr<node::InstanceNode> node_;
     std::unique_ptr<control::ClusterBackend> backend_;
     std::unique_ptr<control::OperatorApi> operators_;
@@ -56,4 +59,4 @@
     std::thread upstreamThread_;
 };
 
-} // namespace rosemarylink::gateway
+} // namespace rosemarylink::process
--- a/apps/rosemarylink-scheduler/SchedulerProcess.h
+++ b/include/rosemarylink/process/SchedulerProcess.h
@@ -12,7 +12,7 @@
 
 #include <memory>
 
-namespace rosemarylink::scheduler {
+namespace rosemarylink::process {
 
 // The parts of a scheduler process, put together from its settings.
 class SchedulerProcess {
@@ -25,6 +25,11 @@
     // Fails when a port cannot be bound.
     Status start();
 
+    // The port of the HTTP server; known after start.
+    int httpPort() const { return server_->port(); }
+
+    const scheduler::CellHost& cells() const { return *cells_; }
+
     // Gives all cells up, so that others take them at once, and ends. False when the limit passed before that.
     bool shutDown();
 
@@ -37,11 +42,11 @@
     MetricsRegistry metrics_;
     state::HttpKeyValueStore remoteStore_;
     state::ResilientStore store_;
-    std::unique_ptr<HttpWorkerAgent> workers_;
-    std::unique_ptr<CellHost> cells_;
+    std::unique_ptr<scheduler::HttpWorkerAgent> workers_;
+    std::unique_ptr<scheduler::CellHost> cells_;
     std::unique_ptr<node::InstanceNode> node_;
     transport::HttpRouter router_;
     std::unique_ptr<transport::HttpServer> server_;
 };
 
-} // namespace rosemarylink::scheduler
+} // namespace rosemarylink::process
--- a/include/rosemarylink/scheduler/CellHost.h
+++ b/include/rosemarylink/scheduler/CellHost.h
@@ -69,6 +69,7 @@
     void discoverCells();
     void addCell(const model::WorkerSpec&);
     void configureCells();
+    void shareCandidates();
     std::vector<state::CellController*> controllers() const;
     state::CellController* find(const CellId&) const;
     state::CellController* findByJob(const JobId&) const;
--- a/src/control/ClusterBackend.cpp
+++ b/src/control/ClusterBackend.cpp
@@ -20,7 +20,10 @@
     // How long a caller should wait for a cell to get a new owner: the lease and the detection.
     constexpr Milliseconds takeoverTime { 8000 };
 
-    // Between rivals, each round settles at least one cell; more rounds mean that something else is wrong.
+    // The longest pause between two probes of a store that is down.
+constexpr Milliseconds storeRetryTime { 8000 };
+
+// Between rivals, each round settles at least one cell; more rounds mean that something else is wrong.
     constexpr int maximumBindingRounds = 8;
 
     Error withoutOwner(const std::string& what)
@@ -30,7 +33,16 @@
         return error;
     }
 
-    std::string submissionKey(const JobId& job) { return "submissions/" + job.value(); }
+    // A failure before a cell was asked: the binding may or may not be stored, but no cell has accepted the job.
+Error notAccepted(Error error)
+{
+    error.verdict = Verdict::NotRun;
+    if (!error.retryAfter)
+        error.retryAfter = storeRetryTime;
+    return error;
+}
+
+std::string submissionKey(const JobId& job) { return "submissions/" + job.value(); }
 
     std::string encode(const submissions::SubmissionRecord& record)
     {
@@ -310,7 +322,10 @@
     model::JobSpec job = request.job;
     job.id = jobIdFor(job.account, request.key);
     BOOST_OUTCOME_TRY(cells, candidates(job));
-    BOOST_OUTCOME_TRY(cell, bindToCell(job.id, cells));
+    const auto bound = bindToCell(job.id, cells);
+    if (!bound)
+        return notAccepted(bound.error());
+    CellId cell = bound.value();
     std::set<CellId> refused;
     for (int round = 0; round < maximumBindingRounds; ++round) {
         auto accepted = submitToCell(job, request.key, cell);
@@ -322,8 +337,10 @@
             [&refused](const CellCandidate& candidate) { return refused.count(candidate.load.cell) == 0; });
         if (next == cells.end())
             return accepted;
-        BOOST_OUTCOME_TRY(bound, rebindToCell(job.id, cell, next->load.cell));
-        cell = bound;
+        const auto rebound = rebindToCell(job.id, cell, next->load.cell);
+        if (!rebound)
+            return notAccepted(rebound.error());
+        cell = rebound.value();
     }
     return makeError(ErrorCode::ResourceExhausted, "the job was passed between cells too often; submit it again");
 }
--- a/src/node/InstanceNode.cpp
+++ b/src/node/InstanceNode.cpp
@@ -27,6 +27,9 @@
     // Between tries to read the configuration while the store is down.
     constexpr Milliseconds watchRetry { 1000 };
 
+    // Two heartbeats of the others and the platform's lag.
+    constexpr Milliseconds settleTime { 4000 };
+
     class LinkChannel final : public state::MembershipChannel {
     public:
         explicit LinkChannel(transport::InstanceLinks& links)
@@ -186,6 +189,12 @@
     return ready;
 }
 
+bool InstanceNode::settled() const
+{
+    const Milliseconds since = readySince_;
+    return since.count() > 0 && clock_.monotonic() - since >= settleTime;
+}
+
 void InstanceNode::startThread(Milliseconds interval, std::function<void()> task)
 {
     threads_.emplace_back([this, interval, task = std::move(task)] {
@@ -208,6 +217,7 @@
     // An instance takes work once it knows that no peer has a later configuration.
     if (agent_->state() == messages::InstanceState::Starting && agent_->upToDate()) {
         agent_->setState(messages::InstanceState::Ready);
+        readySince_ = clock_.monotonic();
         logger().info("ready", { { "instance", options_.self }, { "version", agent_->config().version() } });
     }
     exportMetrics();
--- a/apps/rosemarylink-gateway/GatewayProcess.cpp
+++ b/src/process/GatewayProcess.cpp
@@ -1,10 +1,10 @@
-#include "GatewayProcess.h"
+#include "rosemarylink/process/GatewayProcess.h"
 
 #include "rosemarylink/base/Log.h"
 
 #include <functional>
 
-namespace rosemarylink::gateway {
+namespace rosemarylink::process {
 
 namespace {
 
@@ -127,4 +127,4 @@
     return finished;
 }
 
-} // namespace rosemarylink::gateway
+} // namespace rosemarylink::process
--- a/apps/rosemarylink-scheduler/SchedulerProcess.cpp
+++ b/src/process/SchedulerProcess.cpp
@@ -1,10 +1,10 @@
-#include "SchedulerProcess.h"
+#include "rosemarylink/process/SchedulerProcess.h"
 
 #include "rosemarylink/base/Log.h"
 
 #include <functional>
 
-namespace rosemarylink::scheduler {
+namespace rosemarylink::process {
 
 namespace {
 
@@ -32,9 +32,9 @@
         return options;
     }
 
-    CellHostOptions cellOptions(const settings_scheduler::SchedulerSettings& settings)
+    scheduler::CellHostOptions cellOptions(const settings_scheduler::SchedulerSettings& settings)
     {
-        CellHostOptions options;
+        scheduler::CellHostOptions options;
         options.self = settings.id;
         options.policy = settings.policy;
         options.seed = std::hash<InstanceId> {}(settings.id);
@@ -47,8 +47,8 @@
     : settings_(settings)
     , remoteStore_(settings.platformAddress)
     , store_(remoteStore_, clock_, metrics_, "scheduler", {}, std::hash<InstanceId> {}(settings.id))
-    , workers_(std::make_unique<HttpWorkerAgent>(settings.platformAddress, settings.orderTimeout))
-    , cells_(std::make_unique<CellHost>(cellOptions(settings), store_, *workers_, clock_, metrics_))
+    , workers_(std::make_unique<scheduler::HttpWorkerAgent>(settings.platformAddress, settings.orderTimeout))
+    , cells_(std::make_unique<scheduler::CellHost>(cellOptions(settings), store_, *workers_, clock_, metrics_))
     , node_(std::make_unique<node::InstanceNode>(nodeOptions(settings), store_, clock_, metrics_))
 {
     connectNode();
@@ -82,7 +82,8 @@
             { { "version", config.version }, { "preset", model::presetName(config.declarations.preset) } });
     });
     node_->setBeatListener([this] {
-        cells_->setCandidates(node_->readyInstances(messages::InstanceRole::Scheduler));
+        if (node_->settled())
+            cells_->setCandidates(node_->readyInstances(messages::InstanceRole::Scheduler));
         metrics_.gauge("rosemarylink_worker_order_bytes", "Bytes of orders to workers and of their answers.")
             .set(static_cast<double>(workers_->bytesTransferred()));
     });
@@ -124,4 +125,4 @@
     return left;
 }
 
-} // namespace rosemarylink::scheduler
+} // namespace rosemarylink::process
--- a/src/scheduler/CellHost.cpp
+++ b/src/scheduler/CellHost.cpp
@@ -133,8 +133,8 @@
     cell.failureDomain = worker.failureDomain;
     cell.controller = std::make_unique<state::CellController>(
         settings, makeDependencies(store_, workers_, clock_, storeCalls_, workerCalls_, metrics_, options_.policy));
-    cell.controller->setCandidates(candidates_);
     cells_.emplace(id, std::move(cell));
+    shareCandidates();
     logger().info("cell found", { { "cell", id } });
 }
 
@@ -166,8 +166,17 @@
 {
     const std::lock_guard lock(mutex_);
     candidates_ = candidates;
+    shareCandidates();
+}
+
+void CellHost::shareCandidates()
+{
+    std::vector<CellId> ids;
+    ids.reserve(cells_.size());
+    for (const auto& [id, cell] : cells_)
+        ids.push_back(id);
     for (auto& [id, cell] : cells_)
-        cell.controller->setCandidates(candidates);
+        cell.controller->setCandidates(candidates_, ids);
 }
 
 std::vector<messages::CellLoad> CellHost::ownedCells() const
--- /dev/null
+++ b/tests/process/WholePathTest.cpp
@@ -0,0 +1,173 @@
+#include "Cluster.h"
+
+#include <atomic>
+#include <thread>
+
+namespace rosemarylink::process {
+namespace {
+
+    using nlohmann::json;
+
+    json gangSubmission(int tasks, const std::string& command)
+    {
+        return { { "kind", "sorting" }, { "tasks", tasks }, { "perTask", { { "accelerators", 1 } } },
+            { "declaredRunTime", 5000 }, { "command", command }, { "region", "amman" } };
+    }
+
+    std::string submit(Cluster& cluster, const std::string& gateway, const std::string& key, const json& submission)
+    {
+        const auto reply = cluster.send(
+            gateway, "POST", "/v1/jobs", submission.dump(), { { "Idempotency-Key", key } }, Cluster::accountKey);
+        if (!reply || reply.value().status != 201)
+            return "";
+        return json::parse(reply.value().body)["job"]["id"].get<std::string>();
+    }
+
+    std::string stateOf(Cluster& cluster, const std::string& gateway, const std::string& job)
+    {
+        return cluster.get(gateway, "/v1/jobs/" + job).value("state", "");
+    }
+
+    // Guards against a gang that runs in part or twice when its owner dies in mid-run.
+    TEST_CASE("a gang survives the death of its cell's owner whole and once")
+    {
+        Cluster cluster;
+        cluster.startGateway("g1");
+        for (const char* id : { "s1", "s2" })
+            cluster.startScheduler(id);
+        cluster.configure("g1");
+        const std::string job = submit(cluster, "g1", "k", gangSubmission(16, "run 9000"));
+        REQUIRE(eventually([&] { return stateOf(cluster, "g1", job) == "running"; }));
+        const std::string owner = cluster.ownerOf("g1", "amman-1");
+        cluster.killScheduler(owner);
+        REQUIRE(eventually([&] {
+            const std::string now = cluster.ownerOf("g1", "amman-1");
+            return !now.empty() && now != owner;
+        }));
+        REQUIRE(eventually([&] { return stateOf(cluster, "g1", job) == "completed"; }));
+        const json gangs = cluster.platformGet("/workers/gangs");
+        REQUIRE(gangs.size() == 1);
+        CHECK(gangs[0]["started"] == 16);
+        CHECK(gangs[0]["completed"] == 16);
+        CHECK(gangs[0]["stopped"] == 0);
+    }
+
+    // Guards against a second job when the reply to the first submission's record was lost, or it came at another
+    // gateway.
+    TEST_CASE("a job that is submitted again after a lost reply exists once")
+    {
+        Cluster cluster;
+        cluster.startGateway("g1");
+        cluster.startGateway("g2");
+        cluster.startScheduler("s1");
+        cluster.configure("g1");
+        cluster.setFaults({ { "storeLoseReplies", 2 } });
+        const std::string first = submit(cluster, "g1", "same", gangSubmission(4, "run 60000"));
+        CHECK_FALSE(first.empty());
+        CHECK(submit(cluster, "g2", "same", gangSubmission(4, "run 60000")) == first);
+        CHECK(cluster.get("g2", "/v1/jobs")["jobs"].size() == 1);
+    }
+
+    // Guards against an acceptance that is not durable: without the store a job must be refused as not run.
+    TEST_CASE("a job is refused as not run while the store is down, and running gangs go on")
+    {
+        Cluster cluster;
+        cluster.startGateway("g1");
+        cluster.startScheduler("s1");
+        cluster.configure("g1");
+        const std::string job = submit(cluster, "g1", "before", gangSubmission(8, "run 8000"));
+        REQUIRE(eventually([&] { return stateOf(cluster, "g1", job) == "running"; }));
+        cluster.setFaults({ { "storeDown", true } });
+        const auto refused = cluster.send("g1", "POST", "/v1/jobs", gangSubmission(1, "run 100").dump(),
+            { { "Idempotency-Key", "during" } }, Cluster::accountKey);
+        REQUIRE(refused);
+        CHECK(refused.value().status == 503);
+        CHECK(refused.value().headers.at("Rosemarylink-Verdict") == "NotRun");
+        CHECK(cluster.send("g1", "POST", "/v1/requests/quotes", "q", {}, Cluster::accountKey).value().status == 200);
+        REQUIRE(eventually([&] {
+            const json gangs = cluster.platformGet("/workers/gangs");
+            return gangs.size() == 1 && gangs[0]["completed"] == 8;
+        }));
+        cluster.setFaults(json::object());
+        CHECK(eventually([&] { return stateOf(cluster, "g1", job) == "completed"; }));
+        CHECK(eventually([&] { return !submit(cluster, "g1", "during", gangSubmission(1, "run 100")).empty(); }));
+    }
+
+    // Guards against a version that goes back, or two presets, while every instance is replaced one by one.
+    TEST_CASE("a configuration stays in force while all instances are replaced one by one")
+    {
+        Cluster cluster;
+        cluster.startGateway("g1");
+        for (const char* id : { "s1", "s2" })
+            cluster.startScheduler(id);
+        cluster.configure("g1");
+        const auto changed = cluster.send("g1", "PUT", "/v1/preset", R"({"preset": "peak"})").value();
+        REQUIRE(changed.status == 200);
+        const auto isInForce = [&](const std::string& gateway) {
+            const json status = cluster.get(gateway, "/v1/status");
+            return status.value("configVersion", 0) == 2 && status.value("preset", "") == "peak"
+                && status["inForce"].value("everywhere", false);
+        };
+        REQUIRE(eventually([&] { return isInForce("g1"); }));
+        cluster.startGateway("g2");
+        REQUIRE(eventually([&] { return isInForce("g2"); }));
+        CHECK(cluster.stopGateway("g1"));
+        for (const std::string number : { "1", "2" }) {
+            cluster.startScheduler("t" + number);
+            CHECK(cluster.stopScheduler("s" + number));
+        }
+        CHECK(eventually([&] { return isInForce("g2") && cluster.ownedCells("g2") == 2; }));
+        CHECK(cluster.get("g2", "/v1/audit")["entries"].size() == 2);
+    }
+
+    // Guards against requests that are cut off by the rolling restart of a gateway under load.
+    TEST_CASE("a gateway that leaves finishes every request in progress")
+    {
+        Cluster cluster;
+        cluster.startGateway("g1");
+        cluster.startScheduler("s1");
+        cluster.configure("g1");
+        std::atomic<bool> stop { false };
+        std::atomic<int> answered { 0 };
+        std::atomic<int> cutOff { 0 };
+        std::vector<std::thread> callers;
+        for (int caller = 0; caller < 4; ++caller) {
+            callers.emplace_back([&] {
+                while (!stop) {
+                    const auto reply = cluster.send("g1", "POST", "/v1/requests/quotes", "q", {}, Cluster::accountKey);
+                    if (reply && reply.value().status == 200)
+                        ++answered;
+                    else if (!reply && reply.error().verdict != Verdict::NotRun)
+                        ++cutOff;
+                    else if (!reply)
+                        return; // the port is closed: the load balancer would have gone elsewhere
+                }
+            });
+        }
+        REQUIRE(eventually([&] { return answered > 50; }));
+        // The clients stay, so that callers meet the closed port rather than a missing client.
+        CHECK(cluster.leaveGateway("g1"));
+        stop = true;
+        for (std::thread& caller : callers)
+            caller.join();
+        CHECK(cutOff == 0);
+    }
+
+    // Guards against half a configuration: one wrong guarantee refuses all of it and names the reason.
+    TEST_CASE("guarantees that cannot be placed together are refused with the reason")
+    {
+        Cluster cluster;
+        cluster.startGateway("g1");
+        cluster.startScheduler("s1");
+        cluster.configure("g1");
+        json declarations = Cluster::declarations("ordinary");
+        declarations["guarantees"][0]["gangs"] = 100;
+        const auto reply
+            = cluster.send("g1", "PUT", "/v1/config", declarations.dump(), { { "If-Match", "1" } }).value();
+        CHECK(reply.status == 400);
+        CHECK(reply.body.find("sorting") != std::string::npos);
+        CHECK(cluster.get("g1", "/v1/config")["version"] == 1);
+    }
+
+} // namespace
+} // namespace rosemarylink::process
