--- a/apps/rosemarylink-bench/RequestsFleet.h
+++ b/apps/rosemarylink-bench/RequestsFleet.h
@@ -42,8 +42,8 @@
     std::vector<std::string> regions { "palermo" };
     int upstreamsPerRegion = 4;
     int slots = 8;
-    // Each connection to the upstreams' server holds a thread, idle ones included; with too few, new connections wait for
-    // the idle time-out of others.
+    // Each connection to the upstreams' server holds a thread, idle ones included; with too few, new connections wait
+    // for the idle time-out of others.
     int threads = 400;
     standin::StandInUpstreamOptions upstreams;
 };
