Give workers no orders after a long pause before the store confirms the lease

Cause: an owner that woke from a pause could renew the lease of a worker that its successor cannot reach, while the successor counts on those tasks to end; and a job record of an unknown version had its running gang released. Change: after a step later than the lease's term, orders wait for the store's confirmation; a claim that finds a job of an unknown version gives the lease back; gauges and counters of the cell are exported.

--- a/src/state/CellCore.cpp
+++ b/src/state/CellCore.cpp
@@ -120,6 +120,9 @@
 
 bool CellCore::step()
 {
+    const Milliseconds lastStep = std::exchange(lastStep_, context_.now());
+    if (context_.now() - lastStep >= context_.timings().leaseTtl)
+        ownership_.doubt();
     const auto completions = context_.completions->drain();
     for (const auto& completion : completions)
         completion();
@@ -129,11 +132,11 @@
         else
             ownership_.step(config_.has_value());
     }
-    if (!lostReason_ && role_ != Role::Away && !left_) {
+    if (!lostReason_ && role_ != Role::Away && !left_ && ownership_.confirmed()) {
         fleet_.step();
         stepRecovery();
     }
-    if (!lostReason_ && leadsGangs() && !leaving_) {
+    if (!lostReason_ && leadsGangs() && !leaving_ && ownership_.confirmed()) {
         ledger_.step();
         gangs_.step();
         decide();
@@ -141,6 +144,7 @@
     }
     if (lostReason_)
         drop();
+    exportMetrics();
     return !completions.empty();
 }
 
@@ -178,6 +182,24 @@
         noteLost("this instance has left");
 }
 
+void CellCore::exportMetrics()
+{
+    const Milliseconds now = context_.now();
+    if (now < nextMetrics_)
+        return;
+    nextMetrics_ = now + decisionInterval;
+    MetricsRegistry& metrics = context_.dependencies.metrics;
+    const MetricLabels labels { { "cell", context_.cell().value() } };
+    metrics.gauge("rosemarylink_cell_owned", "1 while this instance owns the cell.", labels)
+        .set(role_ == Role::Owner ? 1 : 0);
+    metrics.gauge("rosemarylink_cell_token", "The fencing token held; 0 without the cell.", labels)
+        .set(static_cast<double>(context_.token.value()));
+    metrics.gauge("rosemarylink_cell_gangs", "Gangs that are launched, run or are being stopped.", labels)
+        .set(static_cast<double>(table_.all().size()));
+    metrics.gauge("rosemarylink_cell_workers", "Workers of the cell that are known.", labels)
+        .set(static_cast<double>(fleet_.workers().size()));
+}
+
 void CellCore::noteLost(const std::string& reason)
 {
     if (!lostReason_)
@@ -189,6 +211,10 @@
     context_.log.warning(
         "cell lost", { { "cell", context_.cell() }, { "token", context_.token }, { "reason", *lostReason_ } });
     lostReason_.reset();
+    const MetricLabels labels { { "cell", context_.cell().value() } };
+    context_.dependencies.metrics
+        .counter("rosemarylink_cell_losses_total", "Times that the cell was lost or left.", labels)
+        .add();
     ++context_.epoch;
     context_.token = FencingToken(0);
     role_ = Role::Away;
--- a/src/state/CellCore.h
+++ b/src/state/CellCore.h
@@ -75,6 +75,7 @@
     void noteLost(const std::string& reason);
     void drop();
     void finishLeaving();
+    void exportMetrics();
     Timestamp policyNow();
 
     void applyClaim(ClaimedCell);
@@ -120,6 +121,8 @@
     std::vector<std::string> warnings_;
     Milliseconds recoveryEnds_ { 0 };
     Milliseconds nextDecision_ { 0 };
+    Milliseconds nextMetrics_ { 0 };
+    Milliseconds lastStep_ { 0 };
     bool decisionDue_ = false;
     std::int64_t launches_ = 0; // under this token
     Timestamp lastPolicyTime_;
--- a/src/state/CellOwnership.cpp
+++ b/src/state/CellOwnership.cpp
@@ -50,6 +50,12 @@
         record.operation = makeRandomId<OperationId>();
         BOOST_OUTCOME_TRY(written, store.compareAndSwap(cellPlacementsKey(cell), revision, encodeRecord(record)));
         BOOST_OUTCOME_TRY(jobs, store.list(jobPrefix(cell)));
+        // Without a job's record its gang could not be kept, so the cell is left to instances that know the version.
+        for (const KeyedValue& job : jobs) {
+            const auto known = decodeCbor(job.value.bytes, 1, job.key);
+            if (!known && known.error().code == ErrorCode::Unsupported)
+                return known.error();
+        }
         claimed.revision = written;
         claimed.record = std::move(record);
         claimed.jobs = std::move(jobs);
@@ -116,8 +122,18 @@
         reacquire();
 }
 
+void CellOwnership::doubt()
+{
+    if (!holds())
+        return;
+    confirmed_ = false;
+    doubtedAt_ = context_.now();
+    nextCall_ = context_.now();
+}
+
 void CellOwnership::reset()
 {
+    confirmed_ = true;
     if (state_ != State::Resigned)
         state_ = State::Watching;
     absentSince_.reset();
@@ -233,6 +249,7 @@
 {
     if (status) {
         retry_.succeeded();
+        confirmed_ = confirmed_ || sent >= doubtedAt_;
         nextCall_ = sent + context_.timings().leaseRenewal;
         return;
     }
@@ -265,6 +282,7 @@
     if (result) {
         retry_.succeeded();
         state_ = State::Holding;
+        confirmed_ = true;
         lease_ = result.value().first;
         leaseOperation_ = result.value().second;
         nextCall_ = context_.now();
--- a/src/state/CellOwnership.h
+++ b/src/state/CellOwnership.h
@@ -33,6 +33,11 @@
     // Revokes the lease and stays away from the cell. True once that is done.
     bool resign();
 
+    // Notes that this process has not run for longer than the lease's term. Workers must get no orders until the store
+    // has confirmed the lease: another owner may have counted on their tasks to end.
+    void doubt();
+    bool confirmed() const { return confirmed_; }
+
     bool holds() const { return state_ == State::Holding || state_ == State::Reacquiring; }
     bool claiming() const { return state_ == State::Claiming; }
     bool leaseLapsed() const { return state_ == State::Reacquiring; }
@@ -63,6 +68,8 @@
     std::optional<Milliseconds> absentSince_;
     Milliseconds claimAfter_ { 0 };
     std::optional<InstanceId> owner_;
+    bool confirmed_ = true;
+    Milliseconds doubtedAt_ { 0 };
     LeaseId lease_;
     OperationId leaseOperation_;
 };
--- a/src/state/CellRecovery.cpp
+++ b/src/state/CellRecovery.cpp
@@ -8,6 +8,8 @@
 void CellCore::applyClaim(ClaimedCell claimed)
 {
     context_.log.info("cell claimed", { { "cell", context_.cell() }, { "token", claimed.record.token } });
+    const MetricLabels labels { { "cell", context_.cell().value() } };
+    context_.dependencies.metrics.counter("rosemarylink_cell_takeovers_total", "Claims of the cell.", labels).add();
     role_ = Role::Recovering;
     context_.token = claimed.record.token;
     launches_ = 0;
--- a/tests/state/CellLifeTest.cpp
+++ b/tests/state/CellLifeTest.cpp
@@ -21,6 +21,10 @@
         const auto record = harness.placements();
         REQUIRE(record.gangs.size() == 1);
         CHECK(record.gangs[0].phase == records::GangPhase::Running);
+        harness.run(Milliseconds(2000));
+        const std::string metrics = harness.metrics.renderPrometheus();
+        CHECK(metrics.find("rosemarylink_cell_owned{cell=\"cell\"} 1") != std::string::npos);
+        CHECK(metrics.find("rosemarylink_cell_gangs{cell=\"cell\"} 1") != std::string::npos);
         harness.fleet.finishJob(JobId("j1"), TaskState::Completed);
         REQUIRE(harness.runUntil([&] { return harness.placements().gangs.empty(); }));
         CHECK(harness.jobRecord("j1")->state == records::JobState::Completed);
--- a/tests/state/FailurePairTest.cpp
+++ b/tests/state/FailurePairTest.cpp
@@ -269,6 +269,56 @@
         CHECK(harness.owner() != nullptr);
     }
 
+    TEST_CASE("an owner that wakes after its lease renews no worker's lease before the store confirms it")
+    {
+        // The second owner cannot reach the worker, so nothing there refuses the first one's token.
+        CellHarness harness;
+        CellChecks checks(harness);
+        Scheduler& first = harness.addScheduler();
+        REQUIRE(harness.waitForOwner());
+        const auto job = makeJob("j1", 12);
+        REQUIRE(first.controller->submit(job));
+        checks.accept(job);
+        REQUIRE(harness.runUntil([&] { return harness.runs("j1", 12); }));
+        harness.run(Milliseconds(15000));
+        Scheduler& second = harness.addScheduler();
+        second.workers->cutOffFrom.insert(WorkerId("worker-10000"));
+        first.paused = true;
+        REQUIRE(harness.runUntil([&] { return second.isOwner(); }));
+        harness.run(Milliseconds(9000));
+        const auto lease = [&] { return harness.fleet.worker(WorkerId("worker-10000")).tasks.begin()->second.expires; };
+        const Milliseconds before = lease();
+        first.paused = false;
+        for (int index = 0; index < 1200; ++index) {
+            harness.step();
+            checks.observe();
+        }
+        CHECK(lease() == before);
+        CHECK(checks.faults() == "");
+        CHECK(harness.fleet.startedAttempts(JobId("j1")).size() == 2);
+    }
+
+    TEST_CASE("a cell with a job record of an unknown version is left to instances that know it")
+    {
+        CellHarness harness;
+        Scheduler& first = harness.addScheduler();
+        REQUIRE(harness.waitForOwner());
+        REQUIRE(first.controller->submit(makeJob("j1", 12)));
+        REQUIRE(harness.runUntil([&] { return harness.runs("j1", 12); }));
+        harness.run(Milliseconds(1000));
+        const std::string key = jobKey(harness.cell, JobId("j1"));
+        const auto stored = harness.store.read(key).value();
+        auto json = decodeCbor(stored->bytes, 1, key).value();
+        json["schemaVersion"] = 2;
+        REQUIRE(harness.store.compareAndSwap(key, stored->revision, encodeCbor(json)));
+        Scheduler& second = harness.addScheduler();
+        first.process->dead = true;
+        harness.run(Milliseconds(12000));
+        CHECK_FALSE(second.isOwner());
+        CHECK(harness.placements().gangs.size() == 1);
+        CHECK(harness.runs("j1", 12));
+    }
+
     TEST_CASE("a cancellation whose reply was lost is found and followed once the store answers")
     {
         CellHarness harness;
--- a/tests/state/FakeWorkerAgent.h
+++ b/tests/state/FakeWorkerAgent.h
@@ -55,6 +55,7 @@
     }
 
     bool cutOff = false; // this client reaches no worker
+    std::set<WorkerId> cutOffFrom; // nor these
     std::int64_t orders = 0; // of this client, without reports and lists
     std::int64_t refusedAsFenced = 0;
 
@@ -270,7 +271,7 @@
         if (cutOff || (process_ && !process_->beginCall()))
             return unavailable("the worker cannot be reached", Verdict::NotRun);
         const auto found = fleet_->workers.find(id);
-        if (found == fleet_->workers.end() || found->second.unreachable)
+        if (found == fleet_->workers.end() || found->second.unreachable || cutOffFrom.count(id) != 0)
             return unavailable("the worker cannot be reached", Verdict::NotRun);
         Worker& worker = found->second;
         expireTasks(worker);
