--- a/tests/transport/WebSocketLinksTest.cpp
+++ b/tests/transport/WebSocketLinksTest.cpp
@@ -92,6 +92,7 @@
         LinkPair pair;
         pair.connect();
         std::vector<std::future<bool>> outcomes;
+        outcomes.reserve(8);
         for (int thread = 0; thread < 8; ++thread) {
             outcomes.push_back(std::async(std::launch::async, [&pair, thread] {
                 for (int round = 0; round < 50; ++round) {
@@ -213,6 +214,7 @@
         });
         pair.connect();
         std::vector<std::future<bool>> calls;
+        calls.reserve(6);
         for (int n = 0; n < 6; ++n)
             calls.push_back(std::async(std::launch::async,
                 [&] { return pair.first.call(beta, "hold", nlohmann::json::object(), generous).has_value(); }));
