Test call verdicts, refused calls, stopping links and peers that leave the list

Cause: the verdict of a call that times out before its message has left, and answers over another connection, had no test.

--- a/include/rosemarylink/state/DutyLease.h
+++ b/include/rosemarylink/state/DutyLease.h
@@ -23,19 +23,20 @@
 public:
     DutyLease(KeyValueStore&, const Clock&, const InstanceId& self, const std::string& duty, const DutyOptions& = {});
 
-    // Takes or renews the duty when that is due; blocks on the store.
+    // Takes or renews the duty when that is due; blocks on the store. To be called from one thread.
     void tick();
 
     // True while the lease is certain to last by the local clock, counted from before the last renewal was sent.
     bool held() const;
 
-    // Gives the duty up, so that another instance need not wait for the lease to end. Blocks on the store.
+    // Gives the duty up, so that another instance need not wait for the lease to end. Blocks on the store; not to be
+    // called during a tick.
     void release();
 
     const std::string& duty() const { return duty_; }
 
 private:
-    void renew(Milliseconds now);
+    void renew(const LeaseId&, Milliseconds now);
     void tryToTake(Milliseconds now);
     bool writeHolder(const LeaseId&);
     void hold(const LeaseId&, Milliseconds since);
--- a/src/state/DutyLease.cpp
+++ b/src/state/DutyLease.cpp
@@ -56,22 +56,21 @@
 void DutyLease::tick()
 {
     const Milliseconds now = clock_.monotonic();
-    bool holding = false;
+    std::optional<LeaseId> lease;
     {
         const std::lock_guard lock(mutex_);
         if (now < nextAction_)
             return;
-        holding = lease_.has_value();
+        lease = lease_;
     }
-    if (holding)
-        renew(now);
+    if (lease)
+        renew(*lease, now);
     else
         tryToTake(now);
 }
 
-void DutyLease::renew(Milliseconds now)
+void DutyLease::renew(const LeaseId& lease, Milliseconds now)
 {
-    const LeaseId lease = *lease_; // only the ticking thread changes it
     const Status renewed = store_.renewLease(lease);
     if (renewed) {
         hold(lease, now);
--- a/tests/transport/WebSocketLinksTest.cpp
+++ b/tests/transport/WebSocketLinksTest.cpp
@@ -291,6 +291,56 @@
         CHECK(first.connectedPeers().empty());
     }
 
+    TEST_CASE("a peer that leaves the list is disconnected")
+    {
+        WebSocketLinks first(quickOptions(alpha));
+        WebSocketLinks second(quickOptions(beta));
+        REQUIRE(first.start());
+        REQUIRE(second.start());
+        first.setPeers({ { beta, "127.0.0.1", second.port() } });
+        REQUIRE(eventually([&] { return connected(first, beta) && connected(second, alpha); }));
+        first.setPeers({});
+        CHECK(eventually([&] { return !connected(first, beta) && !connected(second, alpha); }));
+    }
+
+    // A queue without a limit would hold calls until their callers have given up, and run them then.
+    TEST_CASE("calls beyond the queue are refused as not run with a retry time")
+    {
+        LinkOptions options = quickOptions(beta);
+        options.maximumQueuedCalls = 0;
+        WebSocketLinks first(quickOptions(alpha));
+        WebSocketLinks second(options);
+        addEcho(second);
+        REQUIRE(first.start());
+        REQUIRE(second.start());
+        first.setPeers({ { beta, "127.0.0.1", second.port() } });
+        REQUIRE(eventually([&] { return connected(first, beta); }));
+        const auto answer = first.call(beta, "echo", nlohmann::json::object(), generous);
+        REQUIRE_FALSE(answer);
+        CHECK(answer.error().code == ErrorCode::ResourceExhausted);
+        CHECK(answer.error().verdict == Verdict::NotRun);
+        CHECK(answer.error().retryAfter.has_value());
+    }
+
+    TEST_CASE("calls that wait fail when the links stop, and later calls have not run")
+    {
+        HeldHandler held;
+        LinkPair pair;
+        pair.second.setHandler("hold", held.handler());
+        pair.connect();
+        auto call = std::async(
+            std::launch::async, [&] { return pair.first.call(beta, "hold", nlohmann::json::object(), generous); });
+        REQUIRE(eventually([&] { return held.entered.load(); }));
+        pair.first.stop();
+        const auto answer = call.get();
+        REQUIRE_FALSE(answer);
+        CHECK(answer.error().verdict == Verdict::MayHaveRun);
+        held.release.set_value();
+        const auto later = pair.first.call(beta, "hold", nlohmann::json::object(), generous);
+        REQUIRE_FALSE(later);
+        CHECK(later.error().verdict == Verdict::NotRun);
+    }
+
     TEST_CASE("an address in use is reported")
     {
         WebSocketLinks first(quickOptions(alpha));
