--- a/src/policy/DefaultPolicy.h
+++ b/src/policy/DefaultPolicy.h
@@ -24,6 +24,7 @@
     void workerAdded(int) override;
     void availabilityChanged(int) override;
     void configured() override;
+    void prepareSubmission() override { slots_.replan(); }
     Status checkFeasible(const model::JobSpec&, const GangShape&) const override;
     bool adoptPlace(Job&, bool borrowed) override;
     void placeReleased(Job&) override;
--- a/src/policy/PolicyBase.cpp
+++ b/src/policy/PolicyBase.cpp
@@ -118,6 +118,7 @@
     if (spec.tasks < 1)
         return invalidArgument("job " + spec.id.value() + " has no tasks");
     const GangShape shape { spec.tasks, toAmount(spec.perTask), spec.adjacency, regionOf(spec) };
+    prepareSubmission();
     BOOST_OUTCOME_TRYV(checkSubmission(spec, shape));
     Job& job = jobs_.add(spec, shape.region, now);
     changed_ = true;
--- a/src/policy/PolicyBase.h
+++ b/src/policy/PolicyBase.h
@@ -39,6 +39,7 @@
     virtual void workerAdded(int) { }
     virtual void availabilityChanged(int) { }
     virtual void configured() { }
+    virtual void prepareSubmission() { }
     virtual Status checkFeasible(const model::JobSpec&, const GangShape&) const { return okStatus(); }
     virtual bool adoptPlace(Job&, bool) { return true; }
     virtual void placeReleased(Job&) { }
--- a/src/policy/Quarantine.h
+++ b/src/policy/Quarantine.h
@@ -38,7 +38,7 @@
         bool quarantined = false;
         bool probing = false;
         Timestamp until;
-        Timestamp lastCompleted;
+        Timestamp lastCompleted = Timestamp::min();
         Milliseconds length { 0 };
     };
     State& state(int worker) { return workers_[static_cast<std::size_t>(worker)]; }
--- /dev/null
+++ b/tests/policy/GuaranteeTest.cpp
@@ -0,0 +1,182 @@
+#include "FakeCluster.h"
+
+#include "rosemarylink/policy/Guarantees.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace rosemarylink::policy {
+namespace {
+
+    using namespace testing;
+
+    std::unique_ptr<SchedulingPolicy> makeGuaranteedPolicy(const std::vector<model::WorkerSpec>& workers)
+    {
+        auto made = makePolicy("default");
+        std::unique_ptr<SchedulingPolicy> policy = std::move(made).value();
+        for (const model::WorkerSpec& worker : workers)
+            policy->addWorker(worker, at(0)).value();
+        policy->configure(makeGuaranteedConfig(1), at(0)).value();
+        return policy;
+    }
+
+    model::JobSpec makeQuote(const std::string& id, std::int64_t tasks)
+    {
+        model::JobSpec job = makeJob(id, tasks, model::Adjacency::Worker);
+        job.account = AccountId("quotes");
+        return job;
+    }
+
+    TEST_CASE("lent capacity is reclaimed for the account that holds the guarantee")
+    {
+        const auto workers = makeWorkers(1, 2);
+        auto policy = makeGuaranteedPolicy(workers);
+        FakeCluster cluster(*policy, workers);
+        for (int number = 0; number < 2; ++number)
+            REQUIRE(cluster.submit(makeQuote("lent-" + std::to_string(number), 8), at(0)));
+        cluster.decide(at(0));
+        REQUIRE(cluster.usedAccelerators() == 16);
+        REQUIRE(cluster.submit(makeJob("owed", 16, model::Adjacency::Rack), at(1)));
+        cluster.decide(at(1));
+        CHECK(cluster.stoppingJobs().size() == 2);
+        CHECK(!cluster.isRunning(JobId("owed")));
+        cluster.settle(at(2));
+        CHECK(cluster.isRunning(JobId("owed")));
+        CHECK(cluster.breaches().empty());
+    }
+
+    TEST_CASE("a reclaim stops checkpointed work before work that would lose its run")
+    {
+        const auto workers = makeWorkers(1, 3);
+        auto policy = makeGuaranteedPolicy(workers);
+        FakeCluster cluster(*policy, workers);
+        for (int number = 0; number < 3; ++number) {
+            model::JobSpec job = makeQuote("lent-" + std::to_string(number), 8);
+            job.checkpointable = number != 0;
+            REQUIRE(cluster.submit(job, at(0)));
+        }
+        cluster.decide(at(0));
+        REQUIRE(cluster.usedAccelerators() == 24);
+        model::JobSpec owed = makeJob("owed", 8, model::Adjacency::Worker);
+        REQUIRE(cluster.submit(owed, at(36000)));
+        cluster.decide(at(36000));
+        REQUIRE(cluster.stoppingJobs().size() == 1);
+        CHECK(cluster.stoppingJobs().front() != JobId("lent-0"));
+    }
+
+    TEST_CASE("work that can be neither stopped nor repeated is kept off promised capacity")
+    {
+        const auto workers = makeWorkers(1, 2);
+        auto policy = makeGuaranteedPolicy(workers);
+        model::JobSpec job = makeQuote("invoice", 8);
+        job.idempotent = false;
+        job.checkpointable = false;
+        const auto admission = policy->submit(job, at(0));
+        REQUIRE(!admission);
+        CHECK(admission.error().message.find("not guaranteed to others") != std::string::npos);
+        const auto larger = makeWorkers(1, 4);
+        auto roomy = makeGuaranteedPolicy(larger);
+        CHECK(roomy->submit(job, at(0)));
+    }
+
+    TEST_CASE("a gang that is restored without borrowing gets its guaranteed place back")
+    {
+        const auto workers = makeWorkers(2, 4);
+        auto policy = makeGuaranteedPolicy(workers);
+        Placement placement;
+        for (int task = 0; task < 16; ++task)
+            placement.workers.push_back(WorkerId("r1-w" + std::to_string(task / 8 + 2)));
+        REQUIRE(policy->restore(makeJob("kept", 16, model::Adjacency::Rack), placement, false, at(0)));
+        const PolicySnapshot snapshot = policy->snapshot(at(1));
+        REQUIRE(snapshot.guarantees.size() == 2);
+        CHECK(snapshot.guarantees.front().gangsInUse == 1);
+        CHECK(!policy->restore(makeJob("other", 16, model::Adjacency::Rack), placement, false, at(0)));
+        policy->decide(at(1));
+        CHECK(policy->snapshot(at(1)).guarantees.back().reclaimable);
+    }
+
+    TEST_CASE("guarantees of lost workers are reported as at risk until the workers return")
+    {
+        const auto workers = makeWorkers(1, 3);
+        auto policy = makeGuaranteedPolicy(workers);
+        const auto reclaimable = [&policy](std::int64_t second) {
+            policy->decide(at(second));
+            const auto guarantees = policy->snapshot(at(second)).guarantees;
+            return std::count_if(
+                guarantees.begin(), guarantees.end(), [](const auto& status) { return status.reclaimable; });
+        };
+        CHECK(reclaimable(0) == 2);
+        policy->setWorkerState(WorkerId("r0-w0"), model::ResourceState::Lost, at(1));
+        CHECK(reclaimable(1) == 1);
+        policy->setWorkerState(WorkerId("r0-w0"), model::ResourceState::Ready, at(2));
+        CHECK(reclaimable(2) == 2);
+    }
+
+    TEST_CASE("the feasibility check names the shape that fails and why")
+    {
+        const auto workers = makeWorkers(2, 4);
+        CHECK(checkGuarantees({ makeShape("a", 2, 32, model::Adjacency::Rack) }, workers).feasible);
+
+        const auto tooLarge = checkGuarantees({ makeShape("a", 1, 33, model::Adjacency::Rack) }, workers);
+        REQUIRE(tooLarge.problems.size() == 1);
+        CHECK(tooLarge.problems.front().reason.find("no place in region amman holds a gang of 33 tasks")
+            != std::string::npos);
+
+        const auto tooMany = checkGuarantees({ makeShape("a", 3, 32, model::Adjacency::Rack) }, workers);
+        REQUIRE(tooMany.problems.size() == 1);
+        CHECK(tooMany.problems.front().placedGangs == 2);
+        CHECK(tooMany.problems.front().reason.find("holds only 2 of 3 gangs") != std::string::npos);
+
+        const auto together = checkGuarantees(
+            { makeShape("a", 2, 32, model::Adjacency::Rack), makeShape("b", 1, 4, model::Adjacency::Worker) }, workers);
+        REQUIRE(together.problems.size() == 1);
+        CHECK(together.problems.front().shape.account == AccountId("b"));
+        CHECK(together.problems.front().reason.find("beside the other guarantees") != std::string::npos);
+
+        model::GuaranteedShape elsewhere = makeShape("a", 1, 1, model::Adjacency::Rack);
+        elsewhere.region = RegionId("irbid");
+        CHECK(checkGuarantees({ elsewhere }, workers).problems.front().reason == "region irbid has no ready worker");
+    }
+
+    TEST_CASE("each guaranteed gang is assigned to one failure domain, in any order of the lists")
+    {
+        std::vector<model::WorkerSpec> workers;
+        for (int rack = 0; rack < 4; ++rack) {
+            for (int number = 0; number < 4; ++number) {
+                workers.push_back(makeWorker(rack, number));
+                workers.back().failureDomain = FailureDomainId(rack < 2 ? "amman-1" : "amman-2");
+            }
+        }
+        std::vector<model::GuaranteedShape> shapes { makeShape("a", 3, 32, model::Adjacency::Rack),
+            makeShape("b", 2, 8, model::Adjacency::Worker) };
+        const auto assigned = assignGuarantees(shapes, workers);
+        std::map<std::string, std::int64_t> gangs;
+        for (const auto& [domain, ofDomain] : assigned) {
+            std::vector<model::WorkerSpec> own;
+            std::copy_if(workers.begin(), workers.end(), std::back_inserter(own),
+                [name = domain](const auto& worker) { return worker.failureDomain == name; });
+            CHECK(checkGuarantees(ofDomain, own).feasible);
+            for (const model::GuaranteedShape& shape : ofDomain)
+                gangs[shape.account.value()] += shape.gangs;
+        }
+        CHECK(gangs["a"] == 3);
+        CHECK(gangs["b"] == 2);
+
+        std::reverse(workers.begin(), workers.end());
+        std::reverse(shapes.begin(), shapes.end());
+        workers.front().state = model::ResourceState::Lost;
+        const auto again = assignGuarantees(shapes, workers);
+        REQUIRE(again.size() == assigned.size());
+        for (const auto& [domain, ofDomain] : assigned) {
+            for (const model::GuaranteedShape& shape : ofDomain) {
+                const auto& other = again.at(domain);
+                CHECK(std::any_of(other.begin(), other.end(), [&shape = shape](const auto& each) {
+                    return each.account == shape.account && each.name == shape.name && each.gangs == shape.gangs;
+                }));
+            }
+        }
+    }
+
+} // namespace
+} // namespace rosemarylink::policy
