Move an idle slot when reclaiming elsewhere is cheaper

Cause: a few tasks of a guarantee stopped a large gang that overlapped the slot's place. Change: before a reclaim with stops, an idle slot moves to the cheapest place that the promises allow.

--- a/src/policy/DefaultPolicy.h
+++ b/src/policy/DefaultPolicy.h
@@ -63,6 +63,7 @@
     std::vector<std::vector<int>> groupsInSlot(const GuaranteedSlot&, const Job&) const;
     std::optional<ReclaimPlan> planInSlot(
         int slot, const Job&, bool mayReclaim, const std::vector<char>* closed, Timestamp);
+    std::optional<ReclaimPlan> planInMovedSlot(int slot, const Job&, double cost, Timestamp);
     // Takes the place; stops what is in the way and starts at once when nothing is.
     void carryOut(Job&, ReclaimPlan, Hold, int slot, StopReason, bool checkpointFirst, Decisions&, Timestamp);
     bool startIfFree(Job&, Decisions&, Timestamp);
--- a/src/policy/DefaultPolicyGuarantees.cpp
+++ b/src/policy/DefaultPolicyGuarantees.cpp
@@ -115,6 +115,27 @@
     return false;
 }
 
+// Moves an idle slot to where reclaiming all of it costs less than what the job needs of the present place, and plans
+// the job there. A few tasks would otherwise stop a large gang that happens to overlap the place.
+std::optional<ReclaimPlan> DefaultPolicy::planInMovedSlot(int index, const Job& job, double cost, Timestamp now)
+{
+    const GuaranteedSlot& slot = slots_.slots()[static_cast<std::size_t>(index)];
+    if (slot.users > 0 || cost <= 0)
+        return std::nullopt;
+    ReclaimLimits limits;
+    limits.limit = [this, index](int worker) { return slots_.roomToMove(index, worker); };
+    limits.mayStop = [urgent = job.spec.urgent](const Job& other) { return !urgent || other.spec.idempotent; };
+    auto whole = planner(now, job.spec.urgent).anywhere(slot.gang, limits, usable_);
+    if (!whole || whole->cost >= cost)
+        return std::nullopt;
+    std::vector<int> old = slot.place;
+    slots_.moveTo(index, std::move(whole->workers));
+    auto plan = planInSlot(index, job, true, avoidedBy(job, now), now);
+    if (!plan)
+        slots_.moveTo(index, std::move(old));
+    return plan;
+}
+
 // Starts the job inside the slot of its account whose capacity is cheapest to reclaim.
 bool DefaultPolicy::tryReclaim(Job& job, Decisions& decisions, Timestamp now)
 {
@@ -130,6 +151,8 @@
     }
     if (!best)
         return false;
+    if (auto moved = planInMovedSlot(bestSlot, job, best->cost, now))
+        best = std::move(moved);
     carryOut(
         job, std::move(*best), Hold::Guaranteed, bestSlot, StopReason::Reclaimed, !job.spec.urgent, decisions, now);
     return true;
--- a/src/policy/GuaranteedSlots.cpp
+++ b/src/policy/GuaranteedSlots.cpp
@@ -239,6 +239,22 @@
     return found;
 }
 
+Amount GuaranteedSlots::roomToMove(int index, int worker) const
+{
+    const GuaranteedSlot& slot = slots_[static_cast<std::size_t>(index)];
+    Amount room = unpromised_.free(worker);
+    if (const auto own = slot.room.find(worker); own != slot.room.end())
+        room += own->second;
+    return room;
+}
+
+void GuaranteedSlots::moveTo(int index, std::vector<int> place)
+{
+    GuaranteedSlot& slot = slots_[static_cast<std::size_t>(index)];
+    dropPlace(slot);
+    setPlace(slot, std::move(place));
+}
+
 std::optional<std::vector<int>> GuaranteedSlots::placeAround(const GuaranteedSlot& slot, const Job& job) const
 {
     std::vector<int> place = job.workers;
--- a/src/policy/GuaranteedSlots.h
+++ b/src/policy/GuaranteedSlots.h
@@ -55,6 +55,12 @@
     // Moves an idle slot to a place that is free of borrowed work too. Gives false when there is none.
     bool moveToFree(int slot, const Ledger& free);
 
+    // What a gang of the slot may take of a worker if the slot moves: what is not promised, and its own place.
+    Amount roomToMove(int slot, int worker) const;
+
+    // Moves an idle slot to a place that roomToMove allows.
+    void moveTo(int slot, std::vector<int> place);
+
     // Gives a restored gang a slot whose place is moved around it. Gives none when no slot of the account allows it.
     int adopt(const Job&);
 
