Let movable work use reserved places until shortly before the gang starts

Cause: closed places pushed small checkpointable work into slots, where it stopped other work. Change: work that can be moved cheaply is kept out of a reserved place only for its last 20 min.

--- a/apps/rosemarylink-bench/PolicyLowerBound.cpp
+++ b/apps/rosemarylink-bench/PolicyLowerBound.cpp
@@ -24,6 +24,7 @@
         std::sort(jobs.begin(), jobs.end(), [](const Area& a, const Area& b) { return a.release < b.release; });
         std::set<std::pair<double, std::size_t>> ready; // by work over worth
         std::vector<double> left;
+        left.reserve(jobs.size());
         for (const Area& job : jobs)
             left.push_back(job.work);
         double now = 0;
--- a/src/policy/DefaultPolicy.cpp
+++ b/src/policy/DefaultPolicy.cpp
@@ -19,6 +19,9 @@
     // Room is made once a gang's wait, in accelerator-seconds, exceeds this many times what the stops lose.
     constexpr double moveGainFactor = 4;
 
+    // Movable work is let into a reserved place only if it can stay this long; a move costs about a minute.
+    constexpr Milliseconds shortestUse { 20 * 60 * 1000 };
+
     // Work that was stopped this often to make room is left alone, so that it ends.
     constexpr int mostMoves = 3;
 
@@ -183,7 +186,7 @@
         if (use.isDeclared)
             shares[name] = { use.declared.weight, use.borrowed };
     }
-    order_.setShares(std::move(shares));
+    order_.setShares(shares);
 }
 
 void DefaultPolicy::choose(Decisions& decisions, Timestamp now)
@@ -301,7 +304,10 @@
 Timestamp DefaultPolicy::expectedEnd(const Job& job, Timestamp now) const
 {
     const auto remaining = static_cast<double>(expectedRemaining(estimates_, job, now).count());
-    return now + Milliseconds(static_cast<std::int64_t>(remaining * estimateMargin));
+    const Milliseconds needed(static_cast<std::int64_t>(remaining * estimateMargin));
+    // Work that can be moved cheaply may stay in a reserved place until shortly before the gang starts.
+    const bool movable = job.spec.checkpointable && job.moves < mostMoves && job.shape.tasks < largeGangTasks;
+    return now + (movable && rules_->movesWork ? std::min(needed, shortestUse) : needed);
 }
 
 const Job* DefaultPolicy::quotaHeldFor(const Job& job, Timestamp now) const
--- a/src/policy/DefaultPolicyGuarantees.cpp
+++ b/src/policy/DefaultPolicyGuarantees.cpp
@@ -33,6 +33,7 @@
             groups[whole ? 0 : byWorker ? worker : fleet_.worker(worker).rack].push_back(worker);
     }
     std::vector<std::vector<int>> result;
+    result.reserve(groups.size());
     for (auto& [key, workers] : groups)
         result.push_back(std::move(workers));
     return result;
--- a/src/policy/QueueOrder.cpp
+++ b/src/policy/QueueOrder.cpp
@@ -20,7 +20,7 @@
         worths_[each.kind.value()] = each.worth;
 }
 
-void QueueOrder::setShares(std::map<std::string, AccountShare> shares)
+void QueueOrder::setShares(const std::map<std::string, AccountShare>& shares)
 {
     factors_.clear();
     double weights = 0;
--- a/src/policy/QueueOrder.h
+++ b/src/policy/QueueOrder.h
@@ -23,7 +23,7 @@
     explicit QueueOrder(const RunTimeEstimates&);
 
     void configure(const model::Declarations&);
-    void setShares(std::map<std::string, AccountShare>);
+    void setShares(const std::map<std::string, AccountShare>&);
     std::vector<Job*> sorted(const std::map<std::uint64_t, Job*>& waiting, Timestamp now) const;
     double worthOf(const model::JobSpec&) const;
 
--- a/tests/policy/DefaultPolicyTest.cpp
+++ b/tests/policy/DefaultPolicyTest.cpp
@@ -120,6 +120,7 @@
         cell.cluster.decide(at(1));
         model::JobSpec longer = makeJob("longer", 8, model::Adjacency::Worker);
         longer.declaredRunTime = Milliseconds(7200000);
+        longer.checkpointable = false;
         model::JobSpec shorter = makeJob("shorter", 8, model::Adjacency::Worker);
         shorter.declaredRunTime = Milliseconds(600000);
         REQUIRE(cell.cluster.submit(longer, at(2)));
