Fix the linter's findings in the policy and its properties

Cause: check-style reported member names and an unreserved vector. Change: names and one reserve. Conclusion: no change of behaviour.

--- a/src/policy/DefaultPolicy.cpp
+++ b/src/policy/DefaultPolicy.cpp
@@ -98,6 +98,7 @@
         return okStatus();
     // Another arrangement of the guarantees may leave room for it.
     std::vector<model::WorkerSpec> workers;
+    workers.reserve(fleet_.workers().size());
     for (int worker = 0; worker < static_cast<int>(fleet_.workers().size()); ++worker)
         workers.push_back(fleet_.specOf(worker));
     std::vector<model::GuaranteedShape> shapes = config_.declarations.guarantees;
--- a/tests/policy/PolicyPropertyTest.cpp
+++ b/tests/policy/PolicyPropertyTest.cpp
@@ -59,68 +59,67 @@
     class RandomRun {
     public:
         RandomRun()
-            : workers_(makeWorkers(racks, workersPerRack))
-            , policy_(makeGuaranteedPolicy(workers_))
-            , cluster_(*policy_, workers_)
+            : workers(makeWorkers(racks, workersPerRack))
+            , policy(makeGuaranteedPolicy(workers))
+            , cluster(*policy, workers)
         {
         }
 
         void step(bool withFailures)
         {
-            now_ += Milliseconds(*rc::gen::element(0, 100, 5000, 60000, 3600000));
+            now += Milliseconds(*rc::gen::element(0, 100, 5000, 60000, 3600000));
             const int action = *rc::gen::inRange(0, withFailures ? 10 : 7);
-            const std::vector<JobId> running = runningJobs(cluster_);
+            const std::vector<JobId> running = runningJobs(cluster);
             if (action <= 2)
-                cluster_.submit(randomJob(nextJob_++), now_);
+                cluster.submit(randomJob(nextJob++), now);
             else if (action == 3 && !running.empty())
-                cluster_.end(pick(running), GangOutcome::Completed, now_);
-            else if (action == 4 && !cluster_.waiting().empty())
-                cluster_.cancel(pick(cluster_.waiting()), now_);
+                cluster.end(pick(running), GangOutcome::Completed, now);
+            else if (action == 4 && !cluster.waiting().empty())
+                cluster.cancel(pick(cluster.waiting()), now);
             else if (action == 5)
                 configure();
             else if (action == 6)
-                cluster_.settle(now_);
+                cluster.settle(now);
             else if (action == 7 && !running.empty())
-                cluster_.end(
-                    pick(running), *rc::gen::element(GangOutcome::LaunchRefused, GangOutcome::WorkerLost), now_);
+                cluster.end(pick(running), *rc::gen::element(GangOutcome::LaunchRefused, GangOutcome::WorkerLost), now);
             else if (action == 8 && !running.empty())
                 fail(pick(running));
             else if (action == 9)
                 changeWorker();
-            cluster_.decide(now_);
+            cluster.decide(now);
         }
 
         void configure()
         {
-            PolicyConfig config = makeGuaranteedConfig(++version_);
+            PolicyConfig config = makeGuaranteedConfig(++version);
             config.declarations.preset
                 = *rc::gen::element(model::Preset::Ordinary, model::Preset::Peak, model::Preset::Maintenance);
             if (*rc::gen::inRange(0, 4) == 0)
                 config.declarations.guarantees.pop_back();
-            RC_ASSERT(policy_->configure(config, now_).has_value());
+            RC_ASSERT(policy->configure(config, now).has_value());
         }
 
         void fail(const JobId& id)
         {
-            policy_->taskFailed(id, cluster_.running().at(id).placement.workers.front(), now_);
-            cluster_.end(id, GangOutcome::Failed, now_);
+            policy->taskFailed(id, cluster.running().at(id).placement.workers.front(), now);
+            cluster.end(id, GangOutcome::Failed, now);
         }
 
         void changeWorker()
         {
-            const WorkerId id = workers_[*rc::gen::inRange<std::size_t>(0, workers_.size())].id;
-            cluster_.setState(id,
+            const WorkerId id = workers[*rc::gen::inRange<std::size_t>(0, workers.size())].id;
+            cluster.setState(id,
                 *rc::gen::element(
                     model::ResourceState::Ready, model::ResourceState::Lost, model::ResourceState::Leaving),
-                now_);
+                now);
         }
 
         // Every promised place is whole and adjacent, and all of them and the firm work fit at once.
         void checkPromises() const
         {
-            const auto& slots = policy_->guaranteedSlots();
-            for (int worker = 0; worker < static_cast<int>(workers_.size()); ++worker) {
-                const bool ready = cluster_.workers().at(workers_[static_cast<std::size_t>(worker)].id).state
+            const auto& slots = policy->guaranteedSlots();
+            for (int worker = 0; worker < static_cast<int>(workers.size()); ++worker) {
+                const bool ready = cluster.workers().at(workers[static_cast<std::size_t>(worker)].id).state
                     == model::ResourceState::Ready;
                 RC_ASSERT(!ready || slots.unpromised().free(worker).covers({}));
             }
@@ -131,12 +130,12 @@
             }
         }
 
-        std::vector<model::WorkerSpec> workers_;
-        std::unique_ptr<DefaultPolicy> policy_;
-        FakeCluster cluster_;
-        Timestamp now_ = at(0);
-        int nextJob_ = 0;
-        std::int64_t version_ = 1;
+        std::vector<model::WorkerSpec> workers;
+        std::unique_ptr<DefaultPolicy> policy;
+        FakeCluster cluster;
+        Timestamp now = at(0);
+        int nextJob = 0;
+        std::int64_t version = 1;
     };
 
     std::string joined(const std::vector<std::string>& lines)
@@ -154,8 +153,8 @@
             const int steps = *rc::gen::inRange(1, 80);
             for (int step = 0; step < steps; ++step) {
                 run.step(true);
-                if (!run.cluster_.breaches().empty())
-                    RC_FAIL(joined(run.cluster_.breaches()));
+                if (!run.cluster.breaches().empty())
+                    RC_FAIL(joined(run.cluster.breaches()));
             }
         });
     }
@@ -179,12 +178,12 @@
             const int steps = *rc::gen::inRange(1, 60);
             for (int step = 0; step < steps; ++step)
                 run.step(false);
-            const std::set<JobId> waiting = run.cluster_.waiting();
+            const std::set<JobId> waiting = run.cluster.waiting();
             for (const JobId& id : waiting)
-                run.cluster_.cancel(id, run.now_);
-            run.cluster_.settle(run.now_);
+                run.cluster.cancel(id, run.now);
+            run.cluster.settle(run.now);
             std::vector<JobId> owed;
-            const std::vector<GuaranteedSlot> slots = run.policy_->guaranteedSlots().slots();
+            const std::vector<GuaranteedSlot> slots = run.policy->guaranteedSlots().slots();
             for (const GuaranteedSlot& slot : slots) {
                 if (slot.users > 0)
                     continue;
@@ -193,12 +192,12 @@
                 job.account = slot.declared.account;
                 job.idempotent = false;
                 job.checkpointable = false;
-                RC_ASSERT(run.cluster_.submit(job, run.now_));
+                RC_ASSERT(run.cluster.submit(job, run.now));
                 owed.push_back(job.id);
             }
-            run.cluster_.settle(run.now_);
+            run.cluster.settle(run.now);
             for (const JobId& id : owed)
-                RC_ASSERT(run.cluster_.isRunning(id));
+                RC_ASSERT(run.cluster.isRunning(id));
         });
     }
 
@@ -209,17 +208,17 @@
             const int steps = *rc::gen::inRange(1, 60);
             for (int step = 0; step < steps; ++step)
                 run.step(true);
-            for (const model::WorkerSpec& worker : run.workers_)
-                run.cluster_.setState(worker.id, model::ResourceState::Ready, run.now_);
-            const std::set<JobId> waiting = run.cluster_.waiting();
+            for (const model::WorkerSpec& worker : run.workers)
+                run.cluster.setState(worker.id, model::ResourceState::Ready, run.now);
+            const std::set<JobId> waiting = run.cluster.waiting();
             for (const JobId& id : waiting)
-                run.cluster_.cancel(id, run.now_);
-            for (const JobId& id : runningJobs(run.cluster_)) {
-                run.policy_->cancel(id, run.now_);
-                run.cluster_.end(id, GangOutcome::Completed, run.now_);
+                run.cluster.cancel(id, run.now);
+            for (const JobId& id : runningJobs(run.cluster)) {
+                run.policy->cancel(id, run.now);
+                run.cluster.end(id, GangOutcome::Completed, run.now);
             }
-            run.cluster_.settle(run.now_);
-            const PolicySnapshot snapshot = run.policy_->snapshot(run.now_);
+            run.cluster.settle(run.now);
+            const PolicySnapshot snapshot = run.policy->snapshot(run.now);
             const auto quarantined = static_cast<std::int64_t>(snapshot.quarantined.size());
             RC_ASSERT(snapshot.freeAccelerators.value() == racks * workersPerRack * 8 - 8 * quarantined);
             for (const AccountStatus& account : snapshot.accounts) {
