--- a/src/policy/DefaultPolicy.h
+++ b/src/policy/DefaultPolicy.h
@@ -24,6 +24,7 @@
     void workerAdded(int) override;
     void availabilityChanged(int) override;
     void configured() override;
+    void prepareSubmission() override { slots_.replan(); }
     Status checkFeasible(const model::JobSpec&, const GangShape&) const override;
     bool adoptPlace(Job&, bool borrowed) override;
     void placeReleased(Job&) override;
@@ -62,6 +63,7 @@
     std::vector<std::vector<int>> groupsInSlot(const GuaranteedSlot&, const Job&) const;
     std::optional<ReclaimPlan> planInSlot(
         int slot, const Job&, bool mayReclaim, const std::vector<char>* closed, Timestamp);
+    std::optional<ReclaimPlan> planInMovedSlot(int slot, const Job&, double cost, Timestamp);
     // Takes the place; stops what is in the way and starts at once when nothing is.
     void carryOut(Job&, ReclaimPlan, Hold, int slot, StopReason, bool checkpointFirst, Decisions&, Timestamp);
     bool startIfFree(Job&, Decisions&, Timestamp);
