--- a/src/control/ClusterBackend.cpp
+++ b/src/control/ClusterBackend.cpp
@@ -21,9 +21,9 @@
     constexpr Milliseconds takeoverTime { 8000 };
 
     // The longest pause between two probes of a store that is down.
-constexpr Milliseconds storeRetryTime { 8000 };
+    constexpr Milliseconds storeRetryTime { 8000 };
 
-// Between rivals, each round settles at least one cell; more rounds mean that something else is wrong.
+    // Between rivals, each round settles at least one cell; more rounds mean that something else is wrong.
     constexpr int maximumBindingRounds = 8;
 
     Error withoutOwner(const std::string& what)
@@ -34,15 +34,15 @@
     }
 
     // A failure before a cell was asked: the binding may or may not be stored, but no cell has accepted the job.
-Error notAccepted(Error error)
-{
-    error.verdict = Verdict::NotRun;
-    if (!error.retryAfter)
-        error.retryAfter = storeRetryTime;
-    return error;
-}
+    Error notAccepted(Error error)
+    {
+        error.verdict = Verdict::NotRun;
+        if (!error.retryAfter)
+            error.retryAfter = storeRetryTime;
+        return error;
+    }
 
-std::string submissionKey(const JobId& job) { return "submissions/" + job.value(); }
+    std::string submissionKey(const JobId& job) { return "submissions/" + job.value(); }
 
     std::string encode(const submissions::SubmissionRecord& record)
     {
--- a/tests/process/WholePathTest.cpp
+++ b/tests/process/WholePathTest.cpp
@@ -131,6 +131,7 @@
         std::atomic<int> answered { 0 };
         std::atomic<int> cutOff { 0 };
         std::vector<std::thread> callers;
+        callers.reserve(4);
         for (int caller = 0; caller < 4; ++caller) {
             callers.emplace_back([&] {
                 while (!stop) {
