Serve a guarantee before keeping away from a worker, and move idle places for work that runs once

Cause: a job that failed on a worker of its account's only idle place avoided it for 30 min, so that the guarantee was not served. Change: a reclaim falls back to avoided workers when there is no other place; for work that runs once and has waited 4 h, all idle guaranteed places are placed anew around it, unless one would lose its place. Two tests name the two faults and fail without the change.

--- a/src/policy/DefaultPolicy.cpp
+++ b/src/policy/DefaultPolicy.cpp
@@ -28,6 +28,9 @@
     // Work that started this recently is not stopped to make room; it would have been better not to start it.
     constexpr Milliseconds shortestRunBeforeMove { 60000 };
 
+    // Placing all idle guaranteed gangs anew costs as much as a change of the declarations.
+    constexpr Milliseconds firmSearchInterval { 10 * 60 * 1000 };
+
     // What is kept for urgent work of a region or a quota: a thirty-second, and at least two jobs of the usual size.
     constexpr std::int64_t urgentRoomDivisor = 32;
     constexpr std::int64_t leastUrgentRoom = 4;
@@ -263,6 +266,12 @@
     };
     limits.closed = avoidedBy(job, now);
     auto plan = planner(now).anywhere(job.shape, limits, usable_);
+    if (!plan && now - job.submitted >= longestWait && now >= job.nextFirmSearch) {
+        // Idle guaranteed places may be spread so that no place is left for the gang although one could be.
+        job.nextFirmSearch = now + firmSearchInterval;
+        if (slots_.makeFirmPlace(job.shape))
+            plan = planner(now).anywhere(job.shape, limits, usable_);
+    }
     if (!plan || !paysOff(*plan, job, now) || !leavesUrgentRoom(job, plan->workers, now))
         return;
     for (Job* stopped : plan->stops)
--- a/src/policy/DefaultPolicyGuarantees.cpp
+++ b/src/policy/DefaultPolicyGuarantees.cpp
@@ -142,14 +142,19 @@
 {
     std::optional<ReclaimPlan> best;
     int bestSlot = none;
-    const std::vector<char>* closed = avoidedBy(job, now);
-    for (const int slot : candidateSlots(job)) {
-        auto plan = planInSlot(slot, job, true, closed, now);
-        if (!plan || (best && best->cost <= plan->cost))
-            continue;
-        best = std::move(plan);
-        bestSlot = slot;
-    }
+    const auto planWithout = [&](const std::vector<char>* closed) {
+        for (const int slot : candidateSlots(job)) {
+            auto plan = planInSlot(slot, job, true, closed, now);
+            if (!plan || (best && best->cost <= plan->cost))
+                continue;
+            best = std::move(plan);
+            bestSlot = slot;
+        }
+    };
+    planWithout(avoidedBy(job, now));
+    // The guarantee comes before the wish to keep away from workers where the job failed.
+    if (!best && hasAvoided(job, now))
+        planWithout(nullptr);
     if (!best)
         return false;
     if (auto moved = planInMovedSlot(bestSlot, job, best->cost, now))
--- a/src/policy/GuaranteedSlots.cpp
+++ b/src/policy/GuaranteedSlots.cpp
@@ -134,16 +134,32 @@
     });
 }
 
-// Places all idle slots anew, the hardest first. Keeps the old places when fewer slots would get one.
-bool GuaranteedSlots::replanAllIdle()
+GuaranteedSlots::OldPlaces GuaranteedSlots::dropIdlePlaces()
 {
-    std::vector<std::pair<std::size_t, std::vector<int>>> old;
+    OldPlaces old;
     for (std::size_t index = 0; index < slots_.size(); ++index) {
         if (slots_[index].users > 0)
             continue;
         old.emplace_back(index, slots_[index].place);
         dropPlace(slots_[index]);
     }
+    return old;
+}
+
+void GuaranteedSlots::restorePlaces(const OldPlaces& old)
+{
+    for (const auto& [index, place] : old)
+        dropPlace(slots_[index]);
+    for (const auto& [index, place] : old) {
+        if (!place.empty())
+            setPlace(slots_[index], place);
+    }
+}
+
+// Places all idle slots anew, the hardest first. Keeps the old places when fewer slots would get one.
+bool GuaranteedSlots::replanAllIdle()
+{
+    const OldPlaces old = dropIdlePlaces();
     std::size_t placed = 0;
     std::size_t placedBefore = 0;
     for (const auto& [index, place] : old) {
@@ -152,15 +168,28 @@
     }
     if (placed > placedBefore)
         return true;
-    for (const auto& [index, place] : old)
-        dropPlace(slots_[index]);
-    for (const auto& [index, place] : old) {
-        if (!place.empty())
-            setPlace(slots_[index], place);
-    }
+    restorePlaces(old);
     return false;
 }
 
+bool GuaranteedSlots::makeFirmPlace(const GangShape& gang)
+{
+    const OldPlaces old = dropIdlePlaces();
+    const auto place = findPlacement({ fleet_, unpromised_ }, gang, FitRule::BestFit);
+    bool keepsAll = place.has_value();
+    if (keepsAll) {
+        for (const int worker : *place)
+            unpromised_.take(fleet_, worker, gang.perTask);
+        for (const auto& [index, oldPlace] : old)
+            keepsAll = (oldPlace.empty() || findPlace(slots_[index])) && keepsAll;
+        for (const int worker : *place)
+            unpromised_.give(fleet_, worker, gang.perTask);
+    }
+    if (!keepsAll)
+        restorePlaces(old);
+    return keepsAll;
+}
+
 void GuaranteedSlots::replan()
 {
     if (!stale_)
--- a/src/policy/GuaranteedSlots.h
+++ b/src/policy/GuaranteedSlots.h
@@ -61,6 +61,10 @@
     // Moves an idle slot to a place that roomToMove allows.
     void moveTo(int slot, std::vector<int> place);
 
+    // Moves idle slots so that a gang of this shape fits beside all places. Gives false, and changes nothing, when some
+    // slot would lose its place.
+    bool makeFirmPlace(const GangShape&);
+
     // Gives a restored gang a slot whose place is moved around it. Gives none when no slot of the account allows it.
     int adopt(const Job&);
 
@@ -69,6 +73,9 @@
     void setPlace(GuaranteedSlot&, std::vector<int> place);
     bool findPlace(GuaranteedSlot&);
     bool replanAllIdle();
+    using OldPlaces = std::vector<std::pair<std::size_t, std::vector<int>>>;
+    OldPlaces dropIdlePlaces();
+    void restorePlaces(const OldPlaces&);
     std::optional<std::vector<int>> placeAround(const GuaranteedSlot&, const Job&) const;
     void indexByAccount();
 
--- a/src/policy/Job.h
+++ b/src/policy/Job.h
@@ -54,6 +54,7 @@
     Milliseconds progress { 0 }; // kept by checkpoints
     std::vector<int> failedWorkers; // reported by taskFailed in the present run
     std::vector<AvoidedWorker> avoided; // the next attempt goes elsewhere
+    Timestamp nextFirmSearch {}; // when idle guaranteed places may be moved for it again
     int probed = none; // the quarantined worker that its present run probes
 
     bool holdsPlace() const { return phase != Phase::Waiting; }
--- a/tests/policy/GuaranteeTest.cpp
+++ b/tests/policy/GuaranteeTest.cpp
@@ -178,5 +178,63 @@
         }
     }
 
+    // Guards against a guarantee that goes unserved because the job keeps away from the worker of its account's only
+    // place (rosemarylink-bench policy --profile frescura --faults all --seed 10).
+    TEST_CASE("a job returns to its account's only guaranteed place although it failed there")
+    {
+        const auto workers = makeWorkers(1, 2);
+        auto policy = makePolicy("default").value();
+        for (const model::WorkerSpec& worker : workers)
+            policy->addWorker(worker, at(0)).value();
+        PolicyConfig config = makeConfig(1);
+        config.declarations.guarantees = { makeShape("moves", 1, 16, model::Adjacency::Rack) };
+        policy->configure(config, at(0)).value();
+        FakeCluster cluster(*policy, workers);
+        REQUIRE(cluster.submit(makeJob("owed", 16, model::Adjacency::Rack), at(0)));
+        cluster.decide(at(0));
+        REQUIRE(cluster.isRunning(JobId("owed")));
+        policy->taskFailed(JobId("owed"), workers.front().id, at(10));
+        cluster.end(JobId("owed"), GangOutcome::Failed, at(10));
+        cluster.decide(at(60));
+        CHECK(cluster.isRunning(JobId("owed")));
+    }
+
+    // Guards against work that runs once and waits for good, because idle guaranteed places are spread over all workers
+    // (rosemarylink-bench policy --profile frescura --faults all --seed 5).
+    TEST_CASE("idle guaranteed places make way for a gang that runs once")
+    {
+        const auto workers = makeWorkers(1, 3);
+        auto policy = makePolicy("default").value();
+        for (const model::WorkerSpec& worker : workers)
+            policy->addWorker(worker, at(0)).value();
+        policy->configure(makeConfig(1), at(0)).value();
+        FakeCluster cluster(*policy, workers);
+        const auto makeOnce = [](const std::string& id, std::int64_t tasks) {
+            model::JobSpec job = makeJob(id, tasks, model::Adjacency::Worker);
+            job.account = AccountId("quotes");
+            job.idempotent = false;
+            job.checkpointable = false;
+            return job;
+        };
+        for (const char* id : { "a", "b", "c" })
+            REQUIRE(cluster.submit(makeOnce(id, 5), at(0)));
+        cluster.decide(at(0));
+        REQUIRE(cluster.usedAccelerators() == 15);
+        PolicyConfig config = makeConfig(2);
+        config.declarations.guarantees = { makeShape("moves", 3, 3, model::Adjacency::Worker) };
+        policy->configure(config, at(1)).value();
+        cluster.decide(at(1)); // one guaranteed place on each worker, beside the running work
+        cluster.end(JobId("a"), GangOutcome::Completed, at(2));
+        cluster.end(JobId("b"), GangOutcome::Completed, at(2));
+        REQUIRE(cluster.submit(makeOnce("whole", 8), at(3)));
+        cluster.decide(at(3));
+        cluster.decide(at(5 * 3600));
+        CHECK(cluster.isRunning(JobId("whole")));
+        REQUIRE(cluster.submit(makeJob("owed", 3, model::Adjacency::Worker), at(5 * 3600 + 1)));
+        cluster.decide(at(5 * 3600 + 1));
+        CHECK(cluster.isRunning(JobId("owed")));
+        CHECK(cluster.breaches().empty());
+    }
+
 } // namespace
 } // namespace rosemarylink::policy
