Build the node on the membership service

Cause: InstanceNode and MembershipService did the same work twice: heartbeats, the platform's list, the configuration watch and duties, and only the service removed expired audit pages.

--- a/include/rosemarylink/control/ClusterBackend.h
+++ b/include/rosemarylink/control/ClusterBackend.h
@@ -3,7 +3,6 @@
 #include "rosemarylink/control/CellChooser.h"
 #include "rosemarylink/control/ControlBackend.h"
 #include "rosemarylink/node/InstanceNode.h"
-#include "rosemarylink/state/AuditLog.h"
 #include "rosemarylink/state/ResilientStore.h"
 
 #include <functional>
@@ -56,7 +55,6 @@
     node::InstanceNode& node_;
     state::ResilientStore& store_;
     const Clock& clock_;
-    state::AuditLog auditLog_;
 
     std::mutex fleetMutex_;
     std::vector<model::WorkerSpec> fleet_; // the platform's list as last read
--- a/include/rosemarylink/node/InstanceNode.h
+++ b/include/rosemarylink/node/InstanceNode.h
@@ -3,9 +3,7 @@
 #include "rosemarylink/base/Clock.h"
 #include "rosemarylink/base/Metrics.h"
 #include "rosemarylink/generated/Messages.h"
-#include "rosemarylink/state/ConfigStore.h"
-#include "rosemarylink/state/ConfigWatcher.h"
-#include "rosemarylink/state/MembershipAgent.h"
+#include "rosemarylink/transport/MembershipService.h"
 #include "rosemarylink/transport/PlatformClient.h"
 #include "rosemarylink/transport/WebSocketLinks.h"
 
@@ -35,8 +33,8 @@
 // Parses settings values such as "g1@127.0.0.1:8081". Fails on another form.
 Result<std::vector<state::ListedInstance>> parsePeers(const std::vector<std::string>&);
 
-// What every gateway and scheduler runs: links to the other instances, membership and the configuration in force. Its
-// threads send heartbeats, read the platform's list, watch the store when on duty and retry until both answer.
+// What every gateway and scheduler runs: links to the other instances, membership and the configuration in force. It
+// announces the instance to the platform, and reports it ready once its configuration is up to date.
 class InstanceNode {
 public:
     // The store, clock and metrics must outlive the node.
@@ -49,7 +47,7 @@
     void setHandler(const std::string& type, transport::InstanceLinks::Handler);
     void setLoad(std::function<state::InstanceLoad()>);
     void setConfigListener(state::ConfigSpreader::Listener);
-    void setBeatListener(std::function<void()>); // called about once a second, after the heartbeats are sent
+    void setBeatListener(std::function<void()>); // called about once a second
 
     // Fails when the link port cannot be bound.
     Status start();
@@ -60,10 +58,10 @@
     // Live instances of a role that are ready or leaving, this one included unless it is leaving; ordered by id.
     std::vector<InstanceId> readyInstances(messages::InstanceRole) const;
 
-    state::MembershipAgent& agent() { return *agent_; }
-    const state::MembershipAgent& agent() const { return *agent_; }
+    state::MembershipAgent& agent() { return service_->agent(); }
+    const state::MembershipAgent& agent() const { return service_->agent(); }
     transport::InstanceLinks& links() { return *links_; }
-    state::ConfigStore& configStore() { return configStore_; }
+    transport::MembershipService& membership() { return *service_; }
     transport::PlatformClient& platform() { return platform_; }
     // True once this instance has been ready for long enough to have heard every other live one. Duties that are shared
     // by an order of the instances start only then, since the first ready instance would take them all.
@@ -71,15 +69,9 @@
 
     const InstanceNodeOptions& options() const { return options_; }
 
-    // True while the last call of the store by the watch duty succeeded or none was due.
-    bool storeReachable() const { return storeReachable_; }
-
 private:
-    void startThread(Milliseconds interval, std::function<void()> task);
-    bool waitFor(Milliseconds); // false when the node stops
-    void beat();
-    void refreshInstances();
-    void watchConfig();
+    void run();
+    void supervise();
     void exportMetrics();
 
     InstanceNodeOptions options_;
@@ -87,19 +79,15 @@
     MetricsRegistry& metrics_;
     transport::PlatformClient platform_;
     std::unique_ptr<transport::WebSocketLinks> links_;
-    std::unique_ptr<state::MembershipChannel> channel_;
-    std::unique_ptr<state::MembershipAgent> agent_;
-    state::ConfigStore configStore_;
-    std::unique_ptr<state::ConfigWatcher> watcher_;
+    std::unique_ptr<state::InstanceDirectory> directory_;
+    std::unique_ptr<transport::MembershipService> service_;
     std::function<void()> beatListener_;
-    std::atomic<bool> storeReachable_ { true };
-    Milliseconds lastAnnouncement_ { 0 };
     std::atomic<Milliseconds> readySince_ { Milliseconds(0) }; // 0 before the first time
 
     std::mutex mutex_;
     std::condition_variable stopRequested_;
     bool stopping_ = false;
-    std::vector<std::thread> threads_;
+    std::thread thread_;
 };
 
 } // namespace rosemarylink::node
--- a/src/control/ClusterBackend.cpp
+++ b/src/control/ClusterBackend.cpp
@@ -125,7 +125,6 @@
     : node_(node)
     , store_(store)
     , clock_(clock)
-    , auditLog_(store)
 {
 }
 
@@ -146,7 +145,7 @@
 
 Result<api::ConfigView> ClusterBackend::storedConfig()
 {
-    BOOST_OUTCOME_TRY(record, node_.configStore().read());
+    BOOST_OUTCOME_TRY(record, node_.membership().configStore().read());
     if (!record)
         return api::ConfigView();
     api::ConfigView view = toView(*record);
@@ -177,8 +176,7 @@
     change.changedBy = proposal.proposedBy;
     change.summary = summarize(proposal.changes);
     change.operation = proposal.operation;
-    BOOST_OUTCOME_TRY(acceptance, node_.configStore().propose(change));
-    node_.agent().adoptAndAnnounce(acceptance.current);
+    BOOST_OUTCOME_TRY(acceptance, node_.membership().propose(change));
     api::ConfigView view;
     view.version = acceptance.version;
     view.declarations = proposal.declarations;
@@ -218,7 +216,7 @@
     if (query.before)
         filter.lastVersion = *query.before - ConfigVersion(1);
     filter.limit = static_cast<std::size_t>(query.limit) + 1; // one more shows whether there are older ones
-    BOOST_OUTCOME_TRY(entries, auditLog_.read(filter));
+    BOOST_OUTCOME_TRY(entries, node_.membership().auditLog().read(filter));
     api::AuditList list;
     for (const config::AuditEntry& entry : entries) {
         if (list.entries.size() == static_cast<std::size_t>(query.limit)) {
@@ -514,7 +512,7 @@
     api::StatusView view;
     view.answeredBy = node_.options().self;
     view.softwareVersion = ROSEMARYLINK_VERSION;
-    view.storeAvailable = !store_.isOpen() && node_.storeReachable();
+    view.storeAvailable = !store_.isOpen();
     if (const auto current = node_.agent().config().inForce()) {
         view.configVersion = current->version;
         view.preset = current->declarations.preset;
