Spell the keys of rosemarylinkctl's settings like those of the daemons; document all settings

Cause: rosemarylinkctl had keyFile and waitTimeout, the daemons have keys with dashes; the settings page lacked the daemons' tables. Conclusion: one spelling in all settings files.

--- a/src/control/CommandLine.cpp
+++ b/src/control/CommandLine.cpp
@@ -169,13 +169,13 @@
         Outcome<std::string> readBearerKey(const std::optional<std::string>& file)
         {
             if (!file) {
-                return badInput("no key is given; pass --keyFile FILE, or set \"keyFile\" in section [client] of the "
+                return badInput("no key is given; pass --key-file FILE, or set \"key-file\" in section [client] of the "
                                 "settings file");
             }
             std::ifstream input(*file);
             std::ostringstream text;
             if (!input || !(text << input.rdbuf()) || Poco::trim(text.str()).empty()) {
-                return badInput("[client] key \"keyFile\" has the value \"" + *file
+                return badInput("[client] key \"key-file\" has the value \"" + *file
                     + "\"; it must be a readable file that holds the bearer key");
             }
             return Poco::trim(text.str());
--- a/src/control/SettingsPage.cpp
+++ b/src/control/SettingsPage.cpp
@@ -2,6 +2,9 @@
 #include "rosemarylink/control/CommandLine.h"
 #include "rosemarylink/generated/Ctl.h"
 #include "rosemarylink/generated/Declarations.h"
+#include "rosemarylink/generated/SettingsGateway.h"
+#include "rosemarylink/generated/SettingsScheduler.h"
+#include "rosemarylink/generated/SettingsStandin.h"
 
 namespace rosemarylink::control {
 
@@ -17,7 +20,11 @@
     // "rosemarylinkctl settings" to docs/operators/settings.md.
     std::vector<SettingsChapter> chapters()
     {
+        const std::string ofDaemon = "File given by `--settings`. Each key is also a flag, `--section.key`.";
         return {
+            { "rosemarylink-gateway", ofDaemon, settings_gateway::gatewaySettingsSpecs() },
+            { "rosemarylink-scheduler", ofDaemon, settings_scheduler::schedulerSettingsSpecs() },
+            { "rosemarylink-standin", ofDaemon + " For tests and the demo.", settings_standin::standInSettingsSpecs() },
             { "rosemarylinkctl", "File given by `--settings` or `ROSEMARYLINKCTL_SETTINGS`. Each key is also a flag.",
                 ctl::ctlSettingsSpecs() },
             { "Declarations: `[preset]`", "Exactly one.", declarations::presetSectionSpecs() },
--- a/tests/control/CommandLineTest.cpp
+++ b/tests/control/CommandLineTest.cpp
@@ -45,13 +45,13 @@
             contains(failure({ "status", "--gateway", "localhost:80" }), "it must be IP:PORT, such as 127.0.0.1:8080"));
         CHECK(contains(failure({ "status", "--gateway", "127.0.0.1:0" }), "it must be IP:PORT"));
         CHECK(contains(failure({ "status", "--gateway", "127.0.0.1:80" }), "no key is given"));
-        CHECK(contains(failure({ "status", "--gateway", "127.0.0.1:80", "--keyFile", "/none" }),
-            "key \"keyFile\" has the value \"/none\""));
+        CHECK(contains(failure({ "status", "--gateway", "127.0.0.1:80", "--key-file", "/none" }),
+            "key \"key-file\" has the value \"/none\""));
         CHECK(contains(failure({ "version", "--format", "xml" }),
             "command line: [output] key \"format\" has the value \"xml\"; it must be one of text, json"));
         CHECK(contains(failure({ "completion", "zsh" }), "it must be bash"));
         CHECK(
-            contains(failure({ "audit", "--gateway", run.gateways, "--keyFile", run.keyFile, "--since", "yesterday" }),
+            contains(failure({ "audit", "--gateway", run.gateways, "--key-file", run.keyFile, "--since", "yesterday" }),
                 "it must look like 2026-12-04T07:54:00Z or 2026-12-04"));
     }
 
@@ -59,7 +59,7 @@
     {
         CommandRun run;
         const std::string file = run.directory.write("ctl.ini",
-            "[client]\ngateway = " + run.gateways + "\nkeyFile = " + run.keyFile + "\n[output]\nformat = json\n");
+            "[client]\ngateway = " + run.gateways + "\nkey-file = " + run.keyFile + "\n[output]\nformat = json\n");
         CHECK(contains(run.bare({ "preset", "show", "--settings", file }).output, "\"preset\":\"ordinary\""));
         CHECK(contains(run.bare({ "preset", "show" }, file).output, "\"preset\":\"ordinary\""));
         CHECK(run.bare({ "preset", "show", "--format", "text" }, file).output == "ordinary (version 1)\n");
--- a/tests/control/CommandRun.h
+++ b/tests/control/CommandRun.h
@@ -27,7 +27,7 @@
 
     CommandResult operator()(std::vector<std::string> arguments)
     {
-        for (const std::string& argument : { std::string("--gateway"), gateways, std::string("--keyFile"), keyFile })
+        for (const std::string& argument : { std::string("--gateway"), gateways, std::string("--key-file"), keyFile })
             arguments.push_back(argument);
         return bare(arguments);
     }
--- a/tests/control/ConfigCommandsTest.cpp
+++ b/tests/control/ConfigCommandsTest.cpp
@@ -96,7 +96,7 @@
         CommandRun run;
         run.fixture.backend.pollsUntilInForce = 1000000;
         run.fixture.backend.behind = { { InstanceId("s2"), ConfigVersion(1) } };
-        const auto result = run({ "preset", "set", "peak", "--wait", "--waitTimeout", "20000" });
+        const auto result = run({ "preset", "set", "peak", "--wait", "--wait-timeout", "20000" });
         CHECK(result.exitCode == 5);
         CHECK(contains(result.errors,
             "version 2 is accepted, but was not in force everywhere after 20 s; 1 instances are "
