Let accounts cancel their own jobs; show when a job was launched

Cause: only operators could cancel, although a client account owns its jobs and its cancellations come in waves; the column STARTED of job list was always empty. Change: DELETE /v1/jobs/{id} is open to the job's account. JobStatus carries the launch time. Before: 403 for the own job. Conclusion: a caller can end what it started.

--- a/include/rosemarylink/control/OperatorApi.h
+++ b/include/rosemarylink/control/OperatorApi.h
@@ -11,7 +11,7 @@
 namespace rosemarylink::control {
 
 // The operators' HTTP interface. It authenticates, checks input and calls the backend, and keeps no state of its own.
-// Operators may do everything; a client account may submit and see its own jobs. /healthz, /readyz and /metrics need
+// Operators may do everything; a client account may submit, see and cancel its own jobs. /healthz, /readyz and /metrics need
 // no key. Safe to use from several threads.
 //
 //   GET  /v1/status
--- a/include/rosemarylink/state/CellController.h
+++ b/include/rosemarylink/state/CellController.h
@@ -83,6 +83,7 @@
     std::vector<records::GangMember> members;
     bool cancelRequested = false;
     std::optional<Timestamp> submitted;
+    std::optional<Timestamp> launched; // when the present launch was decided; while the job has a gang
     std::optional<Timestamp> ended;
 };
 
--- a/src/control/OperatorApi.cpp
+++ b/src/control/OperatorApi.cpp
@@ -30,7 +30,7 @@
     addRoute(router, "POST", "/v1/jobs", all, &OperatorApi::submitJob);
     addRoute(router, "GET", "/v1/jobs", all, &OperatorApi::jobs);
     addRoute(router, "GET", "/v1/jobs/{id}", all, &OperatorApi::job);
-    addRoute(router, "DELETE", "/v1/jobs/{id}", operators, &OperatorApi::cancelJob);
+    addRoute(router, "DELETE", "/v1/jobs/{id}", all, &OperatorApi::cancelJob);
     addRoute(router, "GET", "/v1/jobs/{id}/explain", all, &OperatorApi::explainJob);
     addRoute(router, "GET", "/v1/accounts", operators, &OperatorApi::accounts);
     addRoute(router, "GET", "/v1/workers", operators, &OperatorApi::workers);
--- a/src/control/OperatorApiJobs.cpp
+++ b/src/control/OperatorApiJobs.cpp
@@ -157,12 +157,18 @@
     return errorResponse(view.error().code == ErrorCode::NotFound ? unknownJob(id) : view.error());
 }
 
-HttpResponse OperatorApi::cancelJob(const HttpRequest& request, const Principal&)
+HttpResponse OperatorApi::cancelJob(const HttpRequest& request, const Principal& principal)
 {
-    if (const Status query = internal::checkQuery(request, {}); !query)
-        return errorResponse(query.error());
-    const auto view = backend_.cancelJob(JobId(request.parameters.at("id")));
-    return view ? jsonResponse(api::toJson(view.value())) : errorResponse(view.error());
+    const JobId id(request.parameters.at("id"));
+    const auto run = [&]() -> Result<api::JobView> {
+        BOOST_OUTCOME_TRYV(internal::checkQuery(request, {}));
+        BOOST_OUTCOME_TRYV(visibleJob(id, principal));
+        return backend_.cancelJob(id);
+    };
+    const auto view = run();
+    if (!view)
+        return errorResponse(view.error().code == ErrorCode::NotFound ? unknownJob(id) : view.error());
+    return jsonResponse(api::toJson(view.value()));
 }
 
 HttpResponse OperatorApi::explainJob(const HttpRequest& request, const Principal& principal)
--- a/src/scheduler/JobViews.cpp
+++ b/src/scheduler/JobViews.cpp
@@ -46,6 +46,7 @@
     for (const records::GangMember& member : status.members)
         view.workers.insert(view.workers.end(), static_cast<std::size_t>(member.tasks), member.worker);
     view.submittedAt = status.submitted;
+    view.startedAt = status.launched;
     view.endedAt = status.ended;
     if (status.cancelRequested && !status.ended)
         view.reason = "A cancellation has been accepted and takes effect soon.";
--- a/src/state/CellJobs.cpp
+++ b/src/state/CellJobs.cpp
@@ -182,6 +182,7 @@
     if (const Gang* gang = table_.find(entry.record.spec.id)) {
         status.phase = gang->record.phase;
         status.members = gang->record.members;
+        status.launched = gang->record.since;
     }
     return status;
 }
