--- a/include/rosemarylink/control/OperatorApi.h
+++ b/include/rosemarylink/control/OperatorApi.h
@@ -11,8 +11,8 @@
 namespace rosemarylink::control {
 
 // The operators' HTTP interface. It authenticates, checks input and calls the backend, and keeps no state of its own.
-// Operators may do everything; a client account may submit, see and cancel its own jobs. /healthz, /readyz and /metrics need
-// no key. Safe to use from several threads.
+// Operators may do everything; a client account may submit, see and cancel its own jobs. /healthz, /readyz and /metrics
+// need no key. Safe to use from several threads.
 //
 //   GET  /v1/status
 //   GET  /v1/config                      ConfigView, with the header ETag
