--- /dev/null
+++ b/apps/rosemarylink-edge/Main.cpp
@@ -0,0 +1,91 @@
+#include "EdgeProcess.h"
+
+#include "rosemarylink/base/Log.h"
+
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace {
+
+namespace options = boost::program_options;
+
+volatile std::sig_atomic_t termination = 0;
+volatile std::sig_atomic_t reloading = 0;
+
+void onSignal(int number)
+{
+    if (number == SIGHUP)
+        reloading = 1;
+    else
+        termination = 1;
+}
+
+void handleSignals()
+{
+    struct sigaction action { };
+    action.sa_handler = &onSignal;
+    for (int number : { SIGTERM, SIGINT, SIGHUP })
+        sigaction(number, &action, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+constexpr int exitUsage = 2;
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const char* const given = std::getenv("ROSEMARYLINK_SETTINGS");
+    std::string path = given ? given : "/etc/rosemarylink/node.json";
+    options::options_description description(
+        "rosemarylink-edge: serves callers and schedules jobs on the users' platform\n\nOptions");
+    description.add_options()("help", "print this text")("version", "print the version")("settings",
+        options::value(&path)->default_value(path),
+        "the platform's settings file")("check-settings", "check the settings file and exit");
+    options::variables_map arguments;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), arguments);
+        options::notify(arguments);
+    } catch (const options::error& problem) {
+        std::cerr << problem.what() << "\n" << description;
+        return exitUsage;
+    }
+    if (arguments.count("help") > 0) {
+        std::cout << description;
+        return 0;
+    }
+    if (arguments.count("version") > 0) {
+        std::cout << "rosemarylink-edge " << ROSEMARYLINK_VERSION << "\n";
+        return 0;
+    }
+    const auto settings = rosemarylink::platform::loadPlatformSettings(path);
+    if (!settings) {
+        std::cerr << settings.error().message << "\n";
+        return exitUsage;
+    }
+    if (arguments.count("check-settings") > 0) {
+        std::cout << path << ": the settings are valid\n";
+        return 0;
+    }
+    handleSignals();
+    rosemarylink::startLogging(argv[0]);
+    rosemarylink::EdgeProcess process(path, settings.value());
+    if (const auto started = process.start(); !started) {
+        rosemarylink::Logger("edge").error(started.error().message);
+        return 1;
+    }
+    process.run([&process] {
+        if (reloading) {
+            reloading = 0;
+            process.reload();
+        }
+        if (termination) {
+            termination = 0;
+            process.beginShutdown();
+        }
+    });
+    return 0;
+}
--- a/src/base/Clock.cpp
+++ b/src/base/Clock.cpp
@@ -1,5 +1,7 @@
 #include "rosemarylink/base/Clock.h"
 
+#include <ctime>
+
 namespace rosemarylink {
 
 Timestamp SystemClock::now() const
@@ -9,7 +11,11 @@
 
 Milliseconds SystemClock::monotonic() const
 {
-    return std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now().time_since_epoch());
+    // Unlike the steady clock, this one counts the time during which the machine is suspended, so that a lease is over
+    // for its holder when it is over for everybody else.
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Milliseconds(static_cast<std::int64_t>(time.tv_sec) * 1000 + time.tv_nsec / 1000000);
 }
 
 } // namespace rosemarylink
--- /dev/null
+++ b/src/jobs/Admission.cpp
@@ -0,0 +1,271 @@
+#include "rosemarylink/jobs/Admission.h"
+
+#include "rosemarylink/base/Log.h"
+#include "rosemarylink/jobs/JobProgress.h"
+
+#include <algorithm>
+
+namespace rosemarylink::jobs {
+
+namespace {
+
+    // One call to the store: a write takes 30 ms across regions and 300 ms when the store is slow.
+    constexpr Milliseconds storeTimeout { 900 };
+
+    // Between two tries of a call that the store refused or left unanswered.
+    constexpr Milliseconds retryDelay { 150 };
+
+    // A caller whose request has certainly not run is told so after this time, and when to come back: the store's
+    // short refusals (a full rate, a change of its leader) are over sooner, and a real outage lasts seconds.
+    constexpr Milliseconds refusalPatience { 700 };
+    constexpr Milliseconds comeBackAfter { 500 };
+
+    // Kept back from the caller's deadline for the answer's way.
+    constexpr Milliseconds answerMargin { 150 };
+
+    const Logger logger("admission");
+
+} // namespace
+
+struct Admission::Call {
+    CallerRequest request;
+    AdmissionHandler handler;
+    Milliseconds startedAt { 0 };
+    JobId job;
+    JobSpec spec; // of a submission
+    bool mayHaveRun = false; // a write was left unanswered
+};
+
+Admission::Admission(RecordStore& store, ConfigView& config, const Catalog& catalog, Timers& timers, const Clock& clock)
+    : store_(store)
+    , config_(config)
+    , catalog_(catalog)
+    , timers_(timers)
+    , clock_(clock)
+{
+}
+
+Admission::CallPointer Admission::begin(const CallerRequest& request, const AdmissionHandler& handler)
+{
+    ++inProgress_;
+    auto call = std::make_shared<Call>();
+    call->request = request;
+    call->handler = handler;
+    call->startedAt = clock_.monotonic();
+    return call;
+}
+
+void Admission::finish(const CallPointer& call, AdmissionAnswer answer)
+{
+    --inProgress_;
+    call->handler(std::move(answer));
+}
+
+void Admission::authorize(const CallPointer& call, const std::function<void(const Queue&, const AccountId&)>& proceed)
+{
+    config_.whenFresh([this, call, proceed](const Configuration* configuration) {
+        if (!configuration) {
+            retryLater(call, StoreOutcome::Refused, [this, call, proceed] { authorize(call, proceed); });
+            return;
+        }
+        const Queue* queue = configuration->findQueue(call->request.host, call->request.path);
+        if (!queue) {
+            finish(call, { AdmissionOutcome::NoQueue, "no queue has this host and path" });
+            return;
+        }
+        const ClientAccount* account = configuration->accountOfKey(call->request.key);
+        if (queue->needsKey && !account) {
+            finish(call, { AdmissionOutcome::NoKey, "the key is not known" });
+            return;
+        }
+        call->job = JobId(call->request.path.substr(queue->pathPrefix.size()));
+        proceed(*queue, account ? account->id : AccountId());
+    });
+}
+
+void Admission::retryLater(const CallPointer& call, StoreOutcome outcome, const std::function<void()>& again)
+{
+    const Milliseconds waited = clock_.monotonic() - call->startedAt;
+    if (outcome == StoreOutcome::Unknown)
+        call->mayHaveRun = true;
+    const Milliseconds untilDeadline = std::max(Milliseconds(0), call->request.deadline - answerMargin);
+    const Milliseconds patience = call->mayHaveRun ? untilDeadline : std::min(untilDeadline, refusalPatience);
+    if (waited + retryDelay < patience) {
+        timers_.after(retryDelay, again);
+        return;
+    }
+    logger.warning("Store gave no result for a caller",
+        { { "job", call->job }, { "waitedMs", waited.count() }, { "mayHaveRun", call->mayHaveRun },
+            { "configRevision", config_.revision().value() } });
+    if (call->mayHaveRun)
+        finish(call, { AdmissionOutcome::MayHaveRun, "the store did not answer in time" });
+    else
+        finish(call, { AdmissionOutcome::NotRun, "the store is out of reach", comeBackAfter });
+}
+
+void Admission::submit(const CallerRequest& request, const SpecParser& parse, const AdmissionHandler& handler)
+{
+    const CallPointer call = begin(request, handler);
+    auto parsed = std::make_shared<Result<JobSpec>>(parse());
+    authorize(call, [this, call, parsed](const Queue& queue, const AccountId& account) {
+        if (!*parsed) {
+            finish(call, { AdmissionOutcome::Invalid, parsed->error().message });
+            return;
+        }
+        call->spec = parsed->value();
+        call->spec.id = call->job;
+        call->spec.account = account;
+        call->spec.terms = queue.terms;
+        call->spec.acceptedAt = clock_.now();
+        if (call->job.empty() || call->job.value().find('/') != std::string::npos) {
+            finish(call, { AdmissionOutcome::Invalid, "the path names no job" });
+            return;
+        }
+        if (const auto checked = checkJobSpec(call->spec); !checked) {
+            finish(call, { AdmissionOutcome::Invalid, checked.error().message });
+            return;
+        }
+        commitSubmission(call);
+    });
+}
+
+void Admission::commitSubmission(const CallPointer& call)
+{
+    // The configuration's revision is a condition: the job is accepted under the newest configuration, or not at all.
+    Batch batch;
+    batch.preconditions = { { catalog_.configurationKey(), config_.revision() }, { keys::run(call->job), Revision(0) },
+        { keys::job(call->job), Revision(0) } };
+    const nlohmann::json progress = { { "state", jobStateName(JobState::Queued) } };
+    batch.puts = { { keys::job(call->job), toJson(call->spec).dump() }, { keys::run(call->job), progress.dump() },
+        { keys::waiting(call->spec.terms.queue, call->job), "-" } };
+    const Milliseconds askedAt = clock_.monotonic();
+    store_.commit(batch, storeTimeout, [this, call, askedAt](const StoreAnswer& answer) {
+        switch (answer.outcome) {
+        case StoreOutcome::Done:
+            logger.info("Job accepted",
+                { { "job", call->job }, { "queue", call->spec.terms.queue }, { "account", call->spec.account },
+                    { "configRevision", config_.revision().value() }, { "revision", answer.revision.value() },
+                    { "tookMs", (clock_.monotonic() - call->startedAt).count() } });
+            finish(call, { AdmissionOutcome::Accepted, "" });
+            return;
+        case StoreOutcome::Conflict:
+            settleConflict(call, answer, askedAt);
+            return;
+        default:
+            retryLater(call, answer.outcome, [this, call] { commitSubmission(call); });
+        }
+    });
+}
+
+void Admission::settleConflict(const CallPointer& call, const StoreAnswer& answer, Milliseconds askedAt)
+{
+    for (const Record& record : answer.records) {
+        if (record.revision != Revision(0)
+            && (record.key == keys::run(call->job) || record.key == keys::job(call->job))) {
+            logger.info("Job accepted again", { { "job", call->job }, { "revision", record.revision.value() } });
+            finish(call, { AdmissionOutcome::Accepted, "" });
+            return;
+        }
+    }
+    const Revision before = config_.revision();
+    for (const Record& record : answer.records)
+        config_.apply(record, askedAt);
+    if (config_.revision() == before) {
+        retryLater(call, StoreOutcome::Refused, [this, call] { commitSubmission(call); });
+        return;
+    }
+    // The conflict proves that this call's earlier tries have not run, but not that an unanswered one never will: its
+    // condition on the old configuration fails for good.
+    authorize(call, [this, call](const Queue& queue, const AccountId& account) {
+        call->spec.terms = queue.terms;
+        call->spec.account = account;
+        commitSubmission(call);
+    });
+}
+
+void Admission::query(const CallerRequest& request, const AdmissionHandler& handler)
+{
+    const CallPointer call = begin(request, handler);
+    authorize(call, [this, call](const Queue& queue, const AccountId&) {
+        if (call->job.empty())
+            countWaiting(call, queue.terms.queue);
+        else
+            readState(call);
+    });
+}
+
+void Admission::readState(const CallPointer& call)
+{
+    store_.read(keys::run(call->job), storeTimeout, [this, call](const StoreAnswer& answer) {
+        if (answer.outcome == StoreOutcome::NotFound) {
+            logger.info("Job is not known", { { "job", call->job }, { "storeRevision", answer.revision.value() } });
+            finish(call, { AdmissionOutcome::NoJob, "no such job" });
+            return;
+        }
+        if (!answer.done()) {
+            retryLater(call, StoreOutcome::Refused, [this, call] { readState(call); });
+            return;
+        }
+        const auto state = parseProgressState(answer.records.front().value);
+        if (!state) {
+            logger.error("Progress record is unreadable", { { "job", call->job } });
+            finish(call, { AdmissionOutcome::NotRun, "the job's record is unreadable", comeBackAfter });
+            return;
+        }
+        finish(call, { AdmissionOutcome::Accepted, "", Milliseconds(0), *state });
+    });
+}
+
+void Admission::cancel(const CallerRequest& request, const AdmissionHandler& handler)
+{
+    const CallPointer call = begin(request, handler);
+    authorize(call, [this, call](const Queue&, const AccountId&) { readForCancel(call); });
+}
+
+void Admission::readForCancel(const CallPointer& call)
+{
+    store_.read(keys::job(call->job), storeTimeout, [this, call](const StoreAnswer& answer) {
+        if (answer.outcome == StoreOutcome::NotFound) {
+            // A job that has ended has no submission any more; neither has one that was never accepted.
+            finish(call, { AdmissionOutcome::NoJob, "no such job, or it has ended" });
+            return;
+        }
+        if (!answer.done()) {
+            retryLater(call, StoreOutcome::Refused, [this, call] { readForCancel(call); });
+            return;
+        }
+        commitCancel(call, answer.records.front().revision);
+    });
+}
+
+void Admission::commitCancel(const CallPointer& call, Revision jobRevision)
+{
+    Batch batch;
+    batch.preconditions = { { keys::job(call->job), jobRevision } };
+    batch.puts = { { keys::cancellation(call->job), "-" } };
+    store_.commit(batch, storeTimeout, [this, call, jobRevision](const StoreAnswer& answer) {
+        if (answer.done()) {
+            logger.info("Cancellation accepted", { { "job", call->job }, { "revision", answer.revision.value() } });
+            finish(call, { AdmissionOutcome::Accepted, "" });
+        } else if (answer.outcome == StoreOutcome::Conflict) {
+            readForCancel(call);
+        } else {
+            retryLater(call, answer.outcome, [this, call, jobRevision] { commitCancel(call, jobRevision); });
+        }
+    });
+}
+
+void Admission::countWaiting(const CallPointer& call, const QueueId& queue)
+{
+    store_.list(keys::waitingIn(queue), storeTimeout, [this, call, queue](const StoreAnswer& answer) {
+        if (!answer.done()) {
+            retryLater(call, StoreOutcome::Refused, [this, call, queue] { countWaiting(call, queue); });
+            return;
+        }
+        AdmissionAnswer waiting { AdmissionOutcome::Accepted, "" };
+        waiting.pending = answer.records.size();
+        finish(call, waiting);
+    });
+}
+
+} // namespace rosemarylink::jobs
--- /dev/null
+++ b/src/jobs/Job.cpp
@@ -0,0 +1,157 @@
+#include "rosemarylink/jobs/Job.h"
+
+#include <Poco/NumberParser.h>
+#include <Poco/StringTokenizer.h>
+
+#include <array>
+
+namespace rosemarylink::jobs {
+
+namespace {
+
+    constexpr std::array<std::pair<JobState, std::string_view>, 5> stateNames { {
+        { JobState::Queued, "queued" },
+        { JobState::Active, "active" },
+        { JobState::Completed, "completed" },
+        { JobState::Failed, "failed" },
+        { JobState::Cancelled, "cancelled" },
+    } };
+
+    // Bounds on a submission, so that one job cannot exhaust an owner's memory. They are ten times and more what the
+    // users' largest jobs need (94 tasks in a step, 8 occurrences).
+    constexpr std::size_t maximumSteps = 64;
+    constexpr int maximumTasksOfStep = 2000;
+    constexpr int maximumOccurrences = 1000;
+
+    nlohmann::json stepToJson(const StepSpec& step)
+    {
+        return { { "tasks", step.taskCount }, { "milliCores", step.each.milliCores },
+            { "megabytes", step.each.megabytes }, { "accelerators", step.each.accelerators },
+            { "estimate", step.estimate.count() }, { "after", step.after }, { "gang", step.gang },
+            { "rackLocal", step.rackLocal }, { "checkpointing", step.checkpointing },
+            { "workerLabel", step.workerLabel }, { "dataRack", step.dataRack },
+            { "maximumPerWorker", step.maximumPerWorker } };
+    }
+
+    StepSpec stepFromJson(const nlohmann::json& json)
+    {
+        StepSpec step;
+        step.taskCount = json.at("tasks").get<int>();
+        step.each = { json.at("milliCores").get<std::int64_t>(), json.at("megabytes").get<std::int64_t>(),
+            json.at("accelerators").get<std::int64_t>() };
+        step.estimate = Milliseconds(json.at("estimate").get<std::int64_t>());
+        step.after = json.at("after").get<std::vector<int>>();
+        step.gang = json.at("gang").get<bool>();
+        step.rackLocal = json.at("rackLocal").get<bool>();
+        step.checkpointing = json.at("checkpointing").get<bool>();
+        step.workerLabel = json.at("workerLabel").get<std::string>();
+        step.dataRack = json.at("dataRack").get<std::string>();
+        step.maximumPerWorker = json.at("maximumPerWorker").get<int>();
+        return step;
+    }
+
+} // namespace
+
+Status checkJobSpec(const JobSpec& job)
+{
+    if (job.steps.empty() || job.steps.size() > maximumSteps)
+        return invalidArgument("a job has 1 to " + std::to_string(maximumSteps) + " steps");
+    if (job.occurrences < 1 || job.occurrences > maximumOccurrences)
+        return invalidArgument("a job has 1 to " + std::to_string(maximumOccurrences) + " occurrences");
+    for (std::size_t number = 0; number < job.steps.size(); ++number) {
+        const StepSpec& step = job.steps[number];
+        const std::string where = "step " + std::to_string(number) + ": ";
+        if (step.taskCount < 1 || step.taskCount > maximumTasksOfStep)
+            return invalidArgument(where + "the number of tasks is 1 to " + std::to_string(maximumTasksOfStep));
+        if (step.each.milliCores < 0 || step.each.megabytes < 0 || step.each.accelerators < 0
+            || step.maximumPerWorker < 0 || step.estimate < Milliseconds(0))
+            return invalidArgument(where + "a negative size");
+        for (int earlier : step.after) {
+            if (earlier < 0 || earlier >= static_cast<int>(number))
+                return invalidArgument(where + "it can wait for earlier steps only");
+        }
+    }
+    return okStatus();
+}
+
+nlohmann::json toJson(const JobSpec& job)
+{
+    nlohmann::json steps = nlohmann::json::array();
+    for (const StepSpec& step : job.steps)
+        steps.push_back(stepToJson(step));
+    const nlohmann::json terms = { { "queue", job.terms.queue.value() }, { "pool", job.terms.pool.value() },
+        { "priority", job.terms.priority }, { "maximumAttempts", job.terms.maximumAttempts },
+        { "stretch", job.terms.stretch }, { "objectiveSlack", job.terms.objectiveSlack.count() } };
+    nlohmann::json json = { { "id", job.id.value() }, { "terms", terms }, { "account", job.account.value() },
+        { "payload", job.payload }, { "steps", steps }, { "occurrences", job.occurrences },
+        { "interval", job.interval.count() }, { "acceptedAt", toMilliseconds(job.acceptedAt) } };
+    if (job.firstDue)
+        json["firstDue"] = toMilliseconds(*job.firstDue);
+    return json;
+}
+
+Result<JobSpec> parseJobSpec(const nlohmann::json& json)
+{
+    JobSpec job;
+    try {
+        job.id = JobId(json.at("id").get<std::string>());
+        const nlohmann::json& terms = json.at("terms");
+        job.terms.queue = QueueId(terms.at("queue").get<std::string>());
+        job.terms.pool = ServiceId(terms.at("pool").get<std::string>());
+        job.terms.priority = terms.at("priority").get<int>();
+        job.terms.maximumAttempts = terms.at("maximumAttempts").get<int>();
+        job.terms.stretch = terms.at("stretch").get<double>();
+        job.terms.objectiveSlack = Milliseconds(terms.at("objectiveSlack").get<std::int64_t>());
+        job.account = AccountId(json.at("account").get<std::string>());
+        job.payload = json.at("payload").get<std::string>();
+        for (const nlohmann::json& step : json.at("steps"))
+            job.steps.push_back(stepFromJson(step));
+        job.occurrences = json.at("occurrences").get<int>();
+        job.interval = Milliseconds(json.at("interval").get<std::int64_t>());
+        job.acceptedAt = timestampFromMilliseconds(json.at("acceptedAt").get<std::int64_t>());
+        if (json.contains("firstDue"))
+            job.firstDue = timestampFromMilliseconds(json.at("firstDue").get<std::int64_t>());
+    } catch (const nlohmann::json::exception& problem) {
+        return invalidArgument(std::string("not a job record: ") + problem.what());
+    }
+    if (auto checked = checkJobSpec(job); !checked)
+        return checked.error();
+    return job;
+}
+
+std::string_view jobStateName(JobState state)
+{
+    for (const auto& [value, name] : stateNames) {
+        if (value == state)
+            return name;
+    }
+    return "queued";
+}
+
+std::optional<JobState> parseJobState(std::string_view text)
+{
+    for (const auto& [value, name] : stateNames) {
+        if (name == text)
+            return value;
+    }
+    return std::nullopt;
+}
+
+std::string taskName(const TaskKey& task)
+{
+    return task.job.value() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
+        + std::to_string(task.index);
+}
+
+std::optional<TaskKey> parseTaskName(const std::string& name)
+{
+    const Poco::StringTokenizer parts(name, ".");
+    TaskKey task;
+    if (parts.count() != 4 || !Poco::NumberParser::tryParse(parts[1], task.occurrence)
+        || !Poco::NumberParser::tryParse(parts[2], task.step) || !Poco::NumberParser::tryParse(parts[3], task.index))
+        return std::nullopt;
+    task.job = JobId(parts[0]);
+    return task;
+}
+
+} // namespace rosemarylink::jobs
--- /dev/null
+++ b/src/jobs/JobProgress.cpp
@@ -0,0 +1,152 @@
+#include "rosemarylink/jobs/JobProgress.h"
+
+namespace rosemarylink::jobs {
+
+namespace {
+
+    bool isActive(const TaskProgress& task)
+    {
+        return task.phase == TaskPhase::Starting || task.phase == TaskPhase::Running
+            || task.phase == TaskPhase::Stopping;
+    }
+
+    // Row of one task: [index, done, run, failures, checkpoint, last failed run]. Tasks that have never started have
+    // none.
+    nlohmann::json stepToJson(const StepProgress& step)
+    {
+        nlohmann::json rows = nlohmann::json::array();
+        for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+            const TaskProgress& task = step.tasks[index];
+            if (task.run > 0 || task.phase == TaskPhase::Done)
+                rows.push_back({ index, task.phase == TaskPhase::Done, task.run, task.failures, task.checkpoint,
+                    task.lastFailedRun });
+        }
+        return { { "gangFailures", step.gangFailures }, { "lastFailedRun", step.lastFailedRun }, { "tasks", rows } };
+    }
+
+    void applyStep(const nlohmann::json& json, StepProgress& step)
+    {
+        step.gangFailures = json.at("gangFailures").get<int>();
+        step.lastFailedRun = json.at("lastFailedRun").get<int>();
+        for (const nlohmann::json& row : json.at("tasks")) {
+            TaskProgress& task = step.tasks.at(row.at(0).get<std::size_t>());
+            if (row.at(1).get<bool>()) {
+                task.phase = TaskPhase::Done;
+                ++step.done;
+            }
+            task.run = row.at(2).get<int>();
+            task.failures = row.at(3).get<int>();
+            task.checkpoint = row.at(4).get<std::string>();
+            task.lastFailedRun = row.at(5).get<int>();
+        }
+    }
+
+} // namespace
+
+bool StepProgress::anyActive() const
+{
+    for (const TaskProgress& task : tasks) {
+        if (isActive(task))
+            return true;
+    }
+    return false;
+}
+
+bool Job::contains(const TaskKey& key) const
+{
+    return key.occurrence >= 0 && key.occurrence < static_cast<int>(occurrences.size()) && key.step >= 0
+        && key.step < static_cast<int>(spec.steps.size()) && key.index >= 0
+        && key.index < spec.steps[key.step].taskCount;
+}
+
+bool Job::complete() const
+{
+    for (const auto& steps : occurrences) {
+        for (const StepProgress& step : steps) {
+            if (!step.complete())
+                return false;
+        }
+    }
+    return true;
+}
+
+bool Job::anyActive() const
+{
+    for (const auto& steps : occurrences) {
+        for (const StepProgress& step : steps) {
+            if (step.anyActive())
+                return true;
+        }
+    }
+    return false;
+}
+
+bool Job::unlocked(int occurrence, int step) const
+{
+    for (int earlier : spec.steps[step].after) {
+        if (!occurrences[occurrence][earlier].complete())
+            return false;
+    }
+    return true;
+}
+
+Job makeJob(const JobSpec& spec, Revision runRevision)
+{
+    Job job;
+    job.spec = spec;
+    job.runRevision = runRevision;
+    std::vector<StepProgress> steps(spec.steps.size());
+    for (std::size_t number = 0; number < steps.size(); ++number)
+        steps[number].tasks.resize(static_cast<std::size_t>(spec.steps[number].taskCount));
+    job.occurrences.assign(static_cast<std::size_t>(spec.occurrences), steps);
+    return job;
+}
+
+std::string progressRecord(const Job& job)
+{
+    nlohmann::json json = { { "state", jobStateName(job.state) } };
+    if (isFinal(job.state)) {
+        json["queue"] = job.spec.terms.queue.value();
+        return json.dump();
+    }
+    json["occurrences"] = nlohmann::json::array();
+    for (const auto& steps : job.occurrences) {
+        nlohmann::json rows = nlohmann::json::array();
+        for (const StepProgress& step : steps)
+            rows.push_back(stepToJson(step));
+        json["occurrences"].push_back(rows);
+    }
+    return json.dump();
+}
+
+std::optional<JobState> parseProgressState(const std::string& record)
+{
+    const nlohmann::json json = nlohmann::json::parse(record, nullptr, /*allow_exceptions=*/false);
+    if (!json.is_object() || !json.contains("state") || !json["state"].is_string())
+        return std::nullopt;
+    return parseJobState(json["state"].get<std::string>());
+}
+
+Status applyProgressRecord(const std::string& record, Job& job)
+{
+    const auto state = parseProgressState(record);
+    if (!state)
+        return invalidArgument("a progress record of job " + job.spec.id.value() + " names no state");
+    job.state = *state;
+    job.waitingRecord = *state == JobState::Queued;
+    const nlohmann::json json = nlohmann::json::parse(record, nullptr, /*allow_exceptions=*/false);
+    if (!json.contains("occurrences"))
+        return okStatus();
+    try {
+        const nlohmann::json& occurrences = json["occurrences"];
+        for (std::size_t occurrence = 0; occurrence < occurrences.size(); ++occurrence) {
+            for (std::size_t step = 0; step < occurrences[occurrence].size(); ++step)
+                applyStep(occurrences[occurrence][step], job.occurrences.at(occurrence).at(step));
+        }
+    } catch (const std::exception& problem) {
+        return invalidArgument("a progress record of job " + job.spec.id.value() + ": " + problem.what());
+    }
+    return okStatus();
+}
+
+} // namespace rosemarylink::jobs
--- /dev/null
+++ b/src/jobs/Planner.cpp
@@ -0,0 +1,329 @@
+#include "Planner.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+namespace rosemarylink::jobs::internal {
+
+namespace {
+
+    // Work off its rack takes three times as long on the platform, so waiting for the rack pays for up to twice the
+    // estimate. Half of that is waited: the rack may not come free at all.
+    constexpr double localWaitEstimates = 1.0;
+
+    using Room = std::map<std::string, std::vector<PlanWorker*>>; // workers by rack
+
+    class Planning {
+    public:
+        explicit Planning(const PlanInput& input)
+            : input_(input)
+            , workers_(input.workers)
+        {
+            for (PlanWorker& worker : workers_)
+                racks_[worker.rack].push_back(&worker);
+        }
+
+        Plan run()
+        {
+            std::vector<const PlanStep*> order;
+            order.reserve(input_.steps.size());
+            for (const PlanStep& step : input_.steps)
+                order.push_back(&step);
+            std::stable_sort(order.begin(), order.end(),
+                [this](const PlanStep* a, const PlanStep* b) { return rank(*a) < rank(*b); });
+            for (const PlanStep* step : order) {
+                if (step->spec->gang)
+                    planGang(*step);
+                else
+                    planTasks(*step);
+            }
+            return std::move(plan_);
+        }
+
+    private:
+        // Smaller ranks go first: guaranteed work, then by priority; within that what can still end in time, what can
+        // still earn late, and the rest, each by its objective.
+        std::tuple<int, int, Milliseconds> rank(const PlanStep& step) const
+        {
+            const Milliseconds endsAt = input_.now + step.remaining;
+            const int tier = endsAt <= step.objectiveAt ? 0 : endsAt <= step.lateUntil ? 1 : 2;
+            const int group = step.guaranteed ? -1 : step.priority;
+            return { group, tier, tier == 2 ? step.arrivedAt : step.objectiveAt };
+        }
+
+        static int countThatFits(const Resources& each, const Resources& room)
+        {
+            int count = std::numeric_limits<int>::max();
+            if (each.milliCores > 0)
+                count = std::min(count, static_cast<int>(std::max<std::int64_t>(0, room.milliCores) / each.milliCores));
+            if (each.megabytes > 0)
+                count = std::min(count, static_cast<int>(std::max<std::int64_t>(0, room.megabytes) / each.megabytes));
+            if (each.accelerators > 0)
+                count = std::min(
+                    count, static_cast<int>(std::max<std::int64_t>(0, room.accelerators) / each.accelerators));
+            return count;
+        }
+
+        bool suits(const PlanStep& step, const PlanWorker& worker) const
+        {
+            return worker.usable
+                && (step.spec->workerLabel.empty() || worker.labels->count(step.spec->workerLabel) > 0);
+        }
+
+        int limitOn(const PlanStep& step, const PlanWorker& worker, int count) const
+        {
+            if (step.spec->maximumPerWorker == 0)
+                return count;
+            const auto present = step.present.find(worker.id);
+            const int there = present == step.present.end() ? 0 : present->second;
+            return std::min(count, std::max(0, step.spec->maximumPerWorker - there));
+        }
+
+        // How many of the step's tasks the worker can take, now or once what is stopping has gone.
+        int capacityOn(const PlanStep& step, const PlanWorker& worker, bool countLeaving) const
+        {
+            if (!suits(step, worker))
+                return 0;
+            Resources room = worker.free;
+            if (countLeaving)
+                room += worker.leaving;
+            return limitOn(step, worker, countThatFits(step.spec->each, room));
+        }
+
+        // Workers for `count` tasks among the candidates, fullest first so that large holes stay; empty when there is
+        // not enough room.
+        std::vector<PlanWorker*> choose(
+            const PlanStep& step, std::vector<PlanWorker*> candidates, int count, bool countLeaving) const
+        {
+            std::stable_sort(candidates.begin(), candidates.end(), [](const PlanWorker* a, const PlanWorker* b) {
+                return std::make_tuple(a->suspect, a->free.accelerators, a->free.milliCores)
+                    < std::make_tuple(b->suspect, b->free.accelerators, b->free.milliCores);
+            });
+            std::vector<PlanWorker*> chosen;
+            for (PlanWorker* worker : candidates) {
+                const int room
+                    = std::min(count - static_cast<int>(chosen.size()), capacityOn(step, *worker, countLeaving));
+                chosen.insert(chosen.end(), static_cast<std::size_t>(std::max(0, room)), worker);
+                if (static_cast<int>(chosen.size()) == count)
+                    return chosen;
+            }
+            return {};
+        }
+
+        std::vector<PlanWorker*> allWorkers()
+        {
+            std::vector<PlanWorker*> all;
+            for (PlanWorker& worker : workers_)
+                all.push_back(&worker);
+            return all;
+        }
+
+        // The rack with the least room left over that takes the whole gang.
+        std::vector<PlanWorker*> chooseInOneRack(const PlanStep& step, bool countLeaving)
+        {
+            const int count = static_cast<int>(step.tasks.size());
+            std::vector<PlanWorker*> best;
+            std::int64_t leastLeft = std::numeric_limits<std::int64_t>::max();
+            for (auto& [rack, members] : racks_) {
+                const std::vector<PlanWorker*> chosen = choose(step, members, count, countLeaving);
+                if (chosen.empty())
+                    continue;
+                std::int64_t left = 0;
+                for (const PlanWorker* worker : members)
+                    left += worker->free.accelerators;
+                if (!step.spec->dataRack.empty() && rack != step.spec->dataRack)
+                    left += 1000000; // any other rack only when the data's has no room
+                if (left < leastLeft) {
+                    leastLeft = left;
+                    best = chosen;
+                }
+            }
+            return best;
+        }
+
+        bool fitsAnyEmptyRack(const PlanStep& step) const
+        {
+            for (const auto& [rack, members] : racks_) {
+                int room = 0;
+                for (const PlanWorker* worker : members) {
+                    if (suits(step, *worker))
+                        room += limitOn(step, *worker, countThatFits(step.spec->each, worker->capacity));
+                }
+                if (room >= static_cast<int>(step.tasks.size()))
+                    return true;
+            }
+            return false;
+        }
+
+        bool maySpread(const PlanStep& step) const
+        {
+            if (!step.spec->rackLocal && step.spec->dataRack.empty())
+                return true;
+            if (step.spec->rackLocal && !fitsAnyEmptyRack(step))
+                return true;
+            const Milliseconds waited = input_.now - step.readyAt;
+            if (step.priority == 0)
+                return waited >= input_.urgentLocalWait;
+            return static_cast<double>(waited.count())
+                >= localWaitEstimates * static_cast<double>(step.spec->estimate.count());
+        }
+
+        void planGang(const PlanStep& step)
+        {
+            const bool preferRack = step.spec->rackLocal || !step.spec->dataRack.empty();
+            std::vector<PlanWorker*> chosen;
+            if (preferRack)
+                chosen = chooseInOneRack(step, /*countLeaving=*/false);
+            const bool spread = maySpread(step);
+            if (chosen.empty() && spread)
+                chosen = choose(step, allWorkers(), static_cast<int>(step.tasks.size()), /*countLeaving=*/false);
+            if (!chosen.empty()) {
+                place(step, chosen);
+                return;
+            }
+            // Room that is being freed is kept for the step instead of stopping more.
+            chosen = preferRack ? chooseInOneRack(step, /*countLeaving=*/true) : std::vector<PlanWorker*>();
+            if (chosen.empty() && spread)
+                chosen = choose(step, allWorkers(), static_cast<int>(step.tasks.size()), /*countLeaving=*/true);
+            if (!chosen.empty()) {
+                reserve(step, chosen);
+                return;
+            }
+            if (step.priority == 0)
+                preemptFor(step, preferRack && !spread);
+        }
+
+        void planTasks(const PlanStep& step)
+        {
+            PlanStep rest = step;
+            const bool remoteAllowed = maySpread(step);
+            for (int task : step.tasks) {
+                PlanWorker* best = nullptr;
+                for (PlanWorker& worker : workers_) {
+                    if (capacityOn(rest, worker, /*countLeaving=*/false) < 1)
+                        continue;
+                    const bool remote = !step.spec->dataRack.empty() && worker.rack != step.spec->dataRack;
+                    if (remote && !remoteAllowed)
+                        continue;
+                    if (!best || order(step, worker) < order(step, *best))
+                        best = &worker;
+                }
+                if (!best)
+                    break;
+                best->free -= step.spec->each;
+                ++rest.present[best->id];
+                plan_.placements.push_back({ { step.job, step.occurrence, step.step, task }, best->id });
+            }
+        }
+
+        static std::tuple<bool, bool, std::int64_t, std::int64_t> order(const PlanStep& step, const PlanWorker& worker)
+        {
+            const bool remote = !step.spec->dataRack.empty() && worker.rack != step.spec->dataRack;
+            return { worker.suspect, remote, worker.free.accelerators, worker.free.milliCores };
+        }
+
+        void place(const PlanStep& step, const std::vector<PlanWorker*>& chosen)
+        {
+            for (std::size_t number = 0; number < chosen.size(); ++number) {
+                chosen[number]->free -= step.spec->each;
+                plan_.placements.push_back(
+                    { { step.job, step.occurrence, step.step, step.tasks[number] }, chosen[number]->id });
+            }
+        }
+
+        void reserve(const PlanStep& step, const std::vector<PlanWorker*>& chosen)
+        {
+            for (PlanWorker* worker : chosen)
+                worker->free -= step.spec->each;
+        }
+
+        // Stops the work whose loss is least so that the step fits, within one rack or anywhere.
+        void preemptFor(const PlanStep& step, bool oneRack)
+        {
+            std::optional<std::pair<double, std::vector<std::size_t>>> best;
+            if (oneRack || step.spec->rackLocal) {
+                for (auto& [rack, members] : racks_)
+                    considerVictims(step, members, best);
+            }
+            if (!best && !oneRack)
+                considerVictims(step, allWorkers(), best);
+            if (!best)
+                return;
+            for (std::size_t index : best->second) {
+                plan_.stops.push_back(index);
+                stopped_.insert(index);
+                for (PlanWorker& worker : workers_) {
+                    const auto room = input_.running[index].room.find(worker.id);
+                    if (room != input_.running[index].room.end())
+                        worker.leaving += room->second;
+                }
+            }
+            std::vector<PlanWorker*> chosen;
+            if (oneRack || step.spec->rackLocal)
+                chosen = chooseInOneRack(step, /*countLeaving=*/true);
+            if (chosen.empty())
+                chosen = choose(step, allWorkers(), static_cast<int>(step.tasks.size()), /*countLeaving=*/true);
+            reserve(step, chosen);
+        }
+
+        void considerVictims(const PlanStep& step, const std::vector<PlanWorker*>& candidates,
+            std::optional<std::pair<double, std::vector<std::size_t>>>& best) const
+        {
+            std::set<WorkerId> ids;
+            for (const PlanWorker* worker : candidates)
+                ids.insert(worker->id);
+            std::vector<std::pair<double, std::size_t>> victims; // by loss for each accelerator freed here
+            for (std::size_t index = 0; index < input_.running.size(); ++index) {
+                const PlanRunning& running = input_.running[index];
+                if (running.priority <= step.priority || stopped_.count(index) > 0)
+                    continue;
+                std::int64_t freed = 0;
+                bool here = false;
+                for (const auto& [worker, room] : running.room) {
+                    if (ids.count(worker) > 0) {
+                        freed += room.accelerators;
+                        here = true;
+                    }
+                }
+                if (here)
+                    victims.emplace_back(
+                        running.lostCoreSeconds / static_cast<double>(std::max<std::int64_t>(1, freed)), index);
+            }
+            std::sort(victims.begin(), victims.end());
+            std::map<WorkerId, PlanWorker> trial;
+            for (const PlanWorker* worker : candidates)
+                trial.emplace(worker->id, *worker);
+            std::vector<std::size_t> chosen;
+            double loss = 0;
+            for (const auto& [rate, index] : victims) {
+                chosen.push_back(index);
+                loss += input_.running[index].lostCoreSeconds;
+                for (const auto& [worker, room] : input_.running[index].room) {
+                    const auto position = trial.find(worker);
+                    if (position != trial.end())
+                        position->second.free += room;
+                }
+                int room = 0;
+                for (const auto& [id, worker] : trial)
+                    room += capacityOn(step, worker, /*countLeaving=*/true);
+                if (room >= static_cast<int>(step.tasks.size())) {
+                    if (!best || loss < best->first)
+                        best = { loss, chosen };
+                    return;
+                }
+            }
+        }
+
+        const PlanInput& input_;
+        std::vector<PlanWorker> workers_;
+        Room racks_;
+        std::set<std::size_t> stopped_;
+        Plan plan_;
+    };
+
+} // namespace
+
+Plan makePlan(const PlanInput& input) { return Planning(input).run(); }
+
+} // namespace rosemarylink::jobs::internal
--- /dev/null
+++ b/src/jobs/TenurePlanning.cpp
@@ -0,0 +1,217 @@
+#include "Tenure.h"
+
+#include "rosemarylink/base/Log.h"
+
+#include <algorithm>
+
+namespace rosemarylink::jobs::internal {
+
+namespace {
+
+    // Gathers what arrives together into one plan.
+    constexpr Milliseconds planDelay { 2 };
+
+    // An occurrence starts this long after its time, so that it is not early on a clock that differs by a little.
+    constexpr Milliseconds dueMargin { 20 };
+
+    // An accelerator counts as this many cores in lost work, as the users count it.
+    constexpr double coresOfAccelerator = 8.0;
+
+    // Ending up to this many times the objective still counts for something.
+    constexpr int lateFactor = 3;
+
+    // Kept of the time to reclaim a guarantee for stopping other work and for the orders.
+    constexpr Milliseconds reclaimMargin { 700 };
+
+    Milliseconds longestChain(const JobSpec& job, std::size_t from)
+    {
+        std::vector<Milliseconds> ends(job.steps.size());
+        Milliseconds longest { 0 };
+        for (std::size_t number = 0; number < job.steps.size(); ++number) {
+            Milliseconds start { 0 };
+            for (int earlier : job.steps[number].after)
+                start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
+            ends[number] = start + (number < from ? Milliseconds(0) : job.steps[number].estimate);
+            longest = std::max(longest, ends[number]);
+        }
+        return longest;
+    }
+
+    std::int64_t acceleratorsNeeded(const JobSpec& job)
+    {
+        std::int64_t most = 0;
+        for (const StepSpec& step : job.steps)
+            most = std::max(most, step.each.accelerators * step.taskCount);
+        return most;
+    }
+
+} // namespace
+
+void Tenure::planSoon()
+{
+    if (planPending_)
+        return;
+    planPending_ = true;
+    later(planDelay, [this] {
+        planPending_ = false;
+        plan();
+    });
+}
+
+void Tenure::plan()
+{
+    if (!owner_.ownership_.valid())
+        return;
+    std::set<ServiceId> pools;
+    for (const auto& [id, job] : jobs_)
+        pools.insert(job.spec.terms.pool);
+    for (const ServiceId& pool : pools) {
+        const PlanInput input = planInput(pool);
+        if (!input.steps.empty())
+            applyPlan(input, makePlan(input));
+    }
+}
+
+PlanInput Tenure::planInput(const ServiceId& pool)
+{
+    PlanInput input;
+    input.now = now();
+    input.urgentLocalWait = Milliseconds(500);
+    for (const auto& [id, worker] : workers_) {
+        if (worker.entry.pool != pool || !worker.listed)
+            continue;
+        PlanWorker row;
+        row.id = id;
+        row.rack = worker.entry.rack;
+        row.labels = &worker.entry.labels;
+        row.capacity = worker.entry.capacity;
+        row.free = worker.entry.capacity;
+        row.free -= worker.taken(/*stoppingOnly=*/false);
+        row.leaving = worker.taken(/*stoppingOnly=*/true);
+        row.usable
+            = worker.known && worker.recorded && worker.clock && !worker.entry.draining && !worker.unansweredSince;
+        row.suspect = worker.avoidUntil > input.now;
+        input.workers.push_back(std::move(row));
+    }
+    std::vector<const Job*> byArrival;
+    for (const auto& [id, job] : jobs_) {
+        if (!isFinal(job.state) && job.spec.terms.pool == pool)
+            byArrival.push_back(&job);
+    }
+    std::sort(
+        byArrival.begin(), byArrival.end(), [](const Job* a, const Job* b) { return a->arrivedAt < b->arrivedAt; });
+    std::map<AccountId, std::int64_t> guaranteeLeft;
+    if (const Configuration* configuration = owner_.config_.current()) {
+        for (const ClientAccount& account : configuration->accounts)
+            guaranteeLeft[account.id] = account.guaranteedAccelerators;
+    }
+    for (const Job* job : byArrival) {
+        std::int64_t left = -1;
+        if (job->spec.terms.priority == 0) {
+            left = guaranteeLeft[job->spec.account] -= acceleratorsNeeded(job->spec);
+        }
+        if (!job->mayRunElsewhere)
+            addSteps(input, *job, left);
+        addRunning(input, *job);
+    }
+    return input;
+}
+
+void Tenure::addSteps(PlanInput& input, const Job& job, std::int64_t guaranteeLeft)
+{
+    const Milliseconds wallOffset = input.now - Milliseconds(toMilliseconds(owner_.clock_.now()));
+    for (int occurrence = 0; occurrence < job.spec.occurrences; ++occurrence) {
+        Milliseconds dueAt = job.arrivedAt;
+        if (job.spec.firstDue) {
+            dueAt = Milliseconds(toMilliseconds(*job.spec.firstDue)) + job.spec.interval * occurrence + wallOffset;
+            if (input.now < dueAt + dueMargin)
+                return;
+        }
+        for (std::size_t number = 0; number < job.spec.steps.size(); ++number) {
+            const StepProgress& progress = job.occurrences[occurrence][number];
+            const StepSpec& spec = job.spec.steps[number];
+            if (progress.complete() || !job.unlocked(occurrence, static_cast<int>(number)))
+                continue;
+            if (spec.gang && progress.anyActive())
+                continue;
+            PlanStep step;
+            for (int index = 0; index < spec.taskCount; ++index) {
+                const TaskProgress& task = progress.tasks[index];
+                if (task.phase == TaskPhase::Waiting)
+                    step.tasks.push_back(index);
+                else if (task.phase != TaskPhase::Done)
+                    ++step.present[task.worker];
+            }
+            if (step.tasks.empty())
+                continue;
+            step.job = job.spec.id;
+            step.occurrence = occurrence;
+            step.step = static_cast<int>(number);
+            step.spec = &job.spec.steps[number];
+            step.priority = job.spec.terms.priority;
+            step.guaranteed = step.priority == 0 && guaranteeLeft >= 0;
+            step.arrivedAt = dueAt;
+            step.readyAt = dueAt;
+            step.remaining = longestChain(job.spec, number);
+            const Milliseconds chain = longestChain(job.spec, 0);
+            const Milliseconds objective
+                = Milliseconds(static_cast<std::int64_t>(static_cast<double>(chain.count()) * job.spec.terms.stretch))
+                + job.spec.terms.objectiveSlack;
+            step.objectiveAt = dueAt + objective;
+            step.lateUntil = dueAt + objective * lateFactor;
+            input.steps.push_back(std::move(step));
+        }
+    }
+}
+
+void Tenure::addRunning(PlanInput& input, const Job& job)
+{
+    for (int occurrence = 0; occurrence < job.spec.occurrences; ++occurrence) {
+        for (std::size_t number = 0; number < job.spec.steps.size(); ++number) {
+            const StepSpec& spec = job.spec.steps[number];
+            const StepProgress& progress = job.occurrences[occurrence][number];
+            const double cores = static_cast<double>(spec.each.milliCores) / 1000.0
+                + coresOfAccelerator * static_cast<double>(spec.each.accelerators);
+            PlanRunning gang { job.spec.id, occurrence, static_cast<int>(number), {}, {}, job.spec.terms.priority, 0 };
+            for (int index = 0; index < spec.taskCount; ++index) {
+                const TaskProgress& task = progress.tasks[index];
+                if (task.phase != TaskPhase::Running && task.phase != TaskPhase::Starting)
+                    continue;
+                PlanRunning one = gang;
+                one.tasks = { index };
+                one.room.clear();
+                one.room[task.worker] += spec.each;
+                const double elapsed = static_cast<double>((input.now - task.startedAt).count()) / 1000.0;
+                one.lostCoreSeconds = spec.checkpointing ? cores * 0.1 : cores * elapsed;
+                if (!spec.gang) {
+                    input.running.push_back(std::move(one));
+                    continue;
+                }
+                gang.tasks.push_back(index);
+                gang.room[task.worker] += spec.each;
+                gang.lostCoreSeconds += one.lostCoreSeconds;
+            }
+            if (!gang.tasks.empty())
+                input.running.push_back(std::move(gang));
+        }
+    }
+}
+
+void Tenure::applyPlan(const PlanInput& input, const Plan& plan)
+{
+    static const Logger logger("plan");
+    for (std::size_t index : plan.stops) {
+        const PlanRunning& victim = input.running[index];
+        Job* const job = find(victim.job);
+        if (!job)
+            continue;
+        logger.info("Work yields to a more urgent job",
+            { { "job", victim.job }, { "step", victim.step }, { "tasks", victim.tasks.size() },
+                { "lostCoreSeconds", victim.lostCoreSeconds } });
+        for (int task : victim.tasks)
+            stopTask(*job, { victim.job, victim.occurrence, victim.step, task });
+    }
+    startTasks(plan.placements);
+}
+
+} // namespace rosemarylink::jobs::internal
--- /dev/null
+++ b/src/reactor/EventLoop.cpp
@@ -0,0 +1,98 @@
+#include "rosemarylink/reactor/EventLoop.h"
+
+#include <Poco/Thread.h>
+
+#include <algorithm>
+
+namespace rosemarylink::reactor {
+
+namespace {
+
+    // Bounds the delay until a flag set by a signal is seen.
+    constexpr Milliseconds longestWait { 100 };
+
+} // namespace
+
+EventLoop::TimerId EventLoop::after(Milliseconds delay, Task task)
+{
+    const TimerId id = ++lastTimer_;
+    const Milliseconds due = clock_.monotonic() + delay;
+    timers_.emplace(std::make_pair(due, id), std::move(task));
+    dueTimes_.emplace(id, due);
+    return id;
+}
+
+void EventLoop::cancel(TimerId id)
+{
+    const auto due = dueTimes_.find(id);
+    if (due == dueTimes_.end())
+        return;
+    timers_.erase({ due->second, id });
+    dueTimes_.erase(due);
+}
+
+void EventLoop::watch(const Poco::Net::Socket& socket, bool forWriting, const std::shared_ptr<SocketHandler>& handler)
+{
+    const int mode = Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR
+        | (forWriting ? Poco::Net::PollSet::POLL_WRITE : 0);
+    const auto [position, added] = handlers_.insert_or_assign(socket, handler);
+    if (added)
+        sockets_.add(position->first, mode);
+    else
+        sockets_.update(position->first, mode);
+}
+
+void EventLoop::unwatch(const Poco::Net::Socket& socket)
+{
+    if (handlers_.erase(socket) > 0)
+        sockets_.remove(socket);
+}
+
+Milliseconds EventLoop::nextWait() const
+{
+    if (timers_.empty())
+        return longestWait;
+    const Milliseconds untilDue = timers_.begin()->first.first - clock_.monotonic();
+    return std::clamp(untilDue, Milliseconds(0), longestWait);
+}
+
+void EventLoop::runDueTimers()
+{
+    const Milliseconds now = clock_.monotonic();
+    while (!timers_.empty() && timers_.begin()->first.first <= now) {
+        const Task task = std::move(timers_.begin()->second);
+        dueTimes_.erase(timers_.begin()->first.second);
+        timers_.erase(timers_.begin());
+        task();
+    }
+}
+
+void EventLoop::run(const Task& onTurn)
+{
+    while (!stopped_) {
+        const Milliseconds wait = nextWait();
+        Poco::Net::PollSet::SocketModeMap ready;
+        if (handlers_.empty())
+            Poco::Thread::sleep(static_cast<long>(wait.count()));
+        else
+            ready = sockets_.poll(Poco::Timespan(wait.count() * 1000));
+        for (const auto& [socket, mode] : ready) {
+            const auto position = handlers_.find(socket);
+            if (position == handlers_.end())
+                continue; // a handler that ran before has closed it
+            const std::shared_ptr<SocketHandler> handler = position->second.lock();
+            if (!handler) {
+                unwatch(socket);
+                continue;
+            }
+            if (mode & Poco::Net::PollSet::POLL_WRITE)
+                handler->onWritable();
+            if ((mode & (Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR)) && handlers_.count(socket))
+                handler->onReadable();
+        }
+        runDueTimers();
+        onTurn();
+    }
+}
+
+} // namespace rosemarylink::reactor
--- /dev/null
+++ b/src/reactor/LoopHttpClient.cpp
@@ -0,0 +1,187 @@
+#include "rosemarylink/reactor/LoopHttpClient.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <sstream>
+
+namespace rosemarylink::reactor {
+
+namespace {
+
+    // More idle connections to one address than this are closed.
+    constexpr std::size_t maximumIdle = 8;
+
+} // namespace
+
+class LoopHttpClient::Channel final : public SocketHandler,
+                                      public std::enable_shared_from_this<LoopHttpClient::Channel> {
+public:
+    Channel(LoopHttpClient& client, std::string address, const Poco::Net::StreamSocket& socket)
+        : client_(client)
+        , address_(std::move(address))
+        , buffer_(socket)
+    {
+    }
+
+    const std::string& address() const { return address_; }
+
+    void start(const ClientRequest& request, ReplyHandler handler)
+    {
+        handler_ = std::move(handler);
+        Poco::Net::HTTPRequest head(request.method, request.target, Poco::Net::HTTPMessage::HTTP_1_1);
+        head.setHost(address_);
+        head.setKeepAlive(true);
+        for (const auto& [name, value] : request.headers)
+            head.set(name, value);
+        if (request.method != "GET")
+            head.setContentLength(static_cast<std::streamsize>(request.body.size()));
+        if (!request.body.empty())
+            head.setContentType("application/json");
+        std::ostringstream out;
+        head.write(out);
+        buffer_.append(out.str());
+        buffer_.append(request.body);
+        const auto self = shared_from_this();
+        timer_ = client_.loop_.after(request.timeout, [self] { self->expire(); });
+        if (connected_ && buffer_.send() == SocketBuffer::Progress::Closed) {
+            client_.loop_.after(Milliseconds(0), [self] { self->fail("the connection is closed"); });
+            return;
+        }
+        client_.loop_.watch(buffer_.socket(), buffer_.hasUnsent() || !connected_, self);
+    }
+
+    void onWritable() override
+    {
+        if (!connected_ && buffer_.socket().impl()->socketError() != 0) {
+            fail("the connection was not made");
+            return;
+        }
+        connected_ = true;
+        if (buffer_.send() == SocketBuffer::Progress::Closed) {
+            fail("the connection failed");
+            return;
+        }
+        if (!buffer_.hasUnsent())
+            client_.loop_.watch(buffer_.socket(), false, shared_from_this());
+    }
+
+    void onReadable() override
+    {
+        const bool closed = buffer_.receive() == SocketBuffer::Progress::Closed;
+        if (!handler_) { // idle: only the end of the connection is expected here
+            drop();
+            return;
+        }
+        auto taken = takeResponse(buffer_.received(), MessageLimits { 64 * 1024, 16 * 1024 * 1024 });
+        if (!taken) {
+            fail(taken.error().message);
+            return;
+        }
+        if (!taken.value()) {
+            if (closed)
+                fail("the connection ended before the answer");
+            return;
+        }
+        ClientReply reply { taken.value()->head.getStatus(), std::move(taken.value()->body) };
+        const bool reusable = !closed && taken.value()->head.getKeepAlive();
+        client_.loop_.cancel(timer_);
+        const ReplyHandler handler = std::exchange(handler_, nullptr);
+        const auto self = shared_from_this();
+        if (reusable)
+            client_.release(self);
+        else
+            close();
+        handler(std::move(reply));
+    }
+
+    void close()
+    {
+        client_.loop_.unwatch(buffer_.socket());
+        buffer_.socket().close();
+    }
+
+private:
+    void drop()
+    {
+        const auto self = shared_from_this();
+        client_.idle_[address_].remove(self);
+        close();
+    }
+
+    void expire()
+    {
+        client_.forget(address_);
+        fail("no answer in time");
+    }
+
+    void fail(const std::string& reason)
+    {
+        client_.loop_.cancel(timer_);
+        close();
+        if (!handler_)
+            return;
+        const ReplyHandler handler = std::exchange(handler_, nullptr);
+        handler(unavailable(address_ + ": " + reason, connected_ ? Verdict::MayHaveRun : Verdict::NotRun));
+    }
+
+    LoopHttpClient& client_;
+    std::string address_;
+    SocketBuffer buffer_;
+    ReplyHandler handler_;
+    EventLoop::TimerId timer_ = 0;
+    bool connected_ = false;
+};
+
+LoopHttpClient::~LoopHttpClient()
+{
+    for (const auto& [address, channels] : idle_) {
+        for (const auto& channel : channels)
+            channel->close();
+    }
+}
+
+void LoopHttpClient::send(const std::string& address, const ClientRequest& request, ReplyHandler handler)
+{
+    std::list<std::shared_ptr<Channel>>& idle = idle_[address];
+    if (!idle.empty()) {
+        const std::shared_ptr<Channel> channel = idle.back();
+        idle.pop_back();
+        channel->start(request, std::move(handler));
+        return;
+    }
+    try {
+        Poco::Net::StreamSocket socket;
+        socket.connectNB(Poco::Net::SocketAddress(address));
+        ++connectionsOpened_;
+        const auto channel = std::make_shared<Channel>(*this, address, socket);
+        channel->start(request, std::move(handler));
+    } catch (const Poco::Exception& problem) {
+        loop_.after(Milliseconds(0), [handler = std::move(handler), text = address + ": " + problem.displayText()] {
+            handler(unavailable(text, Verdict::NotRun));
+        });
+    }
+}
+
+void LoopHttpClient::release(const std::shared_ptr<Channel>& channel)
+{
+    std::list<std::shared_ptr<Channel>>& idle = idle_[channel->address()];
+    if (idle.size() >= maximumIdle) {
+        channel->close();
+        return;
+    }
+    idle.push_back(channel);
+}
+
+void LoopHttpClient::forget(const std::string& address)
+{
+    const auto position = idle_.find(address);
+    if (position == idle_.end())
+        return;
+    const std::list<std::shared_ptr<Channel>> channels = std::move(position->second);
+    idle_.erase(position);
+    for (const auto& channel : channels)
+        channel->close();
+}
+
+} // namespace rosemarylink::reactor
--- /dev/null
+++ b/src/reactor/LoopHttpServer.cpp
@@ -0,0 +1,226 @@
+#include "rosemarylink/reactor/LoopHttpServer.h"
+
+#include "rosemarylink/base/Log.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <sstream>
+
+namespace rosemarylink::reactor {
+
+namespace {
+
+    // The queue of connections that the kernel holds for accept(); callers come in bursts of a few dozen.
+    constexpr int listenBacklog = 256;
+
+    const Logger logger("http");
+
+} // namespace
+
+class LoopHttpServer::Connection final : public SocketHandler,
+                                         public std::enable_shared_from_this<LoopHttpServer::Connection> {
+public:
+    Connection(LoopHttpServer& server, const Poco::Net::StreamSocket& socket)
+        : server_(&server)
+        , buffer_(socket)
+    {
+    }
+
+    void start() { server_->loop_.watch(buffer_.socket(), false, shared_from_this()); }
+
+    bool busy() { return answering_ || buffer_.hasUnsent() || !buffer_.received().empty(); }
+
+    void onReadable() override
+    {
+        if (buffer_.receive() == SocketBuffer::Progress::Closed) {
+            close();
+            return;
+        }
+        serveNext();
+    }
+
+    void onWritable() override
+    {
+        if (buffer_.send() == SocketBuffer::Progress::Closed) {
+            close();
+            return;
+        }
+        if (buffer_.hasUnsent())
+            return;
+        if (closeAfterSend_) {
+            close();
+            return;
+        }
+        server_->loop_.watch(buffer_.socket(), false, shared_from_this());
+        serveNext();
+    }
+
+    // Ends the connection when nothing is in progress on it, otherwise after the current answer.
+    void drain()
+    {
+        if (!busy())
+            close();
+    }
+
+    void close()
+    {
+        if (!server_)
+            return;
+        LoopHttpServer* const server = server_;
+        server_ = nullptr;
+        server->loop_.unwatch(buffer_.socket());
+        buffer_.socket().close();
+        server->connections_.erase(shared_from_this());
+    }
+
+private:
+    void serveNext()
+    {
+        if (!server_ || answering_ || buffer_.hasUnsent())
+            return;
+        auto taken = takeRequest(buffer_.received(), server_->limits_);
+        if (!taken) {
+            closeAfterSend_ = true;
+            reply({ 400, R"({"error":")" + taken.error().message + "\"}", {} });
+            return;
+        }
+        if (!taken.value())
+            return;
+        answering_ = true;
+        closeAfterSend_ = !taken.value()->head.getKeepAlive();
+        const auto self = shared_from_this();
+        server_->handler_(std::move(*taken.value()), [self](ServerReply answer) { self->reply(std::move(answer)); });
+    }
+
+    void reply(ServerReply answer)
+    {
+        if (!server_)
+            return;
+        answering_ = false;
+        if (server_->draining_)
+            closeAfterSend_ = true;
+        Poco::Net::HTTPResponse head(
+            Poco::Net::HTTPMessage::HTTP_1_1, static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
+        head.setContentLength(static_cast<std::streamsize>(answer.body.size()));
+        if (!answer.body.empty())
+            head.setContentType(answer.contentType);
+        for (const auto& [name, value] : answer.headers)
+            head.set(name, value);
+        head.setKeepAlive(!closeAfterSend_);
+        std::ostringstream out;
+        head.write(out);
+        buffer_.append(out.str());
+        buffer_.append(answer.body);
+        if (buffer_.send() == SocketBuffer::Progress::Closed) {
+            close();
+            return;
+        }
+        if (buffer_.hasUnsent()) {
+            server_->loop_.watch(buffer_.socket(), true, shared_from_this());
+            return;
+        }
+        if (closeAfterSend_) {
+            close();
+            return;
+        }
+        if (!buffer_.received().empty()) {
+            const auto self = shared_from_this();
+            server_->loop_.after(Milliseconds(0), [self] { self->serveNext(); });
+        }
+    }
+
+    LoopHttpServer* server_; // null once closed
+    SocketBuffer buffer_;
+    bool answering_ = false;
+    bool closeAfterSend_ = false;
+};
+
+class LoopHttpServer::Listener final : public SocketHandler {
+public:
+    explicit Listener(LoopHttpServer& server)
+        : server_(server)
+    {
+    }
+
+    void onReadable() override { server_.accept(); }
+    void onWritable() override { }
+
+private:
+    LoopHttpServer& server_;
+};
+
+Result<std::unique_ptr<LoopHttpServer>> LoopHttpServer::listen(
+    EventLoop& loop, const std::string& address, const MessageLimits& limits, RequestHandler handler)
+{
+    try {
+        Poco::Net::ServerSocket socket;
+        socket.bind(Poco::Net::SocketAddress(address), true);
+        socket.listen(listenBacklog);
+        socket.setBlocking(false);
+        return std::unique_ptr<LoopHttpServer>(new LoopHttpServer(loop, socket, limits, std::move(handler)));
+    } catch (const Poco::Exception& problem) {
+        return makeError(ErrorCode::Unavailable, "cannot listen on " + address + ": " + problem.displayText());
+    }
+}
+
+LoopHttpServer::LoopHttpServer(
+    EventLoop& loop, const Poco::Net::ServerSocket& socket, const MessageLimits& limits, RequestHandler handler)
+    : loop_(loop)
+    , socket_(socket)
+    , address_(socket.address().toString())
+    , limits_(limits)
+    , handler_(std::move(handler))
+    , listener_(std::make_shared<Listener>(*this))
+{
+    loop_.watch(socket_, false, listener_);
+}
+
+LoopHttpServer::~LoopHttpServer()
+{
+    if (listening_) {
+        loop_.unwatch(socket_);
+        socket_.close();
+    }
+    const auto open = connections_;
+    for (const auto& connection : open)
+        connection->close();
+}
+
+void LoopHttpServer::accept()
+{
+    try {
+        while (socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+            const auto connection = std::make_shared<Connection>(*this, socket_.acceptConnection());
+            connections_.insert(connection);
+            connection->start();
+        }
+    } catch (const Poco::Exception& problem) {
+        logger.warning("Accepting a connection failed", { { "reason", problem.displayText() } });
+    }
+}
+
+void LoopHttpServer::drain()
+{
+    draining_ = true;
+    if (listening_) {
+        accept(); // takes those that the kernel has already completed
+        loop_.unwatch(socket_);
+        socket_.close();
+        listening_ = false;
+    }
+    const auto open = connections_;
+    for (const auto& connection : open)
+        connection->drain();
+}
+
+std::size_t LoopHttpServer::busyConnections() const
+{
+    std::size_t count = 0;
+    for (const auto& connection : connections_)
+        count += connection->busy() ? 1 : 0;
+    return count;
+}
+
+} // namespace rosemarylink::reactor
