Know a worker only after the stops of its earlier owner are over

A worker lists neither a run nor its end while the run is being stopped, so a new owner that read the list in that time started the task a second time. Ruled out: fencing (orders of the old owner were refused) and leases (none had lapsed). A worker of the fleet record is now known by a list asked for after StopMs; an unlisted run counts as stopped after the same time. Recovery also waits for the submissions to be read. A second call to a worker no longer starts a second chain of calls.

--- a/src/jobs/Tenure.h
+++ b/src/jobs/Tenure.h
@@ -36,7 +36,8 @@
 struct Worker {
     WorkerEntry entry;
     bool listed = false; // has an entry now
-    bool known = false; // this life has answered this owner
+    bool known = false; // all that runs in this life is known here
+    std::optional<Milliseconds> firstAnswerAt; // of this life to this owner
     bool recorded = false; // the fleet record names it
     std::optional<Milliseconds> clock; // its last reading ...
     Milliseconds clockAt { 0 }; // ... and when that was received
@@ -46,6 +47,7 @@
     std::int64_t acknowledged = 0; // as last sent
     std::deque<UnstoredEnd> unstored;
     bool holding = false; // a call is on its way
+    std::uint64_t lastHold = 0; // number of the newest call; an older one that is still waiting only reports
     std::uint64_t life = 0; // counts its restarts, so that answers from an earlier life are ignored
     std::set<JobId> recentFailures; // jobs that failed there since the last success
     Milliseconds avoidUntil { 0 };
@@ -94,8 +96,10 @@
 
     // TenureWorkers.cpp: the workers' lists.
     void hold(Worker&);
+    void holdAgain(const WorkerId&, Milliseconds delay);
     void holdSoon(const WorkerId&, Milliseconds delay);
-    void takeReport(const WorkerId&, Milliseconds sentAt, Milliseconds leaseEnd, const WorkerReport&);
+    void takeReport(const WorkerId&, Milliseconds sentAt, Milliseconds leaseEnd, const WorkerReport&, bool newest);
+    void takeFirstAnswers(Worker&, Milliseconds sentAt);
     void takeHoldFailure(const WorkerId&, const Error&);
     void takeClock(Worker&, Milliseconds clock);
     Milliseconds leaseEndFor(const Worker&) const;
@@ -156,6 +160,7 @@
     std::set<WorkerId> unheardFleet_; // named by the fleet record, and neither heard nor past their lease
     Revision fleetRevision_ { 0 };
     bool fleetLoaded_ = false;
+    bool incomingLoaded_ = false;
     bool fleetWriting_ = false;
     bool recovered_ = false;
     bool planPending_ = false;
--- a/src/jobs/TenureRecovery.cpp
+++ b/src/jobs/TenureRecovery.cpp
@@ -113,6 +113,7 @@
             if (record.key.compare(0, keys::cancellations.size(), keys::cancellations) == 0)
                 takeIncoming(record);
         }
+        incomingLoaded_ = true;
         followIncoming(answer.revision);
     }));
 }
@@ -259,7 +260,7 @@
 
 void Tenure::checkRecovered()
 {
-    if (recovered_ || !fleetLoaded_)
+    if (recovered_ || !incomingLoaded_)
         return;
     const Milliseconds leasesOver = startedAt_
         + Milliseconds(static_cast<std::int64_t>(static_cast<double>(owner_.limits_.workerLease.count()) / slowClock))
--- a/src/jobs/TenureTasks.cpp
+++ b/src/jobs/TenureTasks.cpp
@@ -11,6 +11,9 @@
     // A stop without an answer is sent again after this time.
     constexpr Milliseconds stopRetry { 400 };
 
+    // Added to the longest time of a stop before the list is asked for that has to show its end.
+    constexpr Milliseconds stopListDelay { 80 };
+
     // A gang that is not whole this long before its members give up is stopped and started anew.
     constexpr Milliseconds gangMargin { 1000 };
 
@@ -350,10 +353,13 @@
     if (position == worker->runs.end() || answer.outcome != StartOutcome::Started)
         return;
     position->second.stopTakenAt = now();
-    // A waiting call that was sent before the stop shows the end; if there was nothing to stop, a new one has to.
-    const bool neverSeen = !position->second.confirmedAt;
-    if (neverSeen)
-        worker->holding = false;
+    // The call that waits for ends shows the end of a run that was there. If there was nothing to stop, a list has to
+    // show that once the time of a stop is over.
+    later(owner_.limits_.stopTime + stopListDelay, [this, id, key] {
+        const Worker* const asked = find(id);
+        if (asked && asked->runs.count(key) > 0)
+            holdAgain(id, Milliseconds(0));
+    });
     hold(*worker);
 }
 
--- a/src/jobs/TenureWorkers.cpp
+++ b/src/jobs/TenureWorkers.cpp
@@ -17,6 +17,9 @@
 
     constexpr Milliseconds retryDelay { 250 };
 
+    // Added to the longest time that a stop takes before a run that is not listed counts as gone.
+    constexpr Milliseconds stopSlack { 60 };
+
     // A worker's clock may be this much slower than ours.
     constexpr double slowClock = 0.98;
 
@@ -69,10 +72,23 @@
     });
 }
 
+// Asks for the list after the delay even if an earlier call still waits for an end.
+void Tenure::holdAgain(const WorkerId& id, Milliseconds delay)
+{
+    later(delay, [this, id] {
+        Worker* const worker = find(id);
+        if (!worker)
+            return;
+        worker->holding = false;
+        hold(*worker);
+    });
+}
+
 void Tenure::hold(Worker& worker)
 {
-    if (worker.holding || (!owner_.ownership_.held()))
+    if (worker.holding || !owner_.ownership_.held())
         return;
+    const std::uint64_t number = ++worker.lastHold;
     worker.holding = true;
     const WorkerId id = worker.entry.id;
     const std::uint64_t life = worker.life;
@@ -84,14 +100,16 @@
         extendLease(worker, leaseEnd);
     const Milliseconds wait = renews && worker.known && worker.unstored.empty() ? holdWait : Milliseconds(0);
     owner_.workers_.hold(worker.entry, leaseEnd, token_, worker.acknowledged, wait,
-        guarded([this, id, life, sentAt, leaseEnd](const Result<WorkerReport>& report) {
+        guarded([this, id, life, sentAt, leaseEnd, number](const Result<WorkerReport>& report) {
             Worker* const asked = find(id);
             if (!asked || asked->life != life)
                 return;
-            asked->holding = false;
+            const bool newest = number == asked->lastHold;
+            if (newest)
+                asked->holding = false;
             if (report)
-                takeReport(id, sentAt, leaseEnd, report.value());
-            else
+                takeReport(id, sentAt, leaseEnd, report.value(), newest);
+            else if (newest)
                 takeHoldFailure(id, report.error());
         }));
 }
@@ -118,7 +136,8 @@
         holdSoon(id, retryDelay);
 }
 
-void Tenure::takeReport(const WorkerId& id, Milliseconds sentAt, Milliseconds leaseEnd, const WorkerReport& report)
+void Tenure::takeReport(
+    const WorkerId& id, Milliseconds sentAt, Milliseconds leaseEnd, const WorkerReport& report, bool newest)
 {
     Worker& worker = *find(id);
     if (report.bornMs != 0 && worker.entry.bornMs != 0 && report.bornMs != worker.entry.bornMs) {
@@ -140,12 +159,11 @@
     for (const RunningRun& running : report.running)
         takeRunning(worker, running, sentAt);
     settleAbsent(worker, report, sentAt);
-    if (!worker.known) {
-        worker.known = true;
-        unheardFleet_.erase(id);
-        checkRecovered();
-    }
+    if (!worker.known)
+        takeFirstAnswers(worker, sentAt);
     planSoon();
+    if (!newest)
+        return;
     if (!worker.unstored.empty()) {
         flushSoon(Milliseconds(2));
         holdSoon(id, unstoredHoldInterval); // sooner when the ends are stored
@@ -154,6 +172,25 @@
     }
 }
 
+// A list shows neither the run nor its end while a run is being stopped. A worker that an earlier owner may have used
+// is therefore known only by a list that was asked for when every stop of that owner has ended.
+void Tenure::takeFirstAnswers(Worker& worker, Milliseconds sentAt)
+{
+    const Milliseconds stopsOver = owner_.limits_.stopTime + stopSlack;
+    if (!worker.firstAnswerAt) {
+        worker.firstAnswerAt = now();
+        if (unheardFleet_.count(worker.entry.id) > 0) {
+            holdAgain(worker.entry.id, stopsOver);
+            return;
+        }
+    } else if (sentAt < *worker.firstAnswerAt + stopsOver) {
+        return;
+    }
+    worker.known = true;
+    unheardFleet_.erase(worker.entry.id);
+    checkRecovered();
+}
+
 void Tenure::takeRunning(Worker& worker, const RunningRun& running, Milliseconds sentAt)
 {
     const RunKey key { running.task, running.run };
@@ -231,7 +268,7 @@
     for (const auto& [key, run] : worker.runs) {
         if (present.count(key) > 0)
             continue;
-        if (run.stopTakenAt && *run.stopTakenAt <= sentAt)
+        if (run.stopTakenAt && *run.stopTakenAt + owner_.limits_.stopTime + stopSlack <= sentAt)
             absent.emplace_back(key, RunEnd::Stopped);
         else if (run.confirmedAt && *run.confirmedAt < sentAt && run.phase != TaskPhase::Stopping)
             absent.emplace_back(key, RunEnd::Lapsed);
@@ -251,6 +288,7 @@
     ++worker.life;
     worker.holding = false;
     worker.known = false;
+    worker.firstAnswerAt.reset();
     worker.clock.reset();
     worker.seenEnd = 0;
     worker.acknowledged = 0;
