Assume the longest lease for what an earlier owner left running

A new owner did not know how long the leases of adopted runs last, took them as over at its next check and started the tasks again. The trace shows 'its lease is over' one second after the takeover, while the runs went on. Ruled out: stops of the earlier owner (all had ended). The first answer of a worker now sets the longest lease that it grants. A worker that is not yet known is also asked to wait for ends, where it was asked again at once.

--- a/src/jobs/TenureWorkers.cpp
+++ b/src/jobs/TenureWorkers.cpp
@@ -98,7 +98,7 @@
     const Milliseconds leaseEnd = renews ? leaseEndFor(worker) : Milliseconds(0);
     if (renews)
         extendLease(worker, leaseEnd);
-    const Milliseconds wait = renews && worker.known && worker.unstored.empty() ? holdWait : Milliseconds(0);
+    const Milliseconds wait = renews && worker.unstored.empty() ? holdWait : Milliseconds(0);
     owner_.workers_.hold(worker.entry, leaseEnd, token_, worker.acknowledged, wait,
         guarded([this, id, life, sentAt, leaseEnd, number](const Result<WorkerReport>& report) {
             Worker* const asked = find(id);
@@ -152,6 +152,9 @@
         worker.unansweredSince.reset();
     }
     takeClock(worker, report.workerClock);
+    // What runs there may have a lease of an earlier owner, as long as the worker grants.
+    if (!worker.firstAnswerAt)
+        extendLease(worker, *worker.clock + owner_.limits_.workerLease);
     if (leaseEnd > Milliseconds(0))
         extendLease(worker, leaseEnd);
     for (const EndedRun& ended : report.ended)
