Start all members of a gang from one checkpoint

Each member kept the value of its own end; a gang whose members carry different values starts from the beginning. The newest value of any member is now the gang's.

--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -31,7 +31,7 @@
     std::string reason; // for people; empty when accepted
     Milliseconds retryAfter { 0 }; // with NotRun
     JobState state = JobState::Queued; // of a state query
-    std::optional<std::size_t> pending; // of a query about a queue: jobs of which nothing has started
+    std::optional<std::size_t> pending = std::nullopt; // of a query about a queue: jobs of which nothing has started
 };
 
 using AdmissionHandler = std::function<void(const AdmissionAnswer&)>;
--- a/include/rosemarylink/jobs/JobProgress.h
+++ b/include/rosemarylink/jobs/JobProgress.h
@@ -24,7 +24,7 @@
     int run = 0; // the highest run number used
     int failures = 0; // of a task that is not in a gang
     int lastFailedRun = 0; // so that an end that is listed again counts once
-    std::string checkpoint;
+    std::string checkpoint; // of a task that is not in a gang
     WorkerId worker; // while Starting, Running or Stopping
     Milliseconds startedAt { 0 }; // monotonic time of the run's order
     int percent = 0; // of its work, as the worker last reported
@@ -36,6 +36,9 @@
     int gangFailures = 0;
     int lastFailedRun = 0; // of the gang, so that several members' ends of one run count once
 
+    // Of a gang: the newest of any member, which all members of the next run start from.
+    std::string gangCheckpoint;
+
     bool complete() const { return done == static_cast<int>(tasks.size()); }
     bool anyActive() const;
 };
@@ -56,6 +59,11 @@
     StepProgress& step(const TaskKey& key) { return occurrences[key.occurrence][key.step]; }
     TaskProgress& task(const TaskKey& key) { return step(key).tasks[key.index]; }
     const StepSpec& stepSpec(const TaskKey& key) const { return spec.steps[key.step]; }
+    // What the task's next run starts from; empty for the beginning.
+    std::string& checkpoint(const TaskKey& key)
+    {
+        return stepSpec(key).gang ? step(key).gangCheckpoint : task(key).checkpoint;
+    }
     bool contains(const TaskKey&) const;
     bool complete() const;
     bool anyActive() const;
--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -21,13 +21,15 @@
                 rows.push_back({ index, task.phase == TaskPhase::Done, task.run, task.failures, task.checkpoint,
                     task.lastFailedRun });
         }
-        return { { "gangFailures", step.gangFailures }, { "lastFailedRun", step.lastFailedRun }, { "tasks", rows } };
+        return { { "gangFailures", step.gangFailures }, { "lastFailedRun", step.lastFailedRun },
+            { "checkpoint", step.gangCheckpoint }, { "tasks", rows } };
     }
 
     void applyStep(const nlohmann::json& json, StepProgress& step)
     {
         step.gangFailures = json.at("gangFailures").get<int>();
         step.lastFailedRun = json.at("lastFailedRun").get<int>();
+        step.gangCheckpoint = json.at("checkpoint").get<std::string>();
         for (const nlohmann::json& row : json.at("tasks")) {
             TaskProgress& task = step.tasks.at(row.at(0).get<std::size_t>());
             if (row.at(1).get<bool>()) {
--- a/src/jobs/TenureTasks.cpp
+++ b/src/jobs/TenureTasks.cpp
@@ -94,7 +94,8 @@
     const bool current = task.run == run && task.worker == worker && task.phase != TaskPhase::Waiting;
     logger.info("Run ended",
         { { "task", taskName(key) }, { "run", run }, { "end", endName(end) }, { "worker", worker },
-            { "current", current } });
+            { "current", current }, { "ranMs", current ? (now() - task.startedAt).count() : 0 },
+            { "checkpointed", !checkpoint.empty() } });
     if (end == RunEnd::Done) {
         completeTask(job, key);
         return;
@@ -109,7 +110,7 @@
     }
     task.run = std::max(task.run, run);
     if (!checkpoint.empty())
-        task.checkpoint = checkpoint;
+        job.checkpoint(key) = checkpoint;
     if (isFinal(job.state))
         return;
     if (end == RunEnd::Failed)
@@ -135,6 +136,7 @@
         task.checkpoint.clear();
         ++step.done;
     }
+    step.gangCheckpoint.clear();
     if (isFinal(job.state))
         return;
     if (job.complete())
@@ -254,7 +256,7 @@
     extendLease(worker, leaseEnd);
     const WorkerId id = worker.entry.id;
     const std::uint64_t life = worker.life;
-    owner_.workers_.start(worker.entry, { key, task.run, job.spec.payload, task.checkpoint }, leaseEnd, token_,
+    owner_.workers_.start(worker.entry, { key, task.run, job.spec.payload, job.checkpoint(key) }, leaseEnd, token_,
         guarded([this, runKey, id, life](const OrderAnswer& answer) { takeStartAnswer(runKey, id, life, answer); }));
 }
 
--- a/src/jobs/TenureWorkers.cpp
+++ b/src/jobs/TenureWorkers.cpp
@@ -215,7 +215,7 @@
             task.phase = TaskPhase::Running;
         task.percent = running.percent;
         if (!running.checkpoint.empty())
-            task.checkpoint = running.checkpoint;
+            job->checkpoint(running.task) = running.checkpoint;
         return;
     }
     if (job && job->mayRunElsewhere && !isFinal(job->state) && job->contains(running.task)) {
@@ -254,7 +254,7 @@
     task.startedAt = now();
     task.percent = running.percent;
     if (!running.checkpoint.empty())
-        task.checkpoint = running.checkpoint;
+        job.checkpoint(running.task) = running.checkpoint;
     if (job.state == JobState::Queued) {
         job.state = JobState::Active;
         touch(job, /*urgent=*/false);
