Drop workers that left from the fleet record; list the workers each second

Urgent gangs were spread over racks after 500 ms and ended three times later. The record now names only workers that may run something; the entries are listed once a second; an urgent gang waits for a rack until it has to start for its guarantee. Store calls are counted by kind in metrics and logs.

--- a/apps/rosemarylink-edge/EdgeProcess.cpp
+++ b/apps/rosemarylink-edge/EdgeProcess.cpp
@@ -22,6 +22,8 @@
 
     constexpr Milliseconds shutdownPoll { 50 };
 
+    constexpr Milliseconds countsInterval { 10000 };
+
     const Logger logger("edge");
 
 } // namespace
@@ -61,6 +63,7 @@
     config_.start();
     ownership_.start(
         { [this](FencingToken token) { owner_.begin(token); }, [this](const std::string&) { owner_.end(); } });
+    loop_.after(countsInterval, [this] { logCounts(); });
     logger.info("Started", { { "node", settings_.nodeName }, { "callers", settings_.callerAddress } });
     return okStatus();
 }
@@ -76,14 +79,28 @@
 reactor::ServerReply EdgeProcess::metrics() const
 {
     std::ostringstream out;
-    out << "rosemarylink_store_calls_total{outcome=\"done\"} " << store_.counts().done << "\n"
-        << "rosemarylink_store_calls_total{outcome=\"refused\"} " << store_.counts().refused << "\n"
-        << "rosemarylink_store_calls_total{outcome=\"unanswered\"} " << store_.counts().unanswered << "\n"
-        << "rosemarylink_owner " << (ownership_.held() ? 1 : 0) << "\n"
+    for (const auto& [kind, counts] : store_.counts()) {
+        const std::string labels = "rosemarylink_store_calls_total{kind=\"" + kind + "\",outcome=";
+        out << labels << "\"done\"} " << counts.done << "\n"
+            << labels << "\"refused\"} " << counts.refused << "\n"
+            << labels << "\"unanswered\"} " << counts.unanswered << "\n";
+    }
+    out << "rosemarylink_owner " << (ownership_.held() ? 1 : 0) << "\n"
         << "rosemarylink_connections_opened_total " << http_.connectionsOpened() << "\n";
     return { 200, out.str(), {}, "text/plain; version=0.0.4" };
 }
 
+void EdgeProcess::logCounts()
+{
+    std::ostringstream calls;
+    for (const auto& [kind, counts] : store_.counts())
+        calls << (calls.tellp() > 0 ? "," : "") << kind << ":" << counts.done << "/" << counts.refused << "/"
+              << counts.unanswered;
+    logger.info("Store calls so far, by kind as done/refused/unanswered",
+        { { "calls", calls.str() }, { "owner", ownership_.held() } });
+    loop_.after(countsInterval, [this] { logCounts(); });
+}
+
 void EdgeProcess::reload()
 {
     const auto loaded = platform::loadPlatformSettings(settingsPath_);
--- a/apps/rosemarylink-edge/EdgeProcess.h
+++ b/apps/rosemarylink-edge/EdgeProcess.h
@@ -50,6 +50,7 @@
 private:
     reactor::ServerReply readiness();
     reactor::ServerReply metrics() const;
+    void logCounts();
     void continueShutdown();
 
     SystemClock clock_;
--- a/src/jobs/Tenure.h
+++ b/src/jobs/Tenure.h
@@ -38,7 +38,6 @@
     bool listed = false; // has an entry now
     bool known = false; // all that runs in this life is known here
     std::optional<Milliseconds> firstAnswerAt; // of this life to this owner
-    bool recorded = false; // the fleet record names it
     std::optional<Milliseconds> clock; // its last reading ...
     Milliseconds clockAt { 0 }; // ... and when that was received
     Milliseconds leaseOverAt { 0 }; // everything there has ended by then, whatever is not known
@@ -84,13 +83,13 @@
     void loadFleet();
     void loadWorkers();
     void followIncoming(Revision after);
-    void followWorkers(Revision after);
     void takeIncoming(const Record&);
     void takeSubmission(const JobId&, const Record&);
     void takeCancellation(const JobId&);
     void takeWorkers(const std::vector<Record>&);
     void takeWorkerEntry(const WorkerEntry&);
     void dropWorkerEntry(const WorkerId&);
+    void dropGoneWorkers();
     void checkRecovered();
     void finishRecovery();
 
@@ -158,6 +157,7 @@
     std::map<JobId, std::pair<std::string, Revision>> loadedProgress_; // until their submissions are read
     std::map<WorkerId, Worker> workers_;
     std::set<WorkerId> unheardFleet_; // named by the fleet record, and neither heard nor past their lease
+    std::set<WorkerId> recordedFleet_; // named by the fleet record as stored
     Revision fleetRevision_ { 0 };
     bool fleetLoaded_ = false;
     bool incomingLoaded_ = false;
--- a/src/jobs/TenurePlanning.cpp
+++ b/src/jobs/TenurePlanning.cpp
@@ -76,7 +76,7 @@
 {
     PlanInput input;
     input.now = now();
-    input.urgentLocalWait = Milliseconds(500);
+    input.urgentLocalWait = owner_.limits_.reclaimWithin - owner_.limits_.stopTime - reclaimMargin;
     for (const auto& [id, worker] : workers_) {
         if (worker.entry.pool != pool || !worker.listed)
             continue;
@@ -88,8 +88,8 @@
         row.free = worker.entry.capacity;
         row.free -= worker.taken(/*stoppingOnly=*/false);
         row.leaving = worker.taken(/*stoppingOnly=*/true);
-        row.usable
-            = worker.known && worker.recorded && worker.clock && !worker.entry.draining && !worker.unansweredSince;
+        row.usable = worker.known && recordedFleet_.count(id) > 0 && worker.clock && !worker.entry.draining
+            && !worker.unansweredSince;
         row.suspect = worker.avoidUntil > input.now;
         input.workers.push_back(std::move(row));
     }
--- a/src/jobs/TenureRecords.cpp
+++ b/src/jobs/TenureRecords.cpp
@@ -143,23 +143,15 @@
 {
     if (fleetWriting_ || !fleetLoaded_)
         return;
-    nlohmann::json fleet = nlohmann::json::array();
-    std::set<WorkerId> named;
-    bool news = false;
-    for (const auto& [id, worker] : workers_) {
-        if (!worker.listed && worker.runs.empty())
-            continue;
-        fleet.push_back(id.value());
+    // Those of an earlier owner stay named until they have answered or their leases are over.
+    std::set<WorkerId> named = unheardFleet_;
+    for (const auto& [id, worker] : workers_)
         named.insert(id);
-        news = news || !worker.recorded;
-    }
-    if (!news)
+    if (named == recordedFleet_)
         return;
-    // Those of an earlier owner stay named until they have answered or their leases are over.
-    for (const WorkerId& id : unheardFleet_) {
-        if (named.insert(id).second)
-            fleet.push_back(id.value());
-    }
+    nlohmann::json fleet = nlohmann::json::array();
+    for (const WorkerId& id : named)
+        fleet.push_back(id.value());
     Batch batch;
     batch.preconditions = { owner_.ownership_.condition(), { keys::fleet, fleetRevision_ } };
     batch.puts = { { keys::fleet, fleet.dump() } };
@@ -168,10 +160,7 @@
         fleetWriting_ = false;
         if (answer.done()) {
             fleetRevision_ = answer.revision;
-            for (const WorkerId& id : named) {
-                if (Worker* const worker = find(id))
-                    worker->recorded = true;
-            }
+            recordedFleet_ = named;
             planSoon();
             writeFleet();
             return;
--- a/src/jobs/TenureRecovery.cpp
+++ b/src/jobs/TenureRecovery.cpp
@@ -10,6 +10,10 @@
     constexpr Milliseconds retryDelay { 200 };
     constexpr Milliseconds watchWait { 20000 };
 
+    // The workers' entries change with every heartbeat, which makes a watch cost a call for each. A list a second shows
+    // a leaving worker well within the time in which it must get no more work (2.5 s).
+    constexpr Milliseconds workerListInterval { 1000 };
+
     // Time limits are checked this often; the shortest of them is a few hundred milliseconds.
     constexpr Milliseconds tickInterval { 100 };
 
@@ -45,6 +49,7 @@
     }
     checkStartingGangs();
     checkRecovered();
+    dropGoneWorkers();
     removeExpired();
     planSoon();
     later(tickInterval, [this] { tick(); });
@@ -90,6 +95,7 @@
                 if (id.is_string())
                     unheardFleet_.insert(WorkerId(id.get<std::string>()));
             }
+            recordedFleet_ = unheardFleet_;
         }
         fleetLoaded_ = true;
         loadIncoming();
@@ -199,33 +205,10 @@
                 dropWorkerEntry(id);
         }
         writeFleet();
-        followWorkers(answer.revision);
+        later(workerListInterval, [this] { loadWorkers(); });
     }));
 }
 
-void Tenure::followWorkers(Revision after)
-{
-    owner_.store_.watch(
-        owner_.catalog_.workerPrefix(), after, watchWait, guarded([this, after](const StoreAnswer& answer) {
-            if (answer.outcome == StoreOutcome::HistoryGone) {
-                loadWorkers();
-                return;
-            }
-            if (!answer.done()) {
-                later(retryDelay, [this, after] { followWorkers(after); });
-                return;
-            }
-            for (const Record& record : answer.records) {
-                if (auto entry = owner_.catalog_.parseWorker(record))
-                    takeWorkerEntry(entry.value());
-            }
-            for (const std::string& key : answer.removedKeys)
-                dropWorkerEntry(WorkerId(key.substr(owner_.catalog_.workerPrefix().size())));
-            writeFleet();
-            followWorkers(std::max(after, answer.revision));
-        }));
-}
-
 void Tenure::takeWorkerEntry(const WorkerEntry& entry)
 {
     const auto [position, added] = workers_.try_emplace(entry.id);
@@ -258,6 +241,20 @@
     logger.info("Worker is no longer listed", { { "worker", id }, { "runs", worker->runs.size() } });
 }
 
+// Forgets workers that have left and on which nothing can run any more.
+void Tenure::dropGoneWorkers()
+{
+    bool dropped = false;
+    for (auto position = workers_.begin(); position != workers_.end();) {
+        const Worker& worker = position->second;
+        const bool gone = !worker.listed && worker.runs.empty() && unheardFleet_.count(position->first) == 0;
+        dropped = dropped || gone;
+        position = gone ? workers_.erase(position) : std::next(position);
+    }
+    if (dropped)
+        writeFleet();
+}
+
 void Tenure::checkRecovered()
 {
     if (recovered_ || !incomingLoaded_)
