--- a/src/jobs/Ownership.cpp
+++ b/src/jobs/Ownership.cpp
@@ -10,8 +10,8 @@
 
     // A shorter lease shortens the time without an owner after a failure; a longer one bridges a longer outage of the
     // store. Work on the workers survives 6 s without an owner.
-    constexpr Milliseconds leaseTtl { 2500 };
-    constexpr Milliseconds renewInterval { 700 }; // three tries within the lease
+    constexpr Milliseconds leaseTtl { 1800 };
+    constexpr Milliseconds renewInterval { 500 }; // three tries within the lease
 
     // The owner stops giving orders this long before its lease can end, for an order on its way.
     constexpr Milliseconds validityMargin { 300 };
--- a/src/jobs/Tenure.h
+++ b/src/jobs/Tenure.h
@@ -46,6 +46,7 @@
     std::int64_t acknowledged = 0; // as last sent
     std::deque<UnstoredEnd> unstored;
     bool holding = false; // a call is on its way
+    bool listNow = false; // the next call must not wait for an end
     std::uint64_t lastHold = 0; // number of the newest call; an older one that is still waiting only reports
     std::uint64_t life = 0; // counts its restarts, so that answers from an earlier life are ignored
     std::set<JobId> recentFailures; // jobs that failed there since the last success
--- a/src/jobs/TenureWorkers.cpp
+++ b/src/jobs/TenureWorkers.cpp
@@ -3,6 +3,7 @@
 #include "rosemarylink/base/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rosemarylink::jobs::internal {
 
@@ -80,6 +81,7 @@
         if (!worker)
             return;
         worker->holding = false;
+        worker->listNow = true;
         hold(*worker);
     });
 }
@@ -98,7 +100,8 @@
     const Milliseconds leaseEnd = renews ? leaseEndFor(worker) : Milliseconds(0);
     if (renews)
         extendLease(worker, leaseEnd);
-    const Milliseconds wait = renews && worker.unstored.empty() ? holdWait : Milliseconds(0);
+    const bool waits = renews && worker.unstored.empty() && !std::exchange(worker.listNow, false);
+    const Milliseconds wait = waits ? holdWait : Milliseconds(0);
     owner_.workers_.hold(worker.entry, leaseEnd, token_, worker.acknowledged, wait,
         guarded([this, id, life, sentAt, leaseEnd, number](const Result<WorkerReport>& report) {
             Worker* const asked = find(id);
