Count failed runs as a set, whatever the order of their ends

After a takeover the ends of one task's runs arrive from several workers in any order; only runs above the highest failed one were counted, so that a third failure seen first hid the two before it and a fourth run was started. Ruled out: ends acknowledged before they were stored (none in the trace).

--- a/include/rosemarylink/jobs/JobProgress.h
+++ b/include/rosemarylink/jobs/JobProgress.h
@@ -22,8 +22,7 @@
 struct TaskProgress {
     TaskPhase phase = TaskPhase::Waiting;
     int run = 0; // the highest run number used
-    int failures = 0; // of a task that is not in a gang
-    int lastFailedRun = 0; // so that an end that is listed again counts once
+    std::set<int> failedRuns; // of a task that is not in a gang; a set, as ends may be listed again and in any order
     std::string checkpoint; // of a task that is not in a gang
     WorkerId worker; // while Starting, Running or Stopping
     Milliseconds startedAt { 0 }; // monotonic time of the run's order
@@ -33,8 +32,7 @@
 struct StepProgress {
     std::vector<TaskProgress> tasks;
     int done = 0;
-    int gangFailures = 0;
-    int lastFailedRun = 0; // of the gang, so that several members' ends of one run count once
+    std::set<int> gangFailedRuns; // several members' ends of one run count once
 
     // Of a gang: the newest of any member, which all members of the next run start from.
     std::string gangCheckpoint;
--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -10,7 +10,7 @@
             || task.phase == TaskPhase::Stopping;
     }
 
-    // Row of one task: [index, done, run, failures, checkpoint, last failed run]. Tasks that have never started have
+    // Row of one task: [index, done, run, failed runs, checkpoint]. Tasks that have never started have
     // none.
     nlohmann::json stepToJson(const StepProgress& step)
     {
@@ -18,17 +18,14 @@
         for (std::size_t index = 0; index < step.tasks.size(); ++index) {
             const TaskProgress& task = step.tasks[index];
             if (task.run > 0 || task.phase == TaskPhase::Done)
-                rows.push_back({ index, task.phase == TaskPhase::Done, task.run, task.failures, task.checkpoint,
-                    task.lastFailedRun });
+                rows.push_back({ index, task.phase == TaskPhase::Done, task.run, task.failedRuns, task.checkpoint });
         }
-        return { { "gangFailures", step.gangFailures }, { "lastFailedRun", step.lastFailedRun },
-            { "checkpoint", step.gangCheckpoint }, { "tasks", rows } };
+        return { { "failedRuns", step.gangFailedRuns }, { "checkpoint", step.gangCheckpoint }, { "tasks", rows } };
     }
 
     void applyStep(const nlohmann::json& json, StepProgress& step)
     {
-        step.gangFailures = json.at("gangFailures").get<int>();
-        step.lastFailedRun = json.at("lastFailedRun").get<int>();
+        step.gangFailedRuns = json.at("failedRuns").get<std::set<int>>();
         step.gangCheckpoint = json.at("checkpoint").get<std::string>();
         for (const nlohmann::json& row : json.at("tasks")) {
             TaskProgress& task = step.tasks.at(row.at(0).get<std::size_t>());
@@ -37,9 +34,8 @@
                 ++step.done;
             }
             task.run = row.at(2).get<int>();
-            task.failures = row.at(3).get<int>();
+            task.failedRuns = row.at(3).get<std::set<int>>();
             task.checkpoint = row.at(4).get<std::string>();
-            task.lastFailedRun = row.at(5).get<int>();
         }
     }
 
--- a/src/jobs/TenureTasks.cpp
+++ b/src/jobs/TenureTasks.cpp
@@ -148,23 +148,9 @@
 
 void Tenure::failTask(Job& job, const TaskKey& key, int run)
 {
-    StepProgress& step = job.step(key);
-    int failures = 0;
-    if (job.stepSpec(key).gang) {
-        if (run > step.lastFailedRun) {
-            step.lastFailedRun = run;
-            ++step.gangFailures;
-        }
-        failures = step.gangFailures;
-    } else {
-        TaskProgress& task = step.tasks[key.index];
-        if (run > task.lastFailedRun) {
-            task.lastFailedRun = run;
-            ++task.failures;
-        }
-        failures = task.failures;
-    }
-    if (failures >= job.spec.terms.maximumAttempts)
+    std::set<int>& failedRuns = job.stepSpec(key).gang ? job.step(key).gangFailedRuns : job.task(key).failedRuns;
+    failedRuns.insert(run);
+    if (static_cast<int>(failedRuns.size()) >= job.spec.terms.maximumAttempts)
         finishJob(job, JobState::Failed);
 }
 
