Decide a submission anew on every try; tests of the jobs library in simulated time

Cause, found by the first run of 'a submission is decided by the newest configuration': when the event of a new configuration arrived while a submission's write was on its way, the write's conflict was retried under the new revision without checking queue and key again, so that a removed key was accepted. Every try now goes through the check of the configuration that its write names.

--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -61,6 +61,7 @@
 
     CallPointer begin(const CallerRequest&, const AdmissionHandler&);
     void authorize(const CallPointer&, const std::function<void(const Queue&, const AccountId&)>& proceed);
+    void decideSubmission(const CallPointer&);
     void commitSubmission(const CallPointer&);
     void settleConflict(const CallPointer&, const StoreAnswer&, Milliseconds askedAt);
     void retryLater(const CallPointer&, StoreOutcome, const std::function<void()>& again);
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -33,7 +33,9 @@
     Milliseconds startedAt { 0 };
     JobId job;
     JobSpec spec; // of a submission
+    std::string problem; // with the submission; empty when there is none
     bool mayHaveRun = false; // a write was left unanswered
+    Revision decidedUnder { 0 }; // of the configuration that the last write named
 };
 
 Admission::Admission(RecordStore& store, ConfigView& config, const Catalog& catalog, Timers& timers, const Clock& clock)
@@ -106,34 +108,39 @@
 void Admission::submit(const CallerRequest& request, const SpecParser& parse, const AdmissionHandler& handler)
 {
     const CallPointer call = begin(request, handler);
-    auto parsed = std::make_shared<Result<JobSpec>>(parse());
-    authorize(call, [this, call, parsed](const Queue& queue, const AccountId& account) {
-        if (!*parsed) {
-            finish(call, { AdmissionOutcome::Invalid, parsed->error().message });
-            return;
-        }
-        call->spec = parsed->value();
+    auto parsed = parse();
+    if (parsed)
+        call->spec = std::move(parsed).value();
+    else
+        call->problem = parsed.error().message;
+    decideSubmission(call);
+}
+
+// Every try is decided by the configuration that its write names.
+void Admission::decideSubmission(const CallPointer& call)
+{
+    authorize(call, [this, call](const Queue& queue, const AccountId& account) {
         call->spec.id = call->job;
         call->spec.account = account;
         call->spec.terms = queue.terms;
         call->spec.acceptedAt = clock_.now();
-        if (call->job.empty() || call->job.value().find('/') != std::string::npos) {
-            finish(call, { AdmissionOutcome::Invalid, "the path names no job" });
-            return;
-        }
-        if (const auto checked = checkJobSpec(call->spec); !checked) {
-            finish(call, { AdmissionOutcome::Invalid, checked.error().message });
-            return;
-        }
-        commitSubmission(call);
+        if (call->job.empty() || call->job.value().find('/') != std::string::npos)
+            call->problem = "the path names no job";
+        else if (const auto checked = checkJobSpec(call->spec); !checked && call->problem.empty())
+            call->problem = checked.error().message;
+        if (call->problem.empty())
+            commitSubmission(call);
+        else
+            finish(call, { AdmissionOutcome::Invalid, call->problem });
     });
 }
 
 void Admission::commitSubmission(const CallPointer& call)
 {
     // The configuration's revision is a condition: the job is accepted under the newest configuration, or not at all.
+    call->decidedUnder = config_.revision();
     Batch batch;
-    batch.preconditions = { { catalog_.configurationKey(), config_.revision() }, { keys::run(call->job), Revision(0) },
+    batch.preconditions = { { catalog_.configurationKey(), call->decidedUnder }, { keys::run(call->job), Revision(0) },
         { keys::job(call->job), Revision(0) } };
     const nlohmann::json progress = { { "state", jobStateName(JobState::Queued) } };
     batch.puts = { { keys::job(call->job), toJson(call->spec).dump() }, { keys::run(call->job), progress.dump() },
@@ -152,7 +159,7 @@
             settleConflict(call, answer, askedAt);
             return;
         default:
-            retryLater(call, answer.outcome, [this, call] { commitSubmission(call); });
+            retryLater(call, answer.outcome, [this, call] { decideSubmission(call); });
         }
     });
 }
@@ -167,20 +174,14 @@
             return;
         }
     }
-    const Revision before = config_.revision();
     for (const Record& record : answer.records)
         config_.apply(record, askedAt);
-    if (config_.revision() == before) {
-        retryLater(call, StoreOutcome::Refused, [this, call] { commitSubmission(call); });
-        return;
-    }
-    // The conflict proves that this call's earlier tries have not run, but not that an unanswered one never will: its
-    // condition on the old configuration fails for good.
-    authorize(call, [this, call](const Queue& queue, const AccountId& account) {
-        call->spec.terms = queue.terms;
-        call->spec.account = account;
-        commitSubmission(call);
-    });
+    // The conflict proves that this call's earlier tries have not run; an unanswered one never will, since its
+    // condition on the old configuration fails for good. The new configuration decides anew.
+    if (config_.revision() == call->decidedUnder)
+        retryLater(call, StoreOutcome::Refused, [this, call] { decideSubmission(call); });
+    else
+        decideSubmission(call);
 }
 
 void Admission::query(const CallerRequest& request, const AdmissionHandler& handler)
--- /dev/null
+++ b/tests/jobs/SimCluster.cpp
@@ -0,0 +1,175 @@
+#include "SimCluster.h"
+
+namespace rosemarylink::jobs {
+
+Result<Configuration> SimCatalog::parseConfiguration(const Record& record) const
+{
+    const nlohmann::json json = nlohmann::json::parse(record.value);
+    Configuration configuration;
+    configuration.version = json.at("version").get<std::int64_t>();
+    int priority = 0;
+    for (const std::string name : { "urgent", "batch", "sweep" }) {
+        Queue queue;
+        queue.host = "host";
+        queue.pathPrefix = "/" + name + "/";
+        queue.terms = { QueueId(name), ServiceId("pool"), priority++, 3, 1.5, Milliseconds(400) };
+        const std::string only = json.at("only").get<std::string>();
+        if (only.empty() || only == name)
+            configuration.queues.push_back(queue);
+    }
+    configuration.accounts.push_back({ AccountId("acme"), { json.at("key").get<std::string>() }, 16 });
+    return configuration;
+}
+
+Result<WorkerEntry> SimCatalog::parseWorker(const Record& record) const
+{
+    const nlohmann::json json = nlohmann::json::parse(record.value, nullptr, /*allow_exceptions=*/false);
+    if (!json.is_object())
+        return invalidArgument("not a worker");
+    WorkerEntry entry;
+    entry.id = WorkerId(record.key.substr(workerPrefix().size()));
+    entry.address = entry.id.value();
+    entry.pool = ServiceId("pool");
+    entry.rack = json.at("rack").get<std::string>();
+    entry.labels = { entry.rack };
+    entry.bornMs = json.at("born").get<std::int64_t>();
+    entry.draining = json.at("draining").get<bool>();
+    entry.capacity = { json.at("milliCores").get<std::int64_t>(), json.at("megabytes").get<std::int64_t>(),
+        json.at("accelerators").get<std::int64_t>() };
+    return entry;
+}
+
+SimInstance::SimInstance(SimWorld& world, SimStore& simStore, SimFleet& fleet, const std::string& name)
+    : timers(world)
+    , store(world, simStore)
+    , workers(world, fleet)
+    , config(store, catalog, timers, world.clock())
+    , ownership(store, timers, world.clock(), name)
+    , owner(store, workers, catalog, config, ownership, timers, world.clock(),
+          { Milliseconds(6000), Milliseconds(3000), Milliseconds(400), Milliseconds(3000), Milliseconds(240000) })
+    , admission(store, config, catalog, timers, world.clock())
+{
+    config.start();
+    ownership.start(
+        { [this](FencingToken token) { owner.begin(token); }, [this](const std::string&) { owner.end(); } });
+}
+
+void SimInstance::kill()
+{
+    timers.dead = true;
+    store.dead = true;
+    workers.dead = true;
+}
+
+void SimInstance::leave()
+{
+    owner.flush([this] {
+        owner.end();
+        ownership.leave();
+    });
+}
+
+SimCluster::SimCluster(int count, const SimFleet::Options& options)
+    : store(world)
+    , fleet(world, store, options)
+{
+    putConfiguration();
+    for (int number = 0; number < count; ++number)
+        addInstance();
+}
+
+SimInstance& SimCluster::addInstance()
+{
+    instances.push_back(std::make_unique<SimInstance>(world, store, fleet, "i" + std::to_string(++added_)));
+    return *instances.back();
+}
+
+Revision SimCluster::putConfiguration(const std::string& key, const std::string& onlyQueue)
+{
+    const nlohmann::json json = { { "version", ++version_ }, { "key", key }, { "only", onlyQueue } };
+    return store.put("config", json.dump());
+}
+
+void SimCluster::addWorkers(int racks, int perRack)
+{
+    for (int rack = 0; rack < racks; ++rack) {
+        for (int number = 0; number < perRack; ++number)
+            fleet.add(WorkerId("w" + std::to_string(rack) + "-" + std::to_string(number)), "r" + std::to_string(rack),
+                { 32000, 64000, 8 });
+    }
+}
+
+namespace {
+
+    AdmissionAnswer await(SimWorld& world, const std::function<void(const AdmissionHandler&)>& call)
+    {
+        std::optional<AdmissionAnswer> received;
+        call([&received](const AdmissionAnswer& answer) { received = answer; });
+        for (int turn = 0; turn < 500 && !received; ++turn)
+            world.run(Milliseconds(10));
+        if (!received)
+            throw std::runtime_error("a call was not answered within 5 s");
+        return *received;
+    }
+
+    CallerRequest request(const std::string& queue, const std::string& id, Milliseconds deadline)
+    {
+        return { "host", "/" + queue + "/" + id, "key", deadline };
+    }
+
+} // namespace
+
+AdmissionAnswer SimCluster::submit(
+    const std::string& queue, const std::string& id, const JobSpec& job, std::size_t instance, Milliseconds deadline)
+{
+    JobSpec named = job;
+    named.id = JobId(id);
+    fleet.learn(named);
+    return await(world, [&](const AdmissionHandler& handler) {
+        instances.at(instance)->admission.submit(
+            request(queue, id, deadline), [job]() -> Result<JobSpec> { return job; }, handler);
+    });
+}
+
+AdmissionAnswer SimCluster::cancel(const std::string& queue, const std::string& id, std::size_t instance)
+{
+    return await(world, [&](const AdmissionHandler& handler) {
+        instances.at(instance)->admission.cancel(request(queue, id, Milliseconds(3000)), handler);
+    });
+}
+
+AdmissionAnswer SimCluster::query(const std::string& queue, const std::string& id, std::size_t instance)
+{
+    return await(world, [&](const AdmissionHandler& handler) {
+        instances.at(instance)->admission.query(request(queue, id, Milliseconds(3000)), handler);
+    });
+}
+
+std::optional<JobState> SimCluster::stored(const std::string& id) const
+{
+    const Record* const record = store.find(keys::run(JobId(id)));
+    return record ? parseProgressState(record->value) : std::nullopt;
+}
+
+SimInstance* SimCluster::currentOwner()
+{
+    for (const auto& instance : instances) {
+        if (instance->ownership.valid() && !instance->timers.dead)
+            return instance.get();
+    }
+    return nullptr;
+}
+
+JobSpec oneStep(int tasks, std::int64_t accelerators, Milliseconds estimate, bool gang)
+{
+    StepSpec step;
+    step.taskCount = tasks;
+    step.each = { 1000, 1000, accelerators };
+    step.estimate = estimate;
+    step.gang = gang;
+    JobSpec job;
+    job.steps = { step };
+    return job;
+}
+
+} // namespace rosemarylink::jobs
--- /dev/null
+++ b/tests/jobs/SimStore.cpp
@@ -0,0 +1,284 @@
+#include "SimStore.h"
+
+#include <algorithm>
+
+namespace rosemarylink::jobs {
+
+namespace {
+
+    constexpr Milliseconds oneWay { 3 };
+
+    bool isBelow(const std::string& key, const std::string& prefix)
+    {
+        return key.compare(0, prefix.size(), prefix) == 0;
+    }
+
+} // namespace
+
+Revision SimStore::put(const std::string& key, const std::string& value)
+{
+    revision_ += Revision(1);
+    change(key, &value, revision_);
+    notify();
+    return revision_;
+}
+
+void SimStore::remove(const std::string& key)
+{
+    revision_ += Revision(1);
+    change(key, nullptr, revision_);
+    notify();
+}
+
+const Record* SimStore::find(const std::string& key) const
+{
+    const auto position = records_.find(key);
+    return position == records_.end() ? nullptr : &position->second;
+}
+
+std::size_t SimStore::countBelow(const std::string& prefix) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        records_.begin(), records_.end(), [&prefix](const auto& entry) { return isBelow(entry.first, prefix); }));
+}
+
+void SimStore::change(const std::string& key, const std::string* value, Revision revision)
+{
+    if (!value && records_.count(key) == 0)
+        return;
+    leaseOf_.erase(key);
+    const Record record { key, value ? *value : "", revision };
+    if (value)
+        records_[key] = record;
+    else
+        records_.erase(key);
+    history_.push_back({ revision, record, value == nullptr });
+}
+
+StoreAnswer SimStore::changesBelow(const std::string& prefix, Revision after) const
+{
+    StoreAnswer answer;
+    answer.outcome = after < historyStart_ ? StoreOutcome::HistoryGone : StoreOutcome::Done;
+    answer.revision = revision_;
+    if (!answer.done())
+        return answer;
+    for (const Change& change : history_) {
+        if (change.revision <= after || !isBelow(change.record.key, prefix))
+            continue;
+        if (change.removed)
+            answer.removedKeys.push_back(change.record.key);
+        else
+            answer.records.push_back(change.record);
+    }
+    return answer;
+}
+
+void SimStore::notify()
+{
+    for (auto position = watchers_.begin(); position != watchers_.end();) {
+        const StoreAnswer answer = changesBelow(position->prefix, position->after);
+        if (answer.done() && answer.records.empty() && answer.removedKeys.empty()) {
+            ++position;
+            continue;
+        }
+        const auto handler = position->handler;
+        position = watchers_.erase(position);
+        handler(answer);
+    }
+}
+
+void SimStore::expireLeases()
+{
+    for (auto lease = leases_.begin(); lease != leases_.end();) {
+        if (lease->second.first > world_.now()) {
+            ++lease;
+            continue;
+        }
+        std::vector<std::string> keys;
+        for (const auto& [key, id] : leaseOf_) {
+            if (id == lease->first)
+                keys.push_back(key);
+        }
+        lease = leases_.erase(lease);
+        for (const std::string& key : keys)
+            remove(key);
+    }
+}
+
+StoreAnswer SimStore::apply(const Batch& batch)
+{
+    StoreAnswer answer;
+    answer.outcome = StoreOutcome::Done;
+    for (const Precondition& condition : batch.preconditions) {
+        const Record* const record = find(condition.key);
+        const Revision revision = record ? record->revision : Revision(0);
+        if (revision != condition.revision)
+            answer.outcome = StoreOutcome::Conflict;
+        answer.records.push_back(record ? *record : Record { condition.key, "", Revision(0) });
+    }
+    if (!answer.done())
+        return answer;
+    answer.records.clear();
+    for (const Put& put : batch.puts) {
+        if (put.lease != 0 && leases_.count(put.lease) == 0) {
+            answer.outcome = StoreOutcome::NotFound;
+            return answer;
+        }
+    }
+    revision_ += Revision(1);
+    for (const Put& put : batch.puts) {
+        change(put.key, &put.value, revision_);
+        if (put.lease != 0)
+            leaseOf_[put.key] = put.lease;
+    }
+    for (const std::string& key : batch.removals)
+        change(key, nullptr, revision_);
+    answer.revision = revision_;
+    notify();
+    return answer;
+}
+
+void SimStoreClient::answerLater(Milliseconds delay, const StoreHandler& handler, const StoreAnswer& answer)
+{
+    world_.after(delay, [this, handler, answer] {
+        if (!dead)
+            handler(answer);
+    });
+}
+
+void SimStoreClient::call(
+    Milliseconds timeout, const StoreHandler& handler, const std::function<StoreAnswer()>& work, bool write)
+{
+    if (dead)
+        return;
+    StoreAnswer nothing;
+    if (cut || store_.mode == SimStore::Mode::Silent) {
+        nothing.outcome = StoreOutcome::Unknown;
+        answerLater(timeout, handler, nothing);
+        return;
+    }
+    if (store_.mode == SimStore::Mode::Refusing) {
+        nothing.outcome = StoreOutcome::Refused;
+        answerLater(oneWay * 2, handler, nothing);
+        return;
+    }
+    const bool lost = write && std::uniform_real_distribution<>(0, 1)(store_.random) < store_.lostAnswers;
+    if (lost) {
+        nothing.outcome = StoreOutcome::Unknown;
+        answerLater(timeout, handler, nothing);
+        world_.after(oneWay + store_.lateBy, [this, work] {
+            store_.expireLeases();
+            work();
+        });
+        return;
+    }
+    world_.after(oneWay, [this, handler, work] {
+        store_.expireLeases();
+        answerLater(oneWay, handler, work());
+    });
+}
+
+void SimStoreClient::commit(const Batch& batch, Milliseconds timeout, StoreHandler handler)
+{
+    call(
+        timeout, handler, [this, batch] { return store_.apply(batch); }, /*write=*/true);
+}
+
+void SimStoreClient::read(const std::string& key, Milliseconds timeout, StoreHandler handler)
+{
+    const auto work = [this, key] {
+        StoreAnswer answer;
+        answer.revision = store_.revision_;
+        const Record* const record = store_.find(key);
+        answer.outcome = record ? StoreOutcome::Done : StoreOutcome::NotFound;
+        if (record)
+            answer.records.push_back(*record);
+        return answer;
+    };
+    call(timeout, handler, work, /*write=*/false);
+}
+
+void SimStoreClient::list(const std::string& prefix, Milliseconds timeout, StoreHandler handler)
+{
+    const auto work = [this, prefix] {
+        StoreAnswer answer;
+        answer.outcome = StoreOutcome::Done;
+        answer.revision = store_.revision_;
+        for (const auto& [key, record] : store_.records_) {
+            if (isBelow(key, prefix))
+                answer.records.push_back(record);
+        }
+        return answer;
+    };
+    call(timeout, handler, work, /*write=*/false);
+}
+
+void SimStoreClient::watch(const std::string& prefix, Revision after, Milliseconds wait, StoreHandler handler)
+{
+    const auto answered = std::make_shared<bool>(false);
+    const auto once = [this, answered, handler](const StoreAnswer& answer) {
+        if (!std::exchange(*answered, true))
+            answerLater(oneWay, handler, answer);
+    };
+    world_.after(wait, [this, once] {
+        StoreAnswer answer;
+        answer.outcome = cut || store_.mode != SimStore::Mode::Up ? StoreOutcome::Unknown : StoreOutcome::Done;
+        once(answer);
+    });
+    if (cut || store_.mode != SimStore::Mode::Up)
+        return;
+    const StoreAnswer now = store_.changesBelow(prefix, after);
+    if (!now.done() || !now.records.empty() || !now.removedKeys.empty())
+        once(now);
+    else
+        store_.watchers_.push_back({ prefix, after, [this, once](const StoreAnswer& answer) {
+                                        if (!cut)
+                                            once(answer);
+                                    } });
+}
+
+void SimStoreClient::grantLease(Milliseconds ttl, Milliseconds timeout, StoreHandler handler)
+{
+    const auto work = [this, ttl] {
+        StoreAnswer answer;
+        answer.outcome = StoreOutcome::Done;
+        answer.lease = ++store_.lastLease_;
+        answer.leaseTtl = ttl;
+        store_.leases_[answer.lease] = { world_.now() + ttl, ttl };
+        world_.after(ttl + Milliseconds(1), [this] { store_.expireLeases(); });
+        return answer;
+    };
+    call(timeout, handler, work, /*write=*/false);
+}
+
+void SimStoreClient::keepLease(StoreLeaseId lease, Milliseconds timeout, StoreHandler handler)
+{
+    const auto work = [this, lease] {
+        StoreAnswer answer;
+        const auto position = store_.leases_.find(lease);
+        answer.outcome = position == store_.leases_.end() ? StoreOutcome::NotFound : StoreOutcome::Done;
+        if (answer.done()) {
+            answer.leaseTtl = position->second.second;
+            position->second.first = world_.now() + position->second.second;
+            world_.after(position->second.second + Milliseconds(1), [this] { store_.expireLeases(); });
+        }
+        return answer;
+    };
+    call(timeout, handler, work, /*write=*/false);
+}
+
+void SimStoreClient::endLease(StoreLeaseId lease, Milliseconds timeout, StoreHandler handler)
+{
+    const auto work = [this, lease] {
+        StoreAnswer answer;
+        answer.outcome = StoreOutcome::Done;
+        const auto position = store_.leases_.find(lease);
+        if (position != store_.leases_.end())
+            position->second.first = Milliseconds(0);
+        store_.expireLeases();
+        return answer;
+    };
+    call(timeout, handler, work, /*write=*/false);
+}
+
+} // namespace rosemarylink::jobs
--- /dev/null
+++ b/tests/jobs/SimStore.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "SimWorld.h"
+#include "rosemarylink/jobs/RecordStore.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace rosemarylink::jobs {
+
+// The platform's store in simulated time. Instances call it through clients, which can be cut off one by one.
+class SimStore {
+public:
+    explicit SimStore(SimWorld& world)
+        : world_(world)
+    {
+    }
+
+    enum class Mode {
+        Up,
+        Refusing, // answers that nothing was done
+        Silent, // never answers and does nothing
+    };
+
+    Mode mode = Mode::Up;
+    double lostAnswers = 0; // share of the writes that are done, or will be done later, and not answered
+    Milliseconds lateBy { 0 }; // when the unanswered writes are done
+    std::mt19937 random { 1 };
+
+    // Writes as the operators or the workers do.
+    Revision put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+    const Record* find(const std::string& key) const;
+    std::size_t countBelow(const std::string& prefix) const;
+    void forgetHistory() { historyStart_ = revision_; }
+
+private:
+    friend class SimStoreClient;
+
+    struct Change {
+        Revision revision;
+        Record record;
+        bool removed = false;
+    };
+    struct Watcher {
+        std::string prefix;
+        Revision after;
+        std::function<void(const StoreAnswer&)> handler;
+    };
+
+    StoreAnswer apply(const Batch&);
+    void change(const std::string& key, const std::string* value, Revision revision);
+    StoreAnswer changesBelow(const std::string& prefix, Revision after) const;
+    void notify();
+    void expireLeases();
+
+    SimWorld& world_;
+    std::map<std::string, Record> records_;
+    std::map<std::string, StoreLeaseId> leaseOf_;
+    std::map<StoreLeaseId, std::pair<Milliseconds, Milliseconds>> leases_; // when it ends, and its length
+    std::vector<Change> history_;
+    std::list<Watcher> watchers_;
+    Revision revision_ { 0 };
+    Revision historyStart_ { 0 };
+    StoreLeaseId lastLease_ = 0;
+};
+
+// One instance's calls to the store.
+class SimStoreClient final : public RecordStore {
+public:
+    SimStoreClient(SimWorld& world, SimStore& store)
+        : world_(world)
+        , store_(store)
+    {
+    }
+
+    bool cut = false; // calls get lost and time out
+    bool dead = false; // the instance has gone: nothing is sent or delivered any more
+
+    void commit(const Batch&, Milliseconds timeout, StoreHandler) override;
+    void read(const std::string& key, Milliseconds timeout, StoreHandler) override;
+    void list(const std::string& prefix, Milliseconds timeout, StoreHandler) override;
+    void watch(const std::string& prefix, Revision after, Milliseconds wait, StoreHandler) override;
+    void grantLease(Milliseconds ttl, Milliseconds timeout, StoreHandler) override;
+    void keepLease(StoreLeaseId, Milliseconds timeout, StoreHandler) override;
+    void endLease(StoreLeaseId, Milliseconds timeout, StoreHandler) override;
+
+private:
+    void call(Milliseconds timeout, const StoreHandler&, const std::function<StoreAnswer()>& work, bool write);
+    void answerLater(Milliseconds delay, const StoreHandler&, const StoreAnswer&);
+
+    SimWorld& world_;
+    SimStore& store_;
+};
+
+} // namespace rosemarylink::jobs
--- /dev/null
+++ b/tests/jobs/SimWorld.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "rosemarylink/base/Clock.h"
+#include "rosemarylink/jobs/Timers.h"
+
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace rosemarylink::jobs {
+
+// Simulated time: events run in order of their time, and the clock stands at the time of the one that runs.
+class SimWorld final : public Timers {
+public:
+    const Clock& clock() const { return clock_; }
+    Milliseconds now() const { return clock_.monotonic(); }
+
+    Id after(Milliseconds delay, std::function<void()> task) override
+    {
+        const Id id = ++lastId_;
+        events_.emplace(std::make_pair(now() + delay, id), std::move(task));
+        return id;
+    }
+
+    void cancel(Id id) override
+    {
+        for (auto position = events_.begin(); position != events_.end(); ++position) {
+            if (position->first.second == id) {
+                events_.erase(position);
+                return;
+            }
+        }
+    }
+
+    // Runs all events of the next `duration`.
+    void run(Milliseconds duration)
+    {
+        const Milliseconds end = now() + duration;
+        while (!events_.empty() && events_.begin()->first.first <= end) {
+            const auto event = std::move(*events_.begin());
+            events_.erase(events_.begin());
+            if (event.first.first > now())
+                clock_.advance(event.first.first - now());
+            event.second();
+        }
+        clock_.advance(end - now());
+    }
+
+private:
+    ManualClock clock_;
+    std::map<std::pair<Milliseconds, Id>, std::function<void()>> events_;
+    Id lastId_ = 0;
+};
+
+} // namespace rosemarylink::jobs
