--- a/src/jobs/Tenure.h
+++ b/src/jobs/Tenure.h
@@ -40,10 +40,11 @@
     std::optional<Milliseconds> firstAnswerAt; // of this life to this owner
     std::optional<Milliseconds> clock; // its last reading ...
     Milliseconds clockAt { 0 }; // ... and when that was received
+    Milliseconds heardAt { 0 }; // when its last list was received
     Milliseconds leaseOverAt { 0 }; // everything there has ended by then, whatever is not known
     std::map<RunKey, RunOnWorker> runs;
     std::int64_t seenEnd = 0;
-    std::int64_t acknowledged = 0; // as last sent
+    std::int64_t acknowledged = 0; // as the worker has taken it
     std::deque<UnstoredEnd> unstored;
     bool holding = false; // a call is on its way
     bool listNow = false; // the next call must not wait for an end
--- a/src/jobs/TenureWorkers.cpp
+++ b/src/jobs/TenureWorkers.cpp
@@ -18,6 +18,12 @@
 
     constexpr Milliseconds retryDelay { 250 };
 
+    // A worker takes longer than this to start again.
+    constexpr Milliseconds sameLifeFor { 250 };
+
+    // Added to the end of a lease for an order that is on its way.
+    constexpr Milliseconds leaseSlack { 250 };
+
     // Added to the longest time that a stop takes before a run that is not listed counts as gone.
     constexpr Milliseconds stopSlack { 60 };
 
@@ -95,21 +101,29 @@
     const WorkerId id = worker.entry.id;
     const std::uint64_t life = worker.life;
     const Milliseconds sentAt = now();
-    worker.acknowledged = std::max(worker.acknowledged, acknowledgeable(worker));
+    // The cursor is sent only until the worker has taken it: a worker that has started again counts its ends anew, and
+    // an old cursor would make it forget ends that nobody has seen.
+    // For the same reason the worker must have answered a moment ago; otherwise its list is asked for first.
+    const bool pending = acknowledgeable(worker) > worker.acknowledged;
+    const bool surelySameLife = now() - worker.heardAt <= sameLifeFor;
+    const std::int64_t cursor = pending && surelySameLife ? acknowledgeable(worker) : 0;
+    worker.listNow = worker.listNow || (pending && !surelySameLife);
     const bool renews = worker.clock && !worker.runs.empty();
     const Milliseconds leaseEnd = renews ? leaseEndFor(worker) : Milliseconds(0);
     if (renews)
         extendLease(worker, leaseEnd);
     const bool waits = renews && worker.unstored.empty() && !std::exchange(worker.listNow, false);
     const Milliseconds wait = waits ? holdWait : Milliseconds(0);
-    owner_.workers_.hold(worker.entry, leaseEnd, token_, worker.acknowledged, wait,
-        guarded([this, id, life, sentAt, leaseEnd, number](const Result<WorkerReport>& report) {
+    owner_.workers_.hold(worker.entry, leaseEnd, token_, cursor, wait,
+        guarded([this, id, life, sentAt, leaseEnd, number, cursor](const Result<WorkerReport>& report) {
             Worker* const asked = find(id);
             if (!asked || asked->life != life)
                 return;
             const bool newest = number == asked->lastHold;
             if (newest)
                 asked->holding = false;
+            if (report && (report.value().bornMs == 0 || report.value().bornMs == asked->entry.bornMs))
+                asked->acknowledged = std::max(asked->acknowledged, cursor);
             if (report)
                 takeReport(id, sentAt, leaseEnd, report.value(), newest);
             else if (newest)
@@ -154,6 +168,7 @@
             "Worker answers again", { { "worker", id }, { "silentMs", (now() - *worker.unansweredSince).count() } });
         worker.unansweredSince.reset();
     }
+    worker.heardAt = now();
     takeClock(worker, report.workerClock);
     // What runs there may have a lease of an earlier owner, as long as the worker grants.
     if (!worker.firstAnswerAt)
@@ -216,6 +231,8 @@
             return;
         if (task.phase == TaskPhase::Starting)
             task.phase = TaskPhase::Running;
+        else if (task.phase == TaskPhase::Stopping && run.phase != TaskPhase::Stopping)
+            stopRun(worker, key);
         task.percent = running.percent;
         if (!running.checkpoint.empty())
             job->checkpoint(running.task) = running.checkpoint;
@@ -288,9 +305,11 @@
     }
 }
 
-// The worker has started again: it runs nothing, has seen no token, and its counts begin anew.
+// The worker has started again: it has seen no token, its counts begin anew, and what ran there is gone. An order that
+// was on its way may have reached the new life, though, so that only its list tells what is there.
 void Tenure::beginNewLife(Worker& worker)
 {
+    logger.info("Worker has started again", { { "worker", worker.entry.id }, { "runs", worker.runs.size() } });
     ++worker.life;
     worker.holding = false;
     worker.known = false;
@@ -300,7 +319,22 @@
     worker.acknowledged = 0;
     worker.unstored.clear();
     worker.recentFailures.clear();
-    loseRuns(worker, "it has started again");
+    worker.leaseOverAt = now() + scaled(owner_.limits_.workerLease, 1.0 / slowClock) + leaseSlack;
+    std::vector<RunKey> unconfirmed;
+    for (auto& [key, run] : worker.runs) {
+        run.stopTakenAt.reset(); // by the earlier life
+        if (run.confirmedAt)
+            run.phase = TaskPhase::Running;
+        else
+            unconfirmed.push_back(key);
+    }
+    for (const RunKey& key : unconfirmed) {
+        Job* const job = find(key.first.job);
+        if (job && job->contains(key.first) && job->task(key.first).run == key.second
+            && job->task(key.first).worker == worker.entry.id)
+            stopTask(*job, key.first);
+        stopRun(worker, key);
+    }
     holdSoon(worker.entry.id, Milliseconds(0));
 }
 
