Order guaranteed work by arrival; shorten the waits of the watches

The trace shows a guaranteed job that could no longer end in time overtaken by newer guaranteed jobs. Ruled out: a silent watch (the submission was seen at once). The watches wait 1 to 5 s instead of 10 to 20 s, since a connection that falls silent shows only by a time-out.

--- a/include/rosemarylink/reactor/LoopHttpServer.h
+++ b/include/rosemarylink/reactor/LoopHttpServer.h
@@ -22,7 +22,7 @@
 
 // Sends the answer to one request. It may be called at any later time on the loop; a connection that has gone by then
 // ignores it.
-using Responder = std::function<void(ServerReply)>;
+using Responder = std::function<void(const ServerReply&)>;
 
 using ServerRequest = WholeMessage<Poco::Net::HTTPRequest>;
 using RequestHandler = std::function<void(ServerRequest, Responder)>;
--- a/src/jobs/ConfigView.cpp
+++ b/src/jobs/ConfigView.cpp
@@ -13,7 +13,8 @@
     // A read takes 30 ms across regions and 300 ms when the store is slow.
     constexpr Milliseconds readTimeout { 800 };
 
-    constexpr Milliseconds watchWait { 20000 };
+    // Requests confirm the configuration themselves; the watch keeps those without requests current.
+    constexpr Milliseconds watchWait { 5000 };
     constexpr Milliseconds retryDelay { 250 }; // after a failed watch or read
 
     const Logger logger("config");
--- a/src/jobs/Ownership.cpp
+++ b/src/jobs/Ownership.cpp
@@ -17,7 +17,7 @@
     constexpr Milliseconds validityMargin { 300 };
 
     constexpr Milliseconds callTimeout { 700 };
-    constexpr Milliseconds watchWait { 10000 };
+    constexpr Milliseconds watchWait { 3000 }; // bounds the delay when the connection falls silent
     constexpr Milliseconds retryDelay { 200 };
 
     const Logger logger("owner");
--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -48,8 +48,10 @@
         {
             const Milliseconds endsAt = input_.now + step.remaining;
             const int tier = endsAt <= step.objectiveAt ? 0 : endsAt <= step.lateUntil ? 1 : 2;
-            const int group = step.guaranteed ? -1 : step.priority;
-            return { group, tier, tier == 2 ? step.arrivedAt : step.objectiveAt };
+            // Guaranteed work has to start within a fixed time, so that it goes by arrival even when it will end late.
+            if (step.guaranteed)
+                return { -1, 0, step.arrivedAt };
+            return { step.priority, tier, tier == 2 ? step.arrivedAt : step.objectiveAt };
         }
 
         static int countThatFits(const Resources& each, const Resources& room)
--- a/src/jobs/TenureRecovery.cpp
+++ b/src/jobs/TenureRecovery.cpp
@@ -8,7 +8,9 @@
 
     constexpr Milliseconds listTimeout { 1500 };
     constexpr Milliseconds retryDelay { 200 };
-    constexpr Milliseconds watchWait { 20000 };
+    // A connection may fall silent for good, so that a wait ends without an answer. Submissions are seen again after
+    // this time and the store client's slack, well within the time in which guaranteed work has to start (2.9 s).
+    constexpr Milliseconds watchWait { 1000 };
 
     // The workers' entries change with every heartbeat, which makes a watch cost a call for each. A list a second shows
     // a leaving worker well within the time in which it must get no more work (2.5 s).
--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -91,10 +91,10 @@
         answering_ = true;
         closeAfterSend_ = !taken.value()->head.getKeepAlive();
         const auto self = shared_from_this();
-        server_->handler_(std::move(*taken.value()), [self](ServerReply answer) { self->reply(std::move(answer)); });
+        server_->handler_(std::move(*taken.value()), [self](const ServerReply& answer) { self->reply(answer); });
     }
 
-    void reply(ServerReply answer)
+    void reply(const ServerReply& answer)
     {
         if (!server_)
             return;
--- a/tests/jobs/PlannerTest.cpp
+++ b/tests/jobs/PlannerTest.cpp
@@ -122,6 +122,29 @@
     }
 }
 
+// Guards against the RECLAIM seen on the bench (frescura-hq quiet-1, seed 840808457952): guaranteed work that could no
+// longer end in time was overtaken by newer work again and again.
+TEST_CASE("guaranteed work is not overtaken by newer guaranteed work")
+{
+    PlanInput input = racks(1, 8);
+    input.workers.pop_back();
+    input.now = Milliseconds(10000);
+    const StepSpec spec = localGang(1, 8);
+    for (const Milliseconds arrivedAt : { Milliseconds(9900), Milliseconds(8000) }) {
+        PlanStep step = gangOf(spec, 0);
+        step.job = JobId(arrivedAt < Milliseconds(9000) ? "older" : "newer");
+        step.guaranteed = true;
+        step.arrivedAt = arrivedAt;
+        step.remaining = Milliseconds(2500);
+        step.objectiveAt = arrivedAt + Milliseconds(4000);
+        step.lateUntil = arrivedAt + Milliseconds(12000);
+        input.steps.push_back(step);
+    }
+    const Plan plan = makePlan(input);
+    REQUIRE(plan.placements.size() == 1);
+    REQUIRE(plan.placements[0].task.job == JobId("older"));
+}
+
 // Guards against more tasks of a step on one worker than it allows.
 TEST_CASE("the spread limit of a step holds")
 {
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -229,8 +229,11 @@
     }
 }
 
-void SimFleet::end(Life& life, TaskKey key, RunEnd how, std::string checkpoint)
+void SimFleet::end(Life& life, const TaskKey& ended, RunEnd how, const std::string& saved)
 {
+    // Copies, since they may be parts of the run that is erased.
+    const TaskKey key = ended;
+    const std::string checkpoint = saved;
     const Run run = life.runs.at(key);
     life.runs.erase(key);
     life.refusedRuns[key] = std::max(life.refusedRuns[key], run.run);
@@ -350,13 +353,13 @@
     });
 }
 
-void SimWorkerClient::start(const WorkerEntry& worker, const StartOrder& order_, Milliseconds leaseEnd,
+void SimWorkerClient::start(const WorkerEntry& worker, const StartOrder& startOrder, Milliseconds leaseEnd,
     FencingToken token, std::function<void(const OrderAnswer&)> handler)
 {
     order(
         worker.id,
-        [this, order_, leaseEnd, token](
-            SimFleet::Life& life) { return fleet_.start(life, order_, leaseEnd, token.value()); },
+        [this, startOrder, leaseEnd, token](
+            SimFleet::Life& life) { return fleet_.start(life, startOrder, leaseEnd, token.value()); },
         handler);
 }
 
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -78,7 +78,7 @@
     OrderAnswer stop(Life&, const TaskKey&, int run, std::int64_t fence);
     WorkerReport report(const Life&) const;
     void extend(Life&, Milliseconds leaseEnd);
-    void end(Life&, TaskKey, RunEnd, std::string checkpoint);
+    void end(Life&, const TaskKey&, RunEnd, const std::string& checkpoint);
     void finishLater(const WorkerId&, const Run&);
     void joinGang(const TaskKey&, int run);
     void endGang(const TaskKey&, int run, RunEnd);
