--- a/apps/rosemarylink-edge/Main.cpp
+++ b/apps/rosemarylink-edge/Main.cpp
@@ -3,8 +3,10 @@
 #include "rosemarylink/base/Log.h"
 
 #include <boost/program_options.hpp>
+#include <glog/logging.h>
 
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <iostream>
 
@@ -72,6 +74,10 @@
     }
     handleSignals();
     rosemarylink::startLogging(argv[0]);
+    // The platform collects standard output. Whole lines are written at once, so that a kill loses none.
+    FLAGS_logtostderr = false;
+    FLAGS_logtostdout = true;
+    std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
     rosemarylink::EdgeProcess process(path, settings.value());
     if (const auto started = process.start(); !started) {
         rosemarylink::Logger("edge").error(started.error().message);
