--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -229,15 +229,13 @@
     }
 }
 
-void SimFleet::end(Life& life, const TaskKey& ended, RunEnd how, const std::string& saved)
+void SimFleet::end(Life& life, const TaskKey& key, RunEnd how, const std::string& checkpoint)
 {
-    // Copies, since they may be parts of the run that is erased.
-    const TaskKey key = ended;
-    const std::string checkpoint = saved;
-    const Run run = life.runs.at(key);
-    life.runs.erase(key);
-    life.refusedRuns[key] = std::max(life.refusedRuns[key], run.run);
-    life.ended.push_back({ ++life.lastEnd, key, run.run, how, checkpoint });
+    // The arguments may be parts of the run that is erased.
+    const EndedRun ended { ++life.lastEnd, key, life.runs.at(key).run, how, checkpoint };
+    life.runs.erase(ended.task);
+    life.refusedRuns[ended.task] = std::max(life.refusedRuns[ended.task], ended.run);
+    life.ended.push_back(ended);
     const auto waiting = std::move(life.waiting);
     life.waiting.clear();
     for (const auto& answer : waiting)
