Take a place in the waiting room in one step, so that two dearer requests do not lose theirs

Cause: RequestService evicted a cheaper request and ServicePool took the freed place later. Two requests of a dearer service that came together both saw one free place, evicted one request, and the second was refused although cheaper ones still waited. Ruled out: the callers' start order; requests in service do not count as waiting.

The place now passes from the evicted request to the one that replaces it, and entering the room is one compare-and-swap.

--- a/src/gateway/RequestService.cpp
+++ b/src/gateway/RequestService.cpp
@@ -74,9 +74,10 @@
         , budget(gatewaySettings.retryShare)
         , retryOptions { gatewaySettings.hedgeDelay, gatewaySettings.progressTimeout }
         , singleOptions { gatewaySettings.id, static_cast<std::size_t>(gatewaySettings.storedAnswer) }
+        , room(static_cast<std::size_t>(gatewaySettings.queueLength),
+              [this](const ServiceId& service) { return evictCheaper(service); })
         , directory(std::make_shared<AccountDirectory>(model::Declarations {}))
     {
-        room.limit = static_cast<std::size_t>(gatewaySettings.queueLength);
     }
 
     const Clock& clock;
@@ -112,7 +113,7 @@
     }
 
     void applyUpstreams();
-    void makeRoomFor(const ServiceId&, const AccountDirectory&) const;
+    bool evictCheaper(const ServiceId&) const;
     HttpResponse submit(const HttpRequest&);
     HttpResponse serve(const HttpRequest&);
     HttpResponse serveIdempotent(const GatewayRequest&, ServicePool&);
@@ -131,29 +132,24 @@
     for (const auto& [service, specs] : byService) {
         auto& pool = pools[service];
         if (!pool)
-            pool = std::make_shared<ServicePool>(poolOptions(settings), usage, room, clock);
+            pool = std::make_shared<ServicePool>(service, poolOptions(settings), usage, room, clock);
         pool->setUpstreams(specs, gateways);
     }
 }
 
 // Requests of the services with the lowest worth leave the waiting room first.
-void RequestService::State::makeRoomFor(const ServiceId& service, const AccountDirectory& accounts) const
+bool RequestService::State::evictCheaper(const ServiceId& service) const
 {
-    if (!room.isFull())
-        return;
-    const double worth = accounts.worth(service);
     std::multimap<double, std::shared_ptr<ServicePool>> cheaper;
     {
         const std::shared_lock lock(mutex);
+        const double worth = directory->worth(service);
         for (const auto& [other, pool] : pools) {
-            if (accounts.worth(other) < worth)
-                cheaper.emplace(accounts.worth(other), pool);
+            if (directory->worth(other) < worth)
+                cheaper.emplace(directory->worth(other), pool);
         }
     }
-    for (const auto& [otherWorth, pool] : cheaper) {
-        if (pool->evictOne())
-            return;
-    }
+    return std::any_of(cheaper.begin(), cheaper.end(), [](const auto& entry) { return entry.second->evictOne(); });
 }
 
 HttpResponse RequestService::State::submit(const HttpRequest& request)
@@ -207,7 +203,6 @@
     const auto pool = findPool(wanted.service);
     if (!pool)
         return errorResponse(makeError(ErrorCode::NotFound, "no such service: " + wanted.service.value()));
-    makeRoomFor(wanted.service, *accounts);
     return headers.value().idempotent ? serveIdempotent(wanted, *pool)
                                       : serveSingle(wanted, headers.value().key, *pool);
 }
--- a/src/gateway/ServicePool.cpp
+++ b/src/gateway/ServicePool.cpp
@@ -27,8 +27,10 @@
     bool isSettled() const { return slot || refusal; }
 };
 
-ServicePool::ServicePool(const ServicePoolOptions& options, AccountUsage& usage, WaitingRoom& room, const Clock& clock)
-    : options_(options)
+ServicePool::ServicePool(
+    ServiceId service, const ServicePoolOptions& options, AccountUsage& usage, WaitingRoom& room, const Clock& clock)
+    : service_(std::move(service))
+    , options_(options)
     , usage_(usage)
     , room_(room)
     , clock_(clock)
@@ -73,7 +75,7 @@
     Waiter waiter;
     waiter.request = request;
     std::unique_lock lock(mutex_);
-    BOOST_OUTCOME_TRYV(enqueue(request, waiter));
+    BOOST_OUTCOME_TRYV(enqueue(lock, request, waiter));
     dispatch(clock_.monotonic());
     const bool waited = !waiter.isSettled();
     while (!waiter.isSettled()) {
@@ -104,24 +106,43 @@
     return *waiter.slot;
 }
 
-Status ServicePool::enqueue(const SlotRequest& request, Waiter& waiter)
+Status ServicePool::enqueue(std::unique_lock<std::mutex>& lock, const SlotRequest& request, Waiter& waiter)
 {
     const Milliseconds now = clock_.monotonic();
     if (!selector_.hasReady(now)) {
         return Error { ErrorCode::Unavailable, "no upstream of the service takes requests", Verdict::NotRun,
             retryWithoutUpstream };
     }
-    // A request that finds the queue empty may get a slot at once, so it is taken in even when the room is full.
-    if (room_.isFull() && queue_.size() > 0 && !makeRoom(request.account))
+    if (!takePlace(lock, request.account))
         return overloadError("too many requests wait for the service", queue_.expectedWait(rate(now)));
-    BOOST_OUTCOME_TRY(ticket, queue_.offer({ request.account, request.urgent, request.deadline }, rate(now), now));
-    waiter.ticket = ticket;
-    waiters_.emplace(ticket, &waiter);
-    ++room_.waiting;
+    const auto ticket = queue_.offer({ request.account, request.urgent, request.deadline }, rate(now), now);
+    if (!ticket) {
+        room_.leave();
+        return ticket.error();
+    }
+    waiter.ticket = ticket.value();
+    waiters_.emplace(waiter.ticket, &waiter);
     return okStatus();
 }
 
-bool ServicePool::makeRoom(const AccountId& newcomer)
+bool ServicePool::takePlace(std::unique_lock<std::mutex>& lock, const AccountId& account)
+{
+    if (room_.tryEnter())
+        return true;
+    // The other pool's lock is taken for the eviction, so this one is released.
+    lock.unlock();
+    const bool replaced = room_.tryReplaceCheaper(service_);
+    lock.lock();
+    if (replaced || evictFor(account))
+        return true;
+    // A request that finds the queue empty may get a slot at once, so it is taken in even when the room is full.
+    if (queue_.size() > 0)
+        return false;
+    room_.enterBeyondLimit();
+    return true;
+}
+
+bool ServicePool::evictFor(const AccountId& newcomer)
 {
     const bool guaranteed = usage_.isBelowGuarantee(newcomer);
     const auto victim = queue_.evictCheapest(guaranteed ? std::nullopt : std::optional<AccountId>(newcomer));
@@ -152,7 +173,6 @@
         return;
     Waiter& waiter = *position->second;
     waiters_.erase(position);
-    --room_.waiting;
     waiter.refusal = std::move(error);
     waiter.changed.notify_one();
 }
@@ -161,7 +181,7 @@
 {
     queue_.remove(waiter.ticket);
     waiters_.erase(waiter.ticket);
-    --room_.waiting;
+    room_.leave();
 }
 
 void ServicePool::dispatch(Milliseconds now)
@@ -173,8 +193,10 @@
         return;
     shedAt_ = now;
     const ServiceRate current = rate(now);
-    for (const AdmissionTicket ticket : queue_.takeHopeless(current, now))
+    for (const AdmissionTicket ticket : queue_.takeHopeless(current, now)) {
         refuse(ticket, overloadError("the request could not finish before its deadline", queue_.expectedWait(current)));
+        room_.leave();
+    }
 }
 
 bool ServicePool::dispatchOne(Milliseconds now)
@@ -189,7 +211,7 @@
             continue;
         queue_.serve(ticket);
         waiters_.erase(ticket);
-        --room_.waiting;
+        room_.leave();
         waiter.slot = grant(*upstream, waiter.request.account);
         waiter.changed.notify_one();
         return true;
--- a/src/gateway/ServicePool.h
+++ b/src/gateway/ServicePool.h
@@ -4,8 +4,8 @@
 #include "ConnectionPool.h"
 #include "DurationEstimate.h"
 #include "UpstreamSelector.h"
+#include "WaitingRoom.h"
 
-#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <memory>
@@ -14,14 +14,6 @@
 
 namespace rosemarylink::gateway::internal {
 
-// Room for requests that wait, over all services of a gateway.
-struct WaitingRoom {
-    std::size_t limit = 0;
-    std::atomic<std::size_t> waiting { 0 };
-
-    bool isFull() const { return waiting >= limit; }
-};
-
 // A request that wants a slot.
 struct SlotRequest {
     AccountId account;
@@ -49,7 +41,7 @@
 class ServicePool {
 public:
     // Usage, room and clock must outlive the pool.
-    ServicePool(const ServicePoolOptions&, AccountUsage&, WaitingRoom&, const Clock&);
+    ServicePool(ServiceId, const ServicePoolOptions&, AccountUsage&, WaitingRoom&, const Clock&);
     ~ServicePool();
 
     void setUpstreams(const std::vector<model::UpstreamSpec>&, std::size_t gateways);
@@ -66,7 +58,7 @@
     void release(const Slot&, UpstreamOutcome, std::optional<std::int64_t> slotsBusy = std::nullopt,
         std::optional<double> duration = std::nullopt);
 
-    // Makes room for a request of a service with a higher worth. False when nothing can go.
+    // Refuses one waiting request and leaves its place in the waiting room to the caller. False when nothing can go.
     bool evictOne();
 
     double meanDuration() const;
@@ -79,12 +71,16 @@
     // Hands free slots to waiting requests.
     void dispatch(Milliseconds now);
     bool dispatchOne(Milliseconds now);
+    // Ends a wait without a slot. Its place in the waiting room stays taken.
     void refuse(AdmissionTicket, Error);
-    bool makeRoom(const AccountId&);
+    // Takes a place in the waiting room, if need be from another request; the lock is released meanwhile.
+    bool takePlace(std::unique_lock<std::mutex>&, const AccountId&);
+    bool evictFor(const AccountId&);
     ServiceRate rate(Milliseconds now) const;
-    Status enqueue(const SlotRequest&, Waiter&);
+    Status enqueue(std::unique_lock<std::mutex>&, const SlotRequest&, Waiter&);
     void leave(Waiter&);
 
+    const ServiceId service_;
     ServicePoolOptions options_;
     AccountUsage& usage_;
     WaitingRoom& room_;
