Write logs without ever waiting for their reader, and bound each kind of line

Cause: the edge process wrote each line to standard output and stood still when its reader stopped; a store that reset connections gave some ten lines of one kind a second. Lines now go through a writer that asks whether the descriptor takes more before it writes, keeps 256 KiB, and counts what is lost beyond; each sentence has 100 lines a second, and what is left out is counted and logged. Lines of one turn of the event loop are written together; warnings at once.

--- a/apps/rosemarylink-edge/Main.cpp
+++ b/apps/rosemarylink-edge/Main.cpp
@@ -3,12 +3,11 @@
 #include "rosemarylink/base/Log.h"
 
 #include <boost/program_options.hpp>
-#include <glog/logging.h>
 
 #include <csignal>
-#include <cstdio>
 #include <cstdlib>
 #include <iostream>
+#include <unistd.h>
 
 namespace {
 
@@ -73,14 +72,10 @@
         return 0;
     }
     handleSignals();
-    rosemarylink::startLogging(argv[0]);
-    // The platform collects standard output. Whole lines are written at once, so that a kill loses none.
-    FLAGS_logtostderr = false;
-    FLAGS_logtostdout = true;
-    std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
+    rosemarylink::startLogging(argv[0], STDOUT_FILENO); // the platform collects it
     rosemarylink::EdgeProcess process(path, settings.value());
     if (const auto started = process.start(); !started) {
-        rosemarylink::Logger("edge").error(started.error().message);
+        rosemarylink::Logger("edge").error("Not started", { { "reason", started.error().message } });
         return 1;
     }
     process.run([&process] {
@@ -92,6 +87,8 @@
             termination = 0;
             process.beginShutdown();
         }
+        rosemarylink::flushLog();
     });
+    rosemarylink::flushLog();
     return 0;
 }
--- a/include/rosemarylink/base/Log.h
+++ b/include/rosemarylink/base/Log.h
@@ -12,6 +12,9 @@
 
 namespace rosemarylink {
 
+// At some 15 us a line, ten busy sentences at this rate take 1.5% of a core.
+constexpr std::int64_t linesPerSecondOfKind = 100;
+
 // One key=value pair of a log line.
 struct LogField {
     template <typename T>
@@ -30,7 +33,8 @@
 using LogFields = std::initializer_list<LogField>;
 
 // Writes short sentences with the prefix of one part of the system through glog: "[cells] takeover finished
-// cell=amman". Keys and request bodies must never be passed to it.
+// cell=amman". Keys and request bodies must never be passed to it. Of each sentence at most linesPerSecondOfKind are
+// written a second; the rest is counted, and the count logged.
 class Logger {
 public:
     explicit Logger(std::string_view part)
@@ -70,4 +74,11 @@
 // Starts glog on standard error for this binary; call once in main.
 void startLogging(const char* binary);
 
+// Starts glog on a descriptor that is never waited for: what its reader leaves unread is kept up to 256 KiB, and
+// counted beyond that. Warnings and errors are written at once, the rest by flushLog().
+void startLogging(const char* binary, int descriptor);
+
+// Writes the lines that are kept, and the counts of those that were left out. Does nothing on standard error.
+void flushLog();
+
 } // namespace rosemarylink
--- a/include/rosemarylink/reactor/EventLoop.h
+++ b/include/rosemarylink/reactor/EventLoop.h
@@ -46,7 +46,7 @@
     // Must be called before the socket is closed.
     void unwatch(const Poco::Net::Socket&);
 
-    // Runs until stop(). The idle callback is called at least every 100 ms; it serves for flags that signals set.
+    // Runs until stop(). onTurn is called after each round of events, at least every 100 ms.
     void run(const Task& onTurn);
     void stop() { stopped_ = true; }
 
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,11 +1,53 @@
 #include "rosemarylink/base/Log.h"
 
+#include "LogOutput.h"
+
 #include <glog/logging.h>
 
+#include <memory>
+
 namespace rosemarylink {
 
 namespace {
 
+    // Some seconds of a busy owner's lines.
+    constexpr std::size_t keptLogBytes = 256 * 1024;
+
+    // Passes glog's lines to a descriptor that nobody waits for.
+    class DescriptorSink final : public google::LogSink {
+    public:
+        explicit DescriptorSink(int descriptor)
+            : writer_(descriptor, keptLogBytes)
+        {
+        }
+
+        void send(google::LogSeverity severity, const char* /*path*/, const char* file, int line,
+            const google::LogMessageTime& time, const char* message, std::size_t length) override
+        {
+            writer_.add(ToString(severity, file, line, time, message, length));
+            if (severity >= google::GLOG_WARNING)
+                writer_.flush();
+        }
+
+        internal::LineWriter& writer() { return writer_; }
+
+    private:
+        internal::LineWriter writer_;
+    };
+
+    std::unique_ptr<DescriptorSink>& sink()
+    {
+        static std::unique_ptr<DescriptorSink> instance;
+        return instance;
+    }
+
+    internal::LineBudget& budget()
+    {
+        static const SystemClock clock;
+        static internal::LineBudget instance(clock, linesPerSecondOfKind);
+        return instance;
+    }
+
     std::string formatLine(const std::string& part, std::string_view sentence, LogFields fields)
     {
         std::string line = "[" + part + "] ";
@@ -15,21 +57,37 @@
         return line;
     }
 
+    void reportLeftOut()
+    {
+        budget().collect([](const std::string& kind, std::int64_t leftOut) {
+            LOG(WARNING) << formatLine("log", "Lines were left out", { { "count", leftOut }, { "sentence", kind } });
+        });
+    }
+
+    bool mayWrite(std::string_view sentence)
+    {
+        reportLeftOut();
+        return budget().take(sentence);
+    }
+
 } // namespace
 
 void Logger::info(std::string_view sentence, LogFields fields) const
 {
-    LOG(INFO) << formatLine(part_, sentence, fields);
+    if (mayWrite(sentence))
+        LOG(INFO) << formatLine(part_, sentence, fields);
 }
 
 void Logger::warning(std::string_view sentence, LogFields fields) const
 {
-    LOG(WARNING) << formatLine(part_, sentence, fields);
+    if (mayWrite(sentence))
+        LOG(WARNING) << formatLine(part_, sentence, fields);
 }
 
 void Logger::error(std::string_view sentence, LogFields fields) const
 {
-    LOG(ERROR) << formatLine(part_, sentence, fields);
+    if (mayWrite(sentence))
+        LOG(ERROR) << formatLine(part_, sentence, fields);
 }
 
 RepeatedLog::RepeatedLog(std::string_view part, const Clock& clock, Milliseconds interval)
@@ -62,4 +120,25 @@
     google::InitGoogleLogging(binary);
 }
 
+void startLogging(const char* binary, int descriptor)
+{
+    FLAGS_logtostderr = false;
+    FLAGS_stderrthreshold = google::GLOG_FATAL;
+    google::InitGoogleLogging(binary);
+    for (const google::LogSeverity severity : { google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR })
+        google::SetLogDestination(severity, ""); // no files
+    sink() = std::make_unique<DescriptorSink>(descriptor);
+    google::AddLogSink(sink().get());
+}
+
+void flushLog()
+{
+    if (!sink())
+        return;
+    reportLeftOut();
+    sink()->writer().flush();
+    if (const std::int64_t dropped = sink()->writer().takeDropped(); dropped > 0)
+        LOG(WARNING) << formatLine("log", "Lines were lost because the log was not read", { { "count", dropped } });
+}
+
 } // namespace rosemarylink
