Log why a step waits and the path of refused calls; count and measure the legs of a job's way

A refusal without a confirmed configuration was logged without the job's id, and a job that waited had no line that said why. The planner now returns a reason for each step that waits, logged when it begins to wait and when the reason changes. Metrics of jobs and store calls come from the one registry; the periodic line of store counts goes.

--- a/apps/rosemarylink-edge/EdgeProcess.cpp
+++ b/apps/rosemarylink-edge/EdgeProcess.cpp
@@ -3,8 +3,6 @@
 #include "CallerServer.h"
 #include "rosemarylink/base/Log.h"
 
-#include <sstream>
-
 namespace rosemarylink {
 
 namespace {
@@ -22,8 +20,6 @@
 
     constexpr Milliseconds shutdownPoll { 50 };
 
-    constexpr Milliseconds countsInterval { 10000 };
-
     const Logger logger("edge");
 
 } // namespace
@@ -34,12 +30,13 @@
     , loop_(clock_)
     , timers_(loop_)
     , http_(loop_)
-    , store_(http_, settings.storeAddress)
+    , jobMetrics_(registry_)
+    , store_(http_, settings.storeAddress, registry_)
     , workers_(http_)
     , config_(store_, catalog_, timers_, clock_)
     , ownership_(store_, timers_, clock_, settings.nodeName)
-    , owner_(store_, workers_, catalog_, config_, ownership_, timers_, clock_, settings.limits)
-    , admission_(store_, config_, catalog_, timers_, clock_)
+    , owner_(store_, workers_, catalog_, config_, ownership_, timers_, clock_, jobMetrics_, settings.limits)
+    , admission_(store_, config_, catalog_, timers_, clock_, jobMetrics_)
 {
 }
 
@@ -63,7 +60,6 @@
     config_.start();
     ownership_.start(
         { [this](FencingToken token) { owner_.begin(token); }, [this](const std::string&) { owner_.end(); } });
-    loop_.after(countsInterval, [this] { logCounts(); });
     logger.info("Started", { { "node", settings_.nodeName }, { "callers", settings_.callerAddress } });
     return okStatus();
 }
@@ -76,29 +72,12 @@
     return { ready ? 200 : 503, "{}", {} };
 }
 
-reactor::ServerReply EdgeProcess::metrics() const
-{
-    std::ostringstream out;
-    for (const auto& [kind, counts] : store_.counts()) {
-        const std::string labels = "rosemarylink_store_calls_total{kind=\"" + kind + "\",outcome=";
-        out << labels << "\"done\"} " << counts.done << "\n"
-            << labels << "\"refused\"} " << counts.refused << "\n"
-            << labels << "\"unanswered\"} " << counts.unanswered << "\n";
-    }
-    out << "rosemarylink_owner " << (ownership_.held() ? 1 : 0) << "\n"
-        << "rosemarylink_connections_opened_total " << http_.connectionsOpened() << "\n";
-    return { 200, out.str(), {}, "text/plain; version=0.0.4" };
-}
-
-void EdgeProcess::logCounts()
+reactor::ServerReply EdgeProcess::metrics()
 {
-    std::ostringstream calls;
-    for (const auto& [kind, counts] : store_.counts())
-        calls << (calls.tellp() > 0 ? "," : "") << kind << ":" << counts.done << "/" << counts.refused << "/"
-              << counts.unanswered;
-    logger.info("Store calls so far, by kind as done/refused/unanswered",
-        { { "calls", calls.str() }, { "owner", ownership_.held() } });
-    loop_.after(countsInterval, [this] { logCounts(); });
+    registry_.gauge("rosemarylink_owner", "1 while this instance schedules the jobs.").set(ownership_.held() ? 1 : 0);
+    registry_.gauge("rosemarylink_connections_opened", "Connections opened to the store and to workers.")
+        .set(static_cast<double>(http_.connectionsOpened()));
+    return { 200, registry_.renderPrometheus(), {}, "text/plain; version=0.0.4" };
 }
 
 void EdgeProcess::reload()
--- a/apps/rosemarylink-edge/EdgeProcess.h
+++ b/apps/rosemarylink-edge/EdgeProcess.h
@@ -49,8 +49,7 @@
 
 private:
     reactor::ServerReply readiness();
-    reactor::ServerReply metrics() const;
-    void logCounts();
+    reactor::ServerReply metrics();
     void continueShutdown();
 
     SystemClock clock_;
@@ -59,6 +58,8 @@
     reactor::EventLoop loop_;
     LoopTimers timers_;
     reactor::LoopHttpClient http_;
+    MetricsRegistry registry_;
+    jobs::JobMetrics jobMetrics_;
     platform::StoreClient store_;
     platform::WorkerClient workers_;
     platform::PlatformCatalog catalog_;
--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rosemarylink/jobs/ConfigView.h"
+#include "rosemarylink/jobs/JobMetrics.h"
 
 #include <functional>
 #include <memory>
@@ -43,7 +44,7 @@
 // job: all it knows is in the store.
 class Admission {
 public:
-    Admission(RecordStore&, ConfigView&, const Catalog&, Timers&, const Clock&);
+    Admission(RecordStore&, ConfigView&, const Catalog&, Timers&, const Clock&, JobMetrics&);
 
     // A repeat of an accepted job's id is the same job, and accepted again without effect.
     void submit(const CallerRequest&, const SpecParser&, const AdmissionHandler&);
@@ -64,7 +65,8 @@
     void decideSubmission(const CallPointer&);
     void commitSubmission(const CallPointer&);
     void settleConflict(const CallPointer&, const StoreAnswer&, Milliseconds askedAt);
-    void retryLater(const CallPointer&, StoreOutcome, const std::function<void()>& again);
+    // Tries again within the call's time; a refusal is final when mayHaveWritten was false in every try.
+    void retryLater(const CallPointer&, bool mayHaveWritten, const std::function<void()>& again);
     void readState(const CallPointer&);
     void countWaiting(const CallPointer&, const QueueId&);
     void readForCancel(const CallPointer&);
@@ -76,6 +78,7 @@
     const Catalog& catalog_;
     Timers& timers_;
     const Clock& clock_;
+    JobMetrics& metrics_;
     std::size_t inProgress_ = 0;
 };
 
--- a/include/rosemarylink/jobs/PoolOwner.h
+++ b/include/rosemarylink/jobs/PoolOwner.h
@@ -3,6 +3,7 @@
 #include "rosemarylink/base/Clock.h"
 #include "rosemarylink/jobs/Catalog.h"
 #include "rosemarylink/jobs/ConfigView.h"
+#include "rosemarylink/jobs/JobMetrics.h"
 #include "rosemarylink/jobs/Ownership.h"
 #include "rosemarylink/jobs/Timers.h"
 #include "rosemarylink/jobs/WorkerPort.h"
@@ -29,7 +30,7 @@
 class PoolOwner {
 public:
     PoolOwner(RecordStore&, WorkerPort&, const Catalog&, const ConfigView&, Ownership&, Timers&, const Clock&,
-        const PoolLimits&);
+        JobMetrics&, const PoolLimits&);
     ~PoolOwner();
 
     // Follow the ownership's listener.
@@ -51,6 +52,7 @@
     Ownership& ownership_;
     Timers& timers_;
     const Clock& clock_;
+    JobMetrics& metrics_;
     PoolLimits limits_;
     std::shared_ptr<internal::Tenure> tenure_;
 };
--- a/include/rosemarylink/jobs/WorkerPort.h
+++ b/include/rosemarylink/jobs/WorkerPort.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace rosemarylink::jobs {
@@ -69,6 +70,9 @@
     Unknown, // no answer: it may run now or later
 };
 
+std::string_view runEndName(RunEnd);
+std::string_view startOutcomeName(StartOutcome);
+
 struct OrderAnswer {
     StartOutcome outcome = StartOutcome::Unknown;
     Milliseconds workerClock { 0 }; // 0 when there was no answer
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -38,12 +38,14 @@
     Revision decidedUnder { 0 }; // of the configuration that the last write named
 };
 
-Admission::Admission(RecordStore& store, ConfigView& config, const Catalog& catalog, Timers& timers, const Clock& clock)
+Admission::Admission(RecordStore& store, ConfigView& config, const Catalog& catalog, Timers& timers, const Clock& clock,
+    JobMetrics& metrics)
     : store_(store)
     , config_(config)
     , catalog_(catalog)
     , timers_(timers)
     , clock_(clock)
+    , metrics_(metrics)
 {
 }
 
@@ -60,6 +62,7 @@
 void Admission::finish(const CallPointer& call, const AdmissionAnswer& answer)
 {
     --inProgress_;
+    metrics_.countAnswer(answer.outcome);
     call->handler(answer);
 }
 
@@ -67,7 +70,7 @@
 {
     config_.whenFresh([this, call, proceed](const Configuration* configuration) {
         if (!configuration) {
-            retryLater(call, StoreOutcome::Refused, [this, call, proceed] { authorize(call, proceed); });
+            retryLater(call, /*mayHaveWritten=*/false, [this, call, proceed] { authorize(call, proceed); });
             return;
         }
         const Queue* queue = configuration->findQueue(call->request.host, call->request.path);
@@ -85,20 +88,22 @@
     });
 }
 
-void Admission::retryLater(const CallPointer& call, StoreOutcome outcome, const std::function<void()>& again)
+void Admission::retryLater(const CallPointer& call, bool mayHaveWritten, const std::function<void()>& again)
 {
     const Milliseconds waited = clock_.monotonic() - call->startedAt;
-    if (outcome == StoreOutcome::Unknown)
-        call->mayHaveRun = true;
+    call->mayHaveRun = call->mayHaveRun || mayHaveWritten;
     const Milliseconds untilDeadline = std::max(Milliseconds(0), call->request.deadline - answerMargin);
     const Milliseconds patience = call->mayHaveRun ? untilDeadline : std::min(untilDeadline, refusalPatience);
     if (waited + retryDelay < patience) {
         timers_.after(retryDelay, again);
         return;
     }
+    // The job is named by the path: its id is known only under a confirmed configuration.
+    const auto age = config_.age();
     logger.warning("Store gave no result for a caller",
-        { { "job", call->job }, { "waitedMs", waited.count() }, { "mayHaveRun", call->mayHaveRun },
-            { "configRevision", config_.revision().value() } });
+        { { "path", call->request.path }, { "waitedMs", waited.count() }, { "mayHaveRun", call->mayHaveRun },
+            { "configRevision", config_.revision().value() },
+            { "configAgeMs", age ? std::to_string(age->count()) : "never" } });
     if (call->mayHaveRun)
         finish(call, { AdmissionOutcome::MayHaveRun, "the store did not answer in time" });
     else
@@ -149,6 +154,7 @@
     store_.commit(batch, storeTimeout, [this, call, askedAt](const StoreAnswer& answer) {
         switch (answer.outcome) {
         case StoreOutcome::Done:
+            metrics_.accept.record(static_cast<double>((clock_.monotonic() - call->startedAt).count()));
             logger.info("Job accepted",
                 { { "job", call->job }, { "queue", call->spec.terms.queue }, { "account", call->spec.account },
                     { "configRevision", config_.revision().value() }, { "revision", answer.revision.value() },
@@ -159,7 +165,7 @@
             settleConflict(call, answer, askedAt);
             return;
         default:
-            retryLater(call, answer.outcome, [this, call] { decideSubmission(call); });
+            retryLater(call, answer.outcome == StoreOutcome::Unknown, [this, call] { decideSubmission(call); });
         }
     });
 }
@@ -179,7 +185,7 @@
     // The conflict proves that this call's earlier tries have not run; an unanswered one never will, since its
     // condition on the old configuration fails for good. The new configuration decides anew.
     if (config_.revision() == call->decidedUnder)
-        retryLater(call, StoreOutcome::Refused, [this, call] { decideSubmission(call); });
+        retryLater(call, /*mayHaveWritten=*/false, [this, call] { decideSubmission(call); });
     else
         decideSubmission(call);
 }
@@ -204,7 +210,7 @@
             return;
         }
         if (!answer.done()) {
-            retryLater(call, StoreOutcome::Refused, [this, call] { readState(call); });
+            retryLater(call, /*mayHaveWritten=*/false, [this, call] { readState(call); });
             return;
         }
         const auto state = parseProgressState(answer.records.front().value);
@@ -232,7 +238,7 @@
             return;
         }
         if (!answer.done()) {
-            retryLater(call, StoreOutcome::Refused, [this, call] { readForCancel(call); });
+            retryLater(call, /*mayHaveWritten=*/false, [this, call] { readForCancel(call); });
             return;
         }
         commitCancel(call, answer.records.front().revision);
@@ -251,7 +257,8 @@
         } else if (answer.outcome == StoreOutcome::Conflict) {
             readForCancel(call);
         } else {
-            retryLater(call, answer.outcome, [this, call, jobRevision] { commitCancel(call, jobRevision); });
+            retryLater(call, answer.outcome == StoreOutcome::Unknown,
+                [this, call, jobRevision] { commitCancel(call, jobRevision); });
         }
     });
 }
@@ -260,7 +267,7 @@
 {
     store_.list(keys::waitingIn(queue), storeTimeout, [this, call, queue](const StoreAnswer& answer) {
         if (!answer.done()) {
-            retryLater(call, StoreOutcome::Refused, [this, call, queue] { countWaiting(call, queue); });
+            retryLater(call, /*mayHaveWritten=*/false, [this, call, queue] { countWaiting(call, queue); });
             return;
         }
         AdmissionAnswer waiting { AdmissionOutcome::Accepted, "" };
--- /dev/null
+++ b/src/jobs/JobMetrics.cpp
@@ -0,0 +1,72 @@
+#include "rosemarylink/jobs/JobMetrics.h"
+
+#include "rosemarylink/jobs/Admission.h"
+
+namespace rosemarylink::jobs {
+
+namespace {
+
+    const char* const legs = "rosemarylink_job_leg_ms";
+    const char* const legsHelp = "Duration of each leg of a job's way.";
+
+    const char* outcomeName(AdmissionOutcome outcome)
+    {
+        switch (outcome) {
+        case AdmissionOutcome::Accepted:
+            return "accepted";
+        case AdmissionOutcome::NotRun:
+            return "not-run";
+        case AdmissionOutcome::MayHaveRun:
+            return "may-have-run";
+        case AdmissionOutcome::Invalid:
+            return "invalid";
+        case AdmissionOutcome::NoQueue:
+            return "no-queue";
+        case AdmissionOutcome::NoKey:
+            return "no-key";
+        case AdmissionOutcome::NoJob:
+            return "no-job";
+        }
+        return "not-run";
+    }
+
+} // namespace
+
+JobMetrics::JobMetrics(MetricsRegistry& registry)
+    : ownerships(registry.counter("rosemarylink_ownerships_total", "Times that this instance became the owner."))
+    , silentWorkers(registry.counter("rosemarylink_silent_workers_total", "Times that a worker stopped answering."))
+    , lostRuns(registry.counter("rosemarylink_lost_runs_total", "Runs that ended with their worker or its lease."))
+    , accept(registry.distribution(legs, legsHelp, { { "leg", "accept" } }))
+    , handOver(registry.distribution(legs, legsHelp, { { "leg", "hand-over" } }))
+    , firstStart(registry.distribution(legs, legsHelp, { { "leg", "first-start" } }))
+    , startAnswer(registry.distribution(legs, legsHelp, { { "leg", "start-answer" } }))
+    , store(registry.distribution(legs, legsHelp, { { "leg", "store" } }))
+    , completion(registry.distribution(legs, legsHelp, { { "leg", "completion" } }))
+    , registry_(registry)
+{
+}
+
+void JobMetrics::countAnswer(AdmissionOutcome outcome)
+{
+    registry_
+        .counter("rosemarylink_caller_answers_total", "Answers to callers.", { { "outcome", outcomeName(outcome) } })
+        .add();
+}
+
+void JobMetrics::countEnd(RunEnd end)
+{
+    registry_
+        .counter("rosemarylink_run_ends_total", "Ends of runs that the owner learned.",
+            { { "end", std::string(runEndName(end)) } })
+        .add();
+}
+
+void JobMetrics::countRefusedStart(StartOutcome outcome)
+{
+    registry_
+        .counter("rosemarylink_refused_starts_total", "Orders to start that a worker refused or left unanswered.",
+            { { "outcome", std::string(startOutcomeName(outcome)) } })
+        .add();
+}
+
+} // namespace rosemarylink::jobs
--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -33,10 +33,21 @@
             std::stable_sort(order.begin(), order.end(),
                 [this](const PlanStep* a, const PlanStep* b) { return rank(*a) < rank(*b); });
             for (const PlanStep* step : order) {
+                const std::size_t placedBefore = plan_.placements.size();
+                const std::size_t heldBefore = plan_.held.size();
+                const bool mayGoAnywhere = maySpread(*step);
                 if (step->spec->gang)
-                    planGang(*step);
+                    planGang(*step, mayGoAnywhere);
                 else
-                    planTasks(*step);
+                    planTasks(*step, mayGoAnywhere);
+                const std::size_t placed = plan_.placements.size() - placedBefore;
+                if (placed == step->tasks.size())
+                    continue;
+                const WaitReason reason = plan_.held.size() > heldBefore ? WaitReason::RoomIsFreed
+                    : mayGoAnywhere                                      ? WaitReason::NoRoom
+                                                                         : WaitReason::WaitsForRack;
+                plan_.waiting.push_back(
+                    { static_cast<std::size_t>(step - input_.steps.data()), step->tasks.size() - placed, reason });
             }
             return std::move(plan_);
         }
@@ -177,13 +188,12 @@
                 >= localWaitEstimates * static_cast<double>(step.spec->estimate.count());
         }
 
-        void planGang(const PlanStep& step)
+        void planGang(const PlanStep& step, bool spread)
         {
             const bool preferRack = step.spec->rackLocal || !step.spec->dataRack.empty();
             std::vector<PlanWorker*> chosen;
             if (preferRack)
                 chosen = chooseInOneRack(step, /*countLeaving=*/false);
-            const bool spread = maySpread(step);
             if (chosen.empty() && spread)
                 chosen = choose(step, allWorkers(), static_cast<int>(step.tasks.size()), /*countLeaving=*/false);
             if (!chosen.empty()) {
@@ -202,10 +212,9 @@
                 preemptFor(step, preferRack && !spread);
         }
 
-        void planTasks(const PlanStep& step)
+        void planTasks(const PlanStep& step, bool remoteAllowed)
         {
             PlanStep rest = step;
-            const bool remoteAllowed = maySpread(step);
             std::size_t placed = 0;
             for (int task : step.tasks) {
                 PlanWorker* best = nullptr;
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -73,9 +73,23 @@
     std::string rack;
 };
 
+// Why tasks of a step do not start now.
+enum class WaitReason {
+    NoRoom, // neither free nor being freed for it
+    RoomIsFreed, // it is kept what other work is leaving
+    WaitsForRack, // none on one rack or on that of its data, for which it still waits
+};
+
+struct WaitingStep {
+    std::size_t step = 0; // index into PlanInput::steps
+    std::size_t tasks = 0;
+    WaitReason reason = WaitReason::NoRoom;
+};
+
 struct Plan {
     std::vector<Placement> placements;
     std::vector<HeldRoom> held;
+    std::vector<WaitingStep> waiting; // in order of their rank
     std::vector<std::size_t> stops; // indices into PlanInput::running
 };
 
--- a/src/jobs/PoolOwner.cpp
+++ b/src/jobs/PoolOwner.cpp
@@ -5,7 +5,7 @@
 namespace rosemarylink::jobs {
 
 PoolOwner::PoolOwner(RecordStore& store, WorkerPort& workers, const Catalog& catalog, const ConfigView& config,
-    Ownership& ownership, Timers& timers, const Clock& clock, const PoolLimits& limits)
+    Ownership& ownership, Timers& timers, const Clock& clock, JobMetrics& metrics, const PoolLimits& limits)
     : store_(store)
     , workers_(workers)
     , catalog_(catalog)
@@ -13,6 +13,7 @@
     , ownership_(ownership)
     , timers_(timers)
     , clock_(clock)
+    , metrics_(metrics)
     , limits_(limits)
 {
 }
@@ -21,6 +22,7 @@
 
 void PoolOwner::begin(FencingToken token)
 {
+    metrics_.ownerships.add();
     tenure_ = std::make_shared<internal::Tenure>(*this, token);
     tenure_->start();
 }
--- a/src/jobs/Tenure.h
+++ b/src/jobs/Tenure.h
@@ -67,6 +67,9 @@
     void flush(const std::function<void()>& done);
 
 private:
+    // Of the steps that wait, by job, occurrence and step.
+    using WaitReasons = std::map<std::tuple<JobId, int, int>, WaitReason>;
+
     // Wraps a callback so that it does nothing once the tenure is over.
     template <typename Function> auto guarded(Function function)
     {
@@ -136,7 +139,8 @@
     PlanInput planInput(const ServiceId& pool);
     void addSteps(PlanInput&, const Job&, std::int64_t guaranteeLeft);
     void addRunning(PlanInput&, const Job&, bool guaranteed);
-    void applyPlan(const PlanInput&, const Plan&);
+    void applyPlan(const ServiceId& pool, const PlanInput&, const Plan&);
+    void logWaiting(const ServiceId& pool, const PlanInput&, const Plan&);
 
     // TenureRecords.cpp
     void flushSoon(Milliseconds delay);
@@ -165,6 +169,7 @@
     bool incomingLoaded_ = false;
     bool fleetWriting_ = false;
     std::map<std::tuple<JobId, int, int>, std::string> heldRacks_; // by job, occurrence and step; from the last plan
+    std::map<ServiceId, WaitReasons> waitReasons_; // as logged
     bool recovered_ = false;
     bool planPending_ = false;
     bool flushPending_ = false;
--- a/src/jobs/TenurePlanning.cpp
+++ b/src/jobs/TenurePlanning.cpp
@@ -23,6 +23,21 @@
     // Kept of the time to reclaim a guarantee for stopping other work and for the orders.
     constexpr Milliseconds reclaimMargin { 700 };
 
+    const Logger logger("plan");
+
+    const char* reasonName(WaitReason reason)
+    {
+        switch (reason) {
+        case WaitReason::NoRoom:
+            return "no-room";
+        case WaitReason::RoomIsFreed:
+            return "room-is-freed";
+        case WaitReason::WaitsForRack:
+            return "waits-for-rack";
+        }
+        return "no-room";
+    }
+
     Milliseconds longestChain(const JobSpec& job, std::size_t from)
     {
         std::vector<Milliseconds> ends(job.steps.size());
@@ -68,7 +83,7 @@
     for (const ServiceId& pool : pools) {
         const PlanInput input = planInput(pool);
         if (!input.steps.empty())
-            applyPlan(input, makePlan(input));
+            applyPlan(pool, input, makePlan(input));
     }
 }
 
@@ -206,9 +221,9 @@
     }
 }
 
-void Tenure::applyPlan(const PlanInput& input, const Plan& plan)
+void Tenure::applyPlan(const ServiceId& pool, const PlanInput& input, const Plan& plan)
 {
-    static const Logger logger("plan");
+    logWaiting(pool, input, plan);
     for (const PlanStep& step : input.steps)
         heldRacks_.erase({ step.job, step.occurrence, step.step });
     for (const HeldRoom& room : plan.held)
@@ -227,4 +242,34 @@
     startTasks(plan.placements);
 }
 
+// A line when a step begins to wait, and when the reason changes.
+void Tenure::logWaiting(const ServiceId& pool, const PlanInput& input, const Plan& plan)
+{
+    std::int64_t freeAccelerators = 0;
+    std::size_t usableWorkers = 0;
+    for (const PlanWorker& worker : input.workers) {
+        if (!worker.usable)
+            continue;
+        ++usableWorkers;
+        freeAccelerators += worker.free.accelerators;
+    }
+    WaitReasons& known = waitReasons_[pool];
+    WaitReasons reasons;
+    for (std::size_t ahead = 0; ahead < plan.waiting.size(); ++ahead) {
+        const WaitingStep& waiting = plan.waiting[ahead];
+        const PlanStep& step = input.steps[waiting.step];
+        const std::tuple<JobId, int, int> key { step.job, step.occurrence, step.step };
+        reasons[key] = waiting.reason;
+        const auto logged = known.find(key);
+        if (logged != known.end() && logged->second == waiting.reason)
+            continue;
+        logger.info("Step waits",
+            { { "job", step.job }, { "step", step.step }, { "reason", reasonName(waiting.reason) },
+                { "tasks", waiting.tasks }, { "acceleratorsEach", step.spec->each.accelerators },
+                { "freeAccelerators", freeAccelerators }, { "usableWorkers", usableWorkers }, { "stepsAhead", ahead },
+                { "token", token_ } });
+    }
+    known = std::move(reasons);
+}
+
 } // namespace rosemarylink::jobs::internal
--- a/src/jobs/TenureRecords.cpp
+++ b/src/jobs/TenureRecords.cpp
@@ -68,8 +68,11 @@
         return;
     }
     flushing_ = true;
-    owner_.store_.commit(batch, commitTimeout,
-        guarded([this, written](const StoreAnswer& answer) { takeFlushAnswer(written, answer); }));
+    const Milliseconds sentAt = now();
+    owner_.store_.commit(batch, commitTimeout, guarded([this, written, sentAt](const StoreAnswer& answer) {
+        owner_.metrics_.store.record(static_cast<double>((now() - sentAt).count()));
+        takeFlushAnswer(written, answer);
+    }));
 }
 
 void Tenure::takeFlushAnswer(const std::vector<std::pair<JobId, std::int64_t>>& written, const StoreAnswer& answer)
--- a/src/jobs/TenureRecovery.cpp
+++ b/src/jobs/TenureRecovery.cpp
@@ -161,6 +161,9 @@
         logger.error("Submission is unreadable", { { "job", id }, { "reason", spec.error().message } });
         return;
     }
+    // By the accepting instance's time of day, which may differ a little from this one's.
+    const Milliseconds age = std::max(
+        Milliseconds(0), std::chrono::duration_cast<Milliseconds>(owner_.clock_.now() - spec.value().acceptedAt));
     Job job = makeJob(spec.value(), record.revision);
     job.arrivedAt = now();
     // Known only from before this tenure: an earlier owner may have started some of it.
@@ -171,9 +174,9 @@
             logger.error("Progress record is unreadable", { { "job", id }, { "reason", applied.error().message } });
         job.runRevision = loaded->second.second;
         loadedProgress_.erase(loaded);
-        const Milliseconds age
-            = std::chrono::duration_cast<Milliseconds>(owner_.clock_.now() - spec.value().acceptedAt);
-        job.arrivedAt -= std::max(Milliseconds(0), age);
+        job.arrivedAt -= age;
+    } else {
+        owner_.metrics_.handOver.record(static_cast<double>(age.count()));
     }
     jobs_.emplace(id, std::move(job));
     planSoon();
--- a/src/jobs/TenureTasks.cpp
+++ b/src/jobs/TenureTasks.cpp
@@ -30,25 +30,6 @@
 
     const Logger logger("tasks");
 
-    std::string_view endName(RunEnd end)
-    {
-        switch (end) {
-        case RunEnd::Done:
-            return "done";
-        case RunEnd::Failed:
-            return "failed";
-        case RunEnd::Stopped:
-            return "stopped";
-        case RunEnd::Lapsed:
-            return "lapsed";
-        case RunEnd::Broken:
-            return "broken";
-        case RunEnd::Alone:
-            return "alone";
-        }
-        return "failed";
-    }
-
 } // namespace
 
 void Tenure::touch(Job& job, bool urgent)
@@ -92,8 +73,9 @@
     if (task.phase == TaskPhase::Done)
         return;
     const bool current = task.run == run && task.worker == worker && task.phase != TaskPhase::Waiting;
+    owner_.metrics_.countEnd(end);
     logger.info("Run ended",
-        { { "task", taskName(key) }, { "run", run }, { "end", endName(end) }, { "worker", worker },
+        { { "task", taskName(key) }, { "run", run }, { "end", runEndName(end) }, { "worker", worker },
             { "current", current }, { "ranMs", current ? (now() - task.startedAt).count() : 0 },
             { "checkpointed", !checkpoint.empty() } });
     if (end == RunEnd::Done) {
@@ -185,6 +167,7 @@
 {
     job.state = state;
     job.finishedAt = now();
+    owner_.metrics_.completion.record(static_cast<double>((now() - job.arrivedAt).count()));
     logger.info("Job ended",
         { { "job", job.spec.id }, { "state", jobStateName(state) }, { "queue", job.spec.terms.queue },
             { "sinceArrivalMs", (now() - job.arrivedAt).count() } });
@@ -236,14 +219,21 @@
     worker.runs[runKey] = run;
     if (job.state == JobState::Queued) {
         job.state = JobState::Active;
+        owner_.metrics_.firstStart.record(static_cast<double>((now() - job.arrivedAt).count()));
         touch(job, /*urgent=*/false);
     }
     const Milliseconds leaseEnd = leaseEndFor(worker);
     extendLease(worker, leaseEnd);
     const WorkerId id = worker.entry.id;
     const std::uint64_t life = worker.life;
+    const Milliseconds sentAt = now();
     owner_.workers_.start(worker.entry, { key, task.run, job.spec.payload, job.checkpoint(key) }, leaseEnd, token_,
-        guarded([this, runKey, id, life](const OrderAnswer& answer) { takeStartAnswer(runKey, id, life, answer); }));
+        guarded([this, runKey, id, life, sentAt](const OrderAnswer& answer) {
+            owner_.metrics_.startAnswer.record(static_cast<double>((now() - sentAt).count()));
+            if (answer.outcome != StartOutcome::Started)
+                owner_.metrics_.countRefusedStart(answer.outcome);
+            takeStartAnswer(runKey, id, life, answer);
+        }));
 }
 
 void Tenure::takeStartAnswer(const RunKey& key, const WorkerId& id, std::uint64_t life, const OrderAnswer& answer)
@@ -289,7 +279,7 @@
     }
     logger.info("Start was refused",
         { { "task", taskName(key.first) }, { "run", key.second }, { "worker", id },
-            { "outcome", static_cast<int>(answer.outcome) } });
+            { "outcome", startOutcomeName(answer.outcome) } });
     worker->avoidUntil = std::max(worker->avoidUntil, now() + avoidAfterRefusal);
     worker->runs.erase(position);
     if (!job)
--- a/src/jobs/TenureWorkers.cpp
+++ b/src/jobs/TenureWorkers.cpp
@@ -143,6 +143,7 @@
     }
     if (!worker.unansweredSince) {
         worker.unansweredSince = now();
+        owner_.metrics_.silentWorkers.add();
         logger.warning("Worker does not answer",
             { { "worker", id }, { "runs", worker.runs.size() }, { "listed", worker.listed },
                 { "leaseOverInMs", (worker.leaseOverAt - now()).count() }, { "reason", error.message } });
@@ -349,6 +350,7 @@
         return;
     logger.warning("Runs of a worker are lost",
         { { "worker", worker.entry.id }, { "runs", worker.runs.size() }, { "reason", reason } });
+    owner_.metrics_.lostRuns.add(static_cast<std::int64_t>(worker.runs.size()));
     const auto runs = std::move(worker.runs);
     worker.runs.clear();
     for (const auto& [key, run] : runs) {
--- a/tests/jobs/AdmissionTest.cpp
+++ b/tests/jobs/AdmissionTest.cpp
@@ -106,4 +106,22 @@
     }
 }
 
+// Guards against legs of a job's way that the metrics do not show.
+TEST_CASE("every leg of a job's way is measured")
+{
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(5000));
+    REQUIRE(cluster.submit("batch", "a1", smallJob).outcome == AdmissionOutcome::Accepted);
+    cluster.world.run(Milliseconds(10000));
+    REQUIRE(cluster.stored("a1") == JobState::Completed);
+    REQUIRE(cluster.query("nowhere", "a1").outcome == AdmissionOutcome::NoQueue);
+    const std::string text = cluster.instances[0]->registry.renderPrometheus();
+    for (const char* const leg : { "accept", "hand-over", "first-start", "start-answer", "store", "completion" })
+        CHECK(text.find("rosemarylink_job_leg_ms_count{leg=\"" + std::string(leg) + "\"} 0") == std::string::npos);
+    CHECK(text.find("rosemarylink_caller_answers_total{outcome=\"no-queue\"} 1") != std::string::npos);
+    CHECK(text.find("rosemarylink_run_ends_total{end=\"done\"} ") != std::string::npos);
+    CHECK(text.find("rosemarylink_ownerships_total 1") != std::string::npos);
+}
+
 } // namespace rosemarylink::jobs
--- a/tests/jobs/PlannerTest.cpp
+++ b/tests/jobs/PlannerTest.cpp
@@ -183,6 +183,29 @@
     REQUIRE(makePlan(input).stops.size() == 1);
 }
 
+// Guards against a job that waits and whose log does not say why.
+TEST_CASE("a plan tells why a step waits")
+{
+    const StepSpec spec = localGang(2, 8);
+    PlanInput input = racks(2, 8);
+    input.workers[0].free = {};
+    input.workers[2].free = {};
+    input.steps.push_back(gangOf(spec, 1));
+    input.now = Milliseconds(100);
+    Plan plan = makePlan(input);
+    REQUIRE(plan.waiting.size() == 1);
+    REQUIRE(plan.waiting[0].tasks == 2);
+    REQUIRE(plan.waiting[0].reason == WaitReason::WaitsForRack);
+    input.workers[0].leaving = input.workers[0].capacity;
+    REQUIRE(makePlan(input).waiting.at(0).reason == WaitReason::RoomIsFreed);
+    input.workers[0].leaving = {};
+    input.workers[1].free = {};
+    input.now = Milliseconds(60000);
+    REQUIRE(makePlan(input).waiting.at(0).reason == WaitReason::NoRoom);
+    input.workers[1].free = input.workers[1].capacity;
+    REQUIRE(makePlan(input).waiting.empty());
+}
+
 // Guards against more tasks of a step on one worker than it allows.
 TEST_CASE("the spread limit of a step holds")
 {
--- a/tests/jobs/SimCluster.cpp
+++ b/tests/jobs/SimCluster.cpp
@@ -43,11 +43,12 @@
     : timers(world)
     , store(world, simStore)
     , workers(world, fleet)
+    , metrics(registry)
     , config(store, catalog, timers, world.clock())
     , ownership(store, timers, world.clock(), name)
-    , owner(store, workers, catalog, config, ownership, timers, world.clock(),
+    , owner(store, workers, catalog, config, ownership, timers, world.clock(), metrics,
           { Milliseconds(6000), Milliseconds(3000), Milliseconds(400), Milliseconds(3000), Milliseconds(240000) })
-    , admission(store, config, catalog, timers, world.clock())
+    , admission(store, config, catalog, timers, world.clock(), metrics)
 {
     config.start();
     ownership.start(
--- a/tests/jobs/SimCluster.h
+++ b/tests/jobs/SimCluster.h
@@ -58,6 +58,8 @@
     SimTimers timers;
     SimStoreClient store;
     SimWorkerClient workers;
+    MetricsRegistry registry;
+    JobMetrics metrics;
     ConfigView config;
     Ownership ownership;
     PoolOwner owner;
