Keep the room that is freed for a step on the same workers from plan to plan

A gang wider than a rack had work stopped; the next plan chose workers by least free room and so moved its hold to workers that others were still leaving; batch work filled what had been freed and was stopped next. Ruled out: too little room (100 to 170 free accelerators while a gang of 32 waited), refused starts (17). The hold of one rack did not cover this case.

A plan now returns the workers of each hold, and the next plan prefers them. Test first: the filler was placed before.

--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -109,11 +109,12 @@
         std::vector<PlanWorker*> choose(
             const PlanStep& step, std::vector<PlanWorker*> candidates, int count, bool countLeaving) const
         {
+            // A hold that moved about would keep room free nowhere, and smaller work would fill what had been freed.
             // Urgent work is packed onto the same workers: spread over all, it would leave none that can be emptied for
             // a guaranteed task that needs a whole worker.
-            const auto order = [urgent = step.priority == 0](const PlanWorker* worker) {
-                return std::make_tuple(worker->suspect, urgent ? -worker->urgentAccelerators : 0,
-                    worker->free.accelerators, worker->free.milliCores);
+            const auto order = [&step, urgent = step.priority == 0](const PlanWorker* worker) {
+                return std::make_tuple(step.heldWorkers.count(worker->id) == 0, worker->suspect,
+                    urgent ? -worker->urgentAccelerators : 0, worker->free.accelerators, worker->free.milliCores);
             };
             std::stable_sort(candidates.begin(), candidates.end(),
                 [&order](const PlanWorker* a, const PlanWorker* b) { return order(a) < order(b); });
@@ -146,8 +147,9 @@
                 std::vector<PlanWorker*> chosen = choose(step, members, count, countLeaving);
                 if (chosen.empty())
                     continue;
-                if (rack == step.heldRack)
-                    return chosen; // a hold that moved about would keep room free nowhere
+                if (std::any_of(members.begin(), members.end(),
+                        [&step](const PlanWorker* worker) { return step.heldWorkers.count(worker->id) > 0; }))
+                    return chosen;
                 std::int64_t left = 0;
                 for (const PlanWorker* worker : members)
                     left += worker->free.accelerators;
@@ -264,10 +266,14 @@
 
         void reserve(const PlanStep& step, const std::vector<PlanWorker*>& chosen)
         {
-            if (!chosen.empty())
-                plan_.held.push_back({ step.job, step.occurrence, step.step, chosen.front()->rack });
-            for (PlanWorker* worker : chosen)
+            if (chosen.empty())
+                return;
+            HeldRoom held { step.job, step.occurrence, step.step, {} };
+            for (PlanWorker* worker : chosen) {
                 worker->free -= step.spec->each;
+                held.workers.insert(worker->id);
+            }
+            plan_.held.push_back(std::move(held));
         }
 
         // Stops the work whose loss is least so that the step fits, within one rack or anywhere.
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -32,7 +32,7 @@
     std::map<WorkerId, int> present; // tasks of the step that are on a worker already
     int priority = 0;
     bool guaranteed = false; // within its account's guarantee
-    std::string heldRack; // where an earlier plan has kept room for it; empty when none has
+    std::set<WorkerId> heldWorkers; // on which the last plan has kept room for it
     Milliseconds arrivedAt { 0 }; // of the job, or the due time of its occurrence
     Milliseconds readyAt { 0 }; // since when the step could have started
     Milliseconds objectiveAt { 0 }; // when the job should end
@@ -65,12 +65,12 @@
     WorkerId worker;
 };
 
-// Room that is kept free for a gang until it is whole.
+// Room that is kept free for a step until there is enough.
 struct HeldRoom {
     JobId job;
     int occurrence = 0;
     int step = 0;
-    std::string rack;
+    std::set<WorkerId> workers;
 };
 
 // Why tasks of a step do not start now.
--- a/src/jobs/Tenure.h
+++ b/src/jobs/Tenure.h
@@ -168,7 +168,8 @@
     bool fleetLoaded_ = false;
     bool incomingLoaded_ = false;
     bool fleetWriting_ = false;
-    std::map<std::tuple<JobId, int, int>, std::string> heldRacks_; // by job, occurrence and step; from the last plan
+    std::map<std::tuple<JobId, int, int>, std::set<WorkerId>>
+        heldWorkers_; // by job, occurrence and step; of the last plan
     std::map<ServiceId, WaitReasons> waitReasons_; // as logged
     bool recovered_ = false;
     bool planPending_ = false;
--- a/src/jobs/TenurePlanning.cpp
+++ b/src/jobs/TenurePlanning.cpp
@@ -170,9 +170,9 @@
             step.spec = &job.spec.steps[number];
             step.priority = job.spec.terms.priority;
             step.guaranteed = step.priority == 0 && guaranteeLeft >= 0;
-            const auto held = heldRacks_.find({ job.spec.id, occurrence, static_cast<int>(number) });
-            if (held != heldRacks_.end())
-                step.heldRack = held->second;
+            const auto held = heldWorkers_.find({ job.spec.id, occurrence, static_cast<int>(number) });
+            if (held != heldWorkers_.end())
+                step.heldWorkers = held->second;
             step.arrivedAt = dueAt;
             step.readyAt = dueAt;
             step.remaining = longestChain(job.spec, number);
@@ -225,9 +225,9 @@
 {
     logWaiting(pool, input, plan);
     for (const PlanStep& step : input.steps)
-        heldRacks_.erase({ step.job, step.occurrence, step.step });
+        heldWorkers_.erase({ step.job, step.occurrence, step.step });
     for (const HeldRoom& room : plan.held)
-        heldRacks_[{ room.job, room.occurrence, room.step }] = room.rack;
+        heldWorkers_[{ room.job, room.occurrence, room.step }] = room.workers;
     for (std::size_t index : plan.stops) {
         const PlanRunning& victim = input.running[index];
         Job* const job = find(victim.job);
--- a/src/jobs/TenureRecords.cpp
+++ b/src/jobs/TenureRecords.cpp
@@ -134,8 +134,8 @@
         Job& job = position->second;
         if (isFinal(job.state) && !job.dirty() && !job.anyActive()) {
             finals_[position->first] = { job.state, *job.finishedAt };
-            heldRacks_.erase(heldRacks_.lower_bound({ position->first, 0, 0 }),
-                heldRacks_.lower_bound({ position->first, job.spec.occurrences, 0 }));
+            heldWorkers_.erase(heldWorkers_.lower_bound({ position->first, 0, 0 }),
+                heldWorkers_.lower_bound({ position->first, job.spec.occurrences, 0 }));
             position = jobs_.erase(position);
         } else {
             ++position;
--- a/tests/jobs/PlannerTest.cpp
+++ b/tests/jobs/PlannerTest.cpp
@@ -140,14 +140,46 @@
     input.workers[0].free = { 32000, 64000, 8 };
     const StepSpec spec = localGang(2, 8);
     input.steps.push_back(gangOf(spec, 0));
-    for (const std::string rack : { "r0", "r1" }) {
-        input.steps[0].heldRack = rack;
+    for (const std::string rack : { "0", "1" }) {
+        const std::set<WorkerId> workers { WorkerId("w" + rack + "-0"), WorkerId("w" + rack + "-1") };
+        input.steps[0].heldWorkers = workers;
         const Plan plan = makePlan(input);
         REQUIRE(plan.held.size() == 1);
-        REQUIRE(plan.held[0].rack == rack);
+        REQUIRE(plan.held[0].workers == workers);
     }
 }
 
+// Guards against the waste seen on the bench (tidyroom-jo-grown trouble-1): a gang wider than a rack had work stopped,
+// its hold moved to workers that were still being left, and batch work filled what had been freed, to be stopped next.
+TEST_CASE("room that was freed for a gang wider than a rack stays its own")
+{
+    PlanInput input = racks(3, 0);
+    StepSpec wide = localGang(4, 8);
+    wide.rackLocal = false;
+    StepSpec filler = localGang(1, 1);
+    filler.gang = false;
+    filler.rackLocal = false;
+    input.steps = { gangOf(wide, 0) };
+    for (const PlanWorker& worker : input.workers)
+        input.running.push_back(running(worker.id.value(), 2, false));
+    const Plan first = makePlan(input);
+    REQUIRE(first.stops.size() == 4);
+    REQUIRE(first.held.size() == 1);
+    // Two of the four workers are free now; on two others work is stopping for another reason.
+    input.running.clear();
+    int freed = 0;
+    for (PlanWorker& worker : input.workers) {
+        const bool held = first.held[0].workers.count(worker.id) > 0;
+        if (held && freed++ < 2)
+            worker.free = worker.capacity;
+        else
+            worker.leaving = worker.capacity;
+    }
+    input.steps[0].heldWorkers = first.held[0].workers;
+    input.steps.push_back(gangOf(filler, 2));
+    REQUIRE(makePlan(input).placements.empty());
+}
+
 // Guards against the RECLAIM seen on the bench (frescura-hq quiet-1, seed 840808457952): guaranteed work that could no
 // longer end in time was overtaken by newer work again and again.
 TEST_CASE("guaranteed work is not overtaken by newer guaranteed work")
