Leave the ownership to instances with more capacity for 800 ms

Cause: the grown sites have 12 machines of half a core and 200 Mbit/s, and 22 of 0.12 cores and 10 Mbit/s. Whoever came first owned 350 workers. Ruled out: the planner (few free accelerators, 27 of 350 workers usable), processor time (none was charged).

Test first: a small instance that starts first owned before. An owner that is small because no larger one was there keeps the ownership; that is open.

--- a/include/rosemarylink/jobs/Ownership.h
+++ b/include/rosemarylink/jobs/Ownership.h
@@ -5,10 +5,20 @@
 #include "rosemarylink/jobs/Timers.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace rosemarylink::jobs {
 
+// What an instance's machine has for it. Owning takes more than serving callers.
+struct InstanceCapacity {
+    double cores = 1;
+    double linkMbps = 1000;
+};
+
+// How long an instance leaves a free record to instances with more capacity.
+Milliseconds deferenceOf(const InstanceCapacity&);
+
 // Makes at most one instance the owner of all pools, by a record on a store lease. The fencing token is the revision at
 // which the record was created.
 class Ownership {
@@ -18,7 +28,8 @@
         std::function<void(const std::string& reason)> lost;
     };
 
-    Ownership(RecordStore&, Timers&, const Clock&, std::string instance);
+    // The record has been free for `deference` before this instance takes it.
+    Ownership(RecordStore&, Timers&, const Clock&, std::string instance, Milliseconds deference);
 
     // Follows the record and takes it when it is free.
     void start(Listener);
@@ -40,6 +51,7 @@
 private:
     void look();
     void follow(Revision after);
+    void contendInTurn();
     void contend();
     void settle(StoreLeaseId, Milliseconds grantedAt, Milliseconds ttl);
     void gain(Revision revision, StoreLeaseId, Milliseconds grantedAt, Milliseconds ttl);
@@ -51,6 +63,8 @@
     const Clock& clock_;
     std::string instance_;
     std::string nonce_;
+    Milliseconds deference_;
+    std::optional<Milliseconds> freeSince_; // of the record, as far as it is known here
     Listener listener_;
     FencingToken token_ { 0 };
     StoreLeaseId lease_ = 0;
--- a/src/jobs/Ownership.cpp
+++ b/src/jobs/Ownership.cpp
@@ -20,16 +20,31 @@
     constexpr Milliseconds watchWait { 3000 }; // bounds the delay when the connection falls silent
     constexpr Milliseconds retryDelay { 200 };
 
+    // An owner of 350 workers exchanges some 10 Mbit/s with them and the store when all is started anew, and collapses
+    // on a link of that size. A quarter of a core carries 48 workers with room to spare.
+    constexpr double ampleCores = 0.25;
+    constexpr double ampleLinkMbps = 100;
+
+    // Instances with ample capacity take the record within some round trips of 30 ms once it is free.
+    constexpr Milliseconds deference { 800 };
+
     const Logger logger("owner");
 
 } // namespace
 
-Ownership::Ownership(RecordStore& store, Timers& timers, const Clock& clock, std::string instance)
+Milliseconds deferenceOf(const InstanceCapacity& capacity)
+{
+    return capacity.cores >= ampleCores && capacity.linkMbps >= ampleLinkMbps ? Milliseconds(0) : deference;
+}
+
+Ownership::Ownership(
+    RecordStore& store, Timers& timers, const Clock& clock, std::string instance, Milliseconds deference)
     : store_(store)
     , timers_(timers)
     , clock_(clock)
     , instance_(std::move(instance))
     , nonce_(instance_ + " " + randomHex128())
+    , deference_(deference)
 {
 }
 
@@ -49,7 +64,7 @@
         if (leaving_ || held_)
             return;
         if (answer.outcome == StoreOutcome::NotFound)
-            contend();
+            contendInTurn();
         else if (answer.done())
             follow(answer.revision);
         else
@@ -59,12 +74,24 @@
 
 void Ownership::follow(Revision after)
 {
+    freeSince_.reset();
     store_.watch(keys::ownership, after, watchWait, [this](const StoreAnswer& answer) {
         // Whatever ended the wait, a read tells what holds now.
         timers_.after(answer.done() ? Milliseconds(0) : retryDelay, [this] { look(); });
     });
 }
 
+void Ownership::contendInTurn()
+{
+    if (!freeSince_)
+        freeSince_ = clock_.monotonic();
+    const Milliseconds left = deference_ - (clock_.monotonic() - *freeSince_);
+    if (left <= Milliseconds(0))
+        contend();
+    else
+        timers_.after(left, [this] { look(); });
+}
+
 void Ownership::contend()
 {
     if (contending_)
--- a/tests/jobs/SimCluster.cpp
+++ b/tests/jobs/SimCluster.cpp
@@ -39,13 +39,14 @@
     return entry;
 }
 
-SimInstance::SimInstance(SimWorld& world, SimStore& simStore, SimFleet& fleet, const std::string& name)
+SimInstance::SimInstance(
+    SimWorld& world, SimStore& simStore, SimFleet& fleet, const std::string& name, const InstanceCapacity& capacity)
     : timers(world)
     , store(world, simStore)
     , workers(world, fleet)
     , metrics(registry)
     , config(store, catalog, timers, world.clock())
-    , ownership(store, timers, world.clock(), name)
+    , ownership(store, timers, world.clock(), name, deferenceOf(capacity))
     , owner(store, workers, catalog, config, ownership, timers, world.clock(), metrics,
           { Milliseconds(6000), Milliseconds(3000), Milliseconds(400), Milliseconds(3000), Milliseconds(240000) })
     , admission(store, config, catalog, timers, world.clock(), metrics)
@@ -79,9 +80,9 @@
         addInstance();
 }
 
-SimInstance& SimCluster::addInstance()
+SimInstance& SimCluster::addInstance(const InstanceCapacity& capacity)
 {
-    instances.push_back(std::make_unique<SimInstance>(world, store, fleet, "i" + std::to_string(++added_)));
+    instances.push_back(std::make_unique<SimInstance>(world, store, fleet, "i" + std::to_string(++added_), capacity));
     return *instances.back();
 }
 
--- a/tests/jobs/SimCluster.h
+++ b/tests/jobs/SimCluster.h
@@ -24,7 +24,7 @@
     Result<WorkerEntry> parseWorker(const Record&) const override;
 };
 
-// Timers of one instance; none fires once it is dead or while it is frozen.
+// Timers of one instance; none fires once it is dead.
 class SimTimers final : public Timers {
 public:
     explicit SimTimers(SimWorld& world)
@@ -49,7 +49,7 @@
 
 // One process: admission and, by ownership, the scheduling of the pools.
 struct SimInstance {
-    SimInstance(SimWorld&, SimStore&, SimFleet&, const std::string& name);
+    SimInstance(SimWorld&, SimStore&, SimFleet&, const std::string& name, const InstanceCapacity&);
 
     void kill();
     void leave(); // as on SIGTERM
@@ -75,7 +75,7 @@
     Revision putConfiguration(const std::string& key = "key", const std::string& onlyQueue = "");
 
     void addWorkers(int racks, int perRack);
-    SimInstance& addInstance();
+    SimInstance& addInstance(const InstanceCapacity& = {});
 
     // Submits at an instance and runs until the answer; learns the job for the fleet.
     AdmissionAnswer submit(const std::string& queue, const std::string& id, const JobSpec&, std::size_t instance = 0,
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -166,4 +166,22 @@
     REQUIRE(cluster.stored("a2") == JobState::Completed);
 }
 
+// Guards against the collapse seen on the bench (tidyroom-jo-grown trouble-3): after all instances had been killed, one
+// with an eighth of a core and a link of 10 Mbit/s owned 350 workers while larger ones stood by.
+TEST_CASE("an instance with little capacity leaves the ownership to larger ones")
+{
+    const InstanceCapacity small { 0.12, 10 };
+    SimCluster cluster(0);
+    cluster.addInstance(small);
+    SimInstance& second = cluster.addInstance();
+    cluster.addInstance(small);
+    cluster.world.run(Milliseconds(1500));
+    REQUIRE(cluster.currentOwner() == &second);
+    // Without a larger one they serve themselves.
+    second.kill();
+    cluster.world.run(Milliseconds(5000));
+    REQUIRE(cluster.currentOwner() != nullptr);
+    REQUIRE(cluster.currentOwner() != &second);
+}
+
 } // namespace rosemarylink::jobs
