--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
+#include <utility>
 
 namespace rosemarylink::jobs::internal {
 
@@ -32,7 +33,10 @@
                 order.push_back(&step);
             std::stable_sort(order.begin(), order.end(),
                 [this](const PlanStep* a, const PlanStep* b) { return rank(*a) < rank(*b); });
+            bool reserved = false;
             for (const PlanStep* step : order) {
+                if (step->priority != 0 && !std::exchange(reserved, true))
+                    hideReserve();
                 const std::size_t placedBefore = plan_.placements.size();
                 const std::size_t heldBefore = plan_.held.size();
                 const bool mayGoAnywhere = maySpread(*step);
@@ -65,6 +69,24 @@
             return { step.priority, tier, tier == 2 ? step.arrivedAt : step.objectiveAt };
         }
 
+        // Takes the reserve for urgent work out of the plan, as whole workers: those where urgent work is packed, then
+        // the emptiest.
+        void hideReserve()
+        {
+            std::vector<PlanWorker*> workers = allWorkers();
+            std::sort(workers.begin(), workers.end(), [](const PlanWorker* a, const PlanWorker* b) {
+                return std::make_tuple(a->urgentAccelerators, a->free.accelerators, a->id)
+                    > std::make_tuple(b->urgentAccelerators, b->free.accelerators, b->id);
+            });
+            std::int64_t left = input_.urgentReserve;
+            for (PlanWorker* worker : workers) {
+                if (!worker->usable || worker->free.accelerators <= 0 || worker->free.accelerators > left)
+                    continue;
+                left -= worker->free.accelerators;
+                worker->usable = false;
+            }
+        }
+
         static int countThatFits(const Resources& each, const Resources& room)
         {
             int count = std::numeric_limits<int>::max();
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -57,6 +57,7 @@
     std::vector<PlanWorker> workers;
     std::vector<PlanStep> steps;
     std::vector<PlanRunning> running;
+    std::int64_t urgentReserve = 0; // accelerators that less urgent work leaves free
     Milliseconds urgentLocalWait { 0 }; // how long an urgent gang waits for one rack before it may be spread
 };
 
--- a/src/jobs/Tenure.h
+++ b/src/jobs/Tenure.h
@@ -139,6 +139,7 @@
     PlanInput planInput(const ServiceId& pool);
     void addSteps(PlanInput&, const Job&, std::int64_t guaranteeLeft);
     void addRunning(PlanInput&, const Job&, bool guaranteed);
+    std::int64_t urgentReserve(const ServiceId& pool, const PlanInput&);
     void applyPlan(const ServiceId& pool, const PlanInput&, const Plan&);
     void logWaiting(const ServiceId& pool, const PlanInput&, const Plan&);
 
@@ -171,6 +172,12 @@
     std::map<std::tuple<JobId, int, int>, std::set<WorkerId>>
         heldWorkers_; // by job, occurrence and step; of the last plan
     std::map<ServiceId, WaitReasons> waitReasons_; // as logged
+    // Accelerators that urgent work takes and waits for, at their recent peak.
+    struct UrgentPeak {
+        double accelerators = 0;
+        Milliseconds at { 0 };
+    };
+    std::map<ServiceId, UrgentPeak> urgentPeaks_;
     bool recovered_ = false;
     bool planPending_ = false;
     bool flushPending_ = false;
--- a/src/jobs/TenurePlanning.cpp
+++ b/src/jobs/TenurePlanning.cpp
@@ -3,6 +3,7 @@
 #include "rosemarylink/base/Log.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace rosemarylink::jobs::internal {
 
@@ -38,6 +39,12 @@
         return "no-room";
     }
 
+    // The peak of urgent demand is forgotten at this rate: some times the duration of an urgent job.
+    constexpr Milliseconds urgentPeakDecay { 8000 };
+
+    // At most this part of a pool is kept free, so that a burst of urgent work does not keep out the rest afterwards.
+    constexpr std::int64_t mostReserved = 8;
+
     Milliseconds longestChain(const JobSpec& job, std::size_t from)
     {
         std::vector<Milliseconds> ends(job.steps.size());
@@ -134,9 +141,33 @@
             addSteps(input, *job, left);
         addRunning(input, *job, job->spec.terms.priority == 0 && left >= 0);
     }
+    input.urgentReserve = urgentReserve(pool, input);
     return input;
 }
 
+// What urgent work took at its recent peak and does not take now. Without it less urgent work fills what each urgent
+// job leaves, and the next one stops it again: that throws away more work than the reserve keeps idle.
+std::int64_t Tenure::urgentReserve(const ServiceId& pool, const PlanInput& input)
+{
+    std::int64_t wanted = 0;
+    for (const PlanWorker& worker : input.workers)
+        wanted += worker.urgentAccelerators;
+    for (const PlanStep& step : input.steps) {
+        if (step.priority == 0)
+            wanted += step.spec->each.accelerators * static_cast<std::int64_t>(step.tasks.size());
+    }
+    UrgentPeak& peak = urgentPeaks_[pool];
+    const double age = static_cast<double>((input.now - peak.at).count());
+    peak.at = input.now;
+    const double now = static_cast<double>(wanted);
+    peak.accelerators = std::max(
+        now, now + (peak.accelerators - now) * std::exp(-age / static_cast<double>(urgentPeakDecay.count())));
+    std::int64_t capacity = 0;
+    for (const PlanWorker& worker : input.workers)
+        capacity += worker.capacity.accelerators;
+    return std::min(static_cast<std::int64_t>(peak.accelerators - now), capacity / mostReserved);
+}
+
 void Tenure::addSteps(PlanInput& input, const Job& job, std::int64_t guaranteeLeft)
 {
     const Milliseconds wallOffset = input.now - Milliseconds(toMilliseconds(owner_.clock_.now()));
--- a/tests/jobs/PlannerTest.cpp
+++ b/tests/jobs/PlannerTest.cpp
@@ -215,6 +215,27 @@
     REQUIRE(makePlan(input).stops.size() == 1);
 }
 
+// Guards against work that is started and stopped again with each urgent job, which threw away more work on the grown
+// sites than urgent work takes.
+TEST_CASE("less urgent work leaves the reserve of urgent work free, as whole workers")
+{
+    PlanInput input = racks(2, 8);
+    input.workers[1].free.accelerators = 4;
+    input.workers[1].urgentAccelerators = 4;
+    StepSpec filler = localGang(28, 1);
+    filler.gang = false;
+    filler.rackLocal = false;
+    input.steps = { gangOf(filler, 1) };
+    REQUIRE(makePlan(input).placements.size() == 28);
+    input.urgentReserve = 13; // the four beside urgent work and one empty worker
+    const Plan plan = makePlan(input);
+    REQUIRE(plan.placements.size() == 16);
+    for (const Placement& placement : plan.placements)
+        REQUIRE(placement.worker != input.workers[1].id);
+    input.steps = { gangOf(filler, 0) };
+    REQUIRE(makePlan(input).placements.size() == 28);
+}
+
 // Guards against a job that waits and whose log does not say why.
 TEST_CASE("a plan tells why a step waits")
 {
