Add a fault soak: real processes against the stand-ins, with faults injected from outside

tests/soak runs rosemarylink-edge processes on the loopback network against the simulated store and workers of the jobs tests, which it serves in the platform's protocol in real time. Proxies delay, reset, silence and cut links one way; processes are paused, killed, terminated and reloaded by signals; the store is down, loses answers, forgets its history; workers crash and carry out orders late. Callers and workers check the promises.

--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -41,6 +41,9 @@
 
     std::mt19937 random { 2 };
 
+    const WorkerEntry& entry(const WorkerId& id) const { return workers_.at(id).entry; }
+    bool isUp(const WorkerId& id) const { return workers_.at(id).up; }
+
     // Promises that were broken, in words.
     const std::vector<std::string>& violations() const { return violations_; }
     int startsOf(const JobId&) const;
--- /dev/null
+++ b/tests/soak/PlatformFront.cpp
@@ -0,0 +1,268 @@
+#include "PlatformFront.h"
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/URI.h>
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <sstream>
+#include <stdexcept>
+
+namespace rosemarylink::soak {
+
+namespace {
+
+    using Json = nlohmann::json;
+    using jobs::StoreAnswer;
+    using jobs::StoreOutcome;
+    using reactor::Responder;
+    using reactor::ServerRequest;
+
+    // No limit of its own: the callers' time-outs end their calls.
+    constexpr Milliseconds patience { 60000 };
+
+    std::string encode(const std::string& bytes)
+    {
+        std::ostringstream out;
+        Poco::Base64Encoder encoder(out);
+        encoder.rdbuf()->setLineLength(0);
+        encoder << bytes;
+        encoder.close();
+        return out.str();
+    }
+
+    std::string decode(const std::string& text)
+    {
+        std::istringstream in(text);
+        Poco::Base64Decoder decoder(in);
+        std::string bytes;
+        Poco::StreamCopier::copyToString(decoder, bytes);
+        return bytes;
+    }
+
+    Json item(const jobs::Record& record)
+    {
+        return { { "Key", record.key }, { "Value", encode(record.value) }, { "Revision", record.revision.value() } };
+    }
+
+    Json items(const StoreAnswer& answer)
+    {
+        Json rows = Json::array();
+        for (const jobs::Record& record : answer.records)
+            rows.push_back(item(record));
+        return rows;
+    }
+
+    // Answers with the body when the call was done, and otherwise as the platform's store does.
+    jobs::StoreHandler respondTo(const Responder& respond, const std::function<Json(const StoreAnswer&)>& body)
+    {
+        return [respond, body](const StoreAnswer& answer) {
+            switch (answer.outcome) {
+            case StoreOutcome::Done:
+                respond({ 200, body(answer).dump(), {} });
+                return;
+            case StoreOutcome::Conflict:
+                respond({ 412, Json({ { "items", items(answer) } }).dump(), {} });
+                return;
+            case StoreOutcome::NotFound:
+                respond({ 404, Json({ { "CurrentRev", answer.revision.value() } }).dump(), {} });
+                return;
+            case StoreOutcome::HistoryGone:
+                respond({ 410, "{}", {} });
+                return;
+            case StoreOutcome::Refused:
+                respond({ 503, "{}", {} });
+                return;
+            case StoreOutcome::Unknown:
+                return; // the answer is lost
+            }
+        };
+    }
+
+    jobs::Batch parseBatch(const Json& body)
+    {
+        jobs::Batch batch;
+        for (const Json& row : body.at("Expected"))
+            batch.preconditions.push_back({ row.at("Key"), Revision(row.at("Revision").get<std::int64_t>()) });
+        for (const Json& row : body.at("Writes"))
+            batch.puts.push_back({ row.at("Key"), decode(row.at("Value")), row.value("Lease", std::int64_t(0)) });
+        for (const Json& key : body.at("Deletes"))
+            batch.removals.push_back(key.get<std::string>());
+        return batch;
+    }
+
+    Json leaseBody(const StoreAnswer& answer)
+    {
+        return { { "Lease", answer.lease }, { "TtlMs", answer.leaseTtl.count() } };
+    }
+
+    Json watchBody(const StoreAnswer& answer)
+    {
+        Json events = items(answer);
+        for (const std::string& key : answer.removedKeys)
+            events.push_back({ { "Key", key }, { "Revision", answer.revision.value() }, { "Deleted", true } });
+        return { { "events", events }, { "CurrentRev", answer.revision.value() } };
+    }
+
+    void serveStoreCall(jobs::SimStoreClient& store, const ServerRequest& request, const Responder& respond)
+    {
+        static const std::string root = "/rosemarylink/kv-";
+        const Poco::URI uri(request.head.getURI());
+        const std::string path = uri.getPath();
+        std::map<std::string, std::string> query;
+        for (const auto& [name, value] : uri.getQueryParameters())
+            query[name] = value;
+        const std::string kind = path.substr(root.size(), path.find('/', root.size()) - root.size());
+        const auto number = [&query](const char* name) { return std::stoll(query.at(name)); };
+        const auto lease = [&path] { return std::stoll(path.substr(path.rfind('/') + 1)); };
+        if (kind == "key") {
+            store.read(query.at("Key"), patience,
+                respondTo(respond, [](const StoreAnswer& answer) { return item(answer.records.front()); }));
+        } else if (kind == "range") {
+            store.list(query.at("Prefix"), patience, respondTo(respond, [](const StoreAnswer& answer) {
+                return Json({ { "items", items(answer) }, { "CurrentRev", answer.revision.value() } });
+            }));
+        } else if (kind == "watch") {
+            store.watch(query.at("Prefix"), Revision(number("After")), Milliseconds(number("WaitMs")),
+                respondTo(respond, watchBody));
+        } else if (kind == "txn") {
+            store.commit(
+                parseBatch(Json::parse(request.body)), patience, respondTo(respond, [](const StoreAnswer& answer) {
+                    return Json({ { "Revision", answer.revision.value() } });
+                }));
+        } else if (kind == "lease") {
+            store.grantLease(Milliseconds(Json::parse(request.body).at("TtlMs").get<std::int64_t>()), patience,
+                respondTo(respond, leaseBody));
+        } else if (kind == "keep") {
+            store.keepLease(lease(), patience, respondTo(respond, leaseBody));
+        } else if (kind == "lease-end") {
+            store.endLease(lease(), patience, respondTo(respond, [](const StoreAnswer&) { return Json::object(); }));
+        } else {
+            respond({ 404, "{}", {} });
+        }
+    }
+
+    const char* reasonOf(jobs::StartOutcome outcome)
+    {
+        switch (outcome) {
+        case jobs::StartOutcome::Fenced:
+            return "fence";
+        case jobs::StartOutcome::StaleRun:
+            return "old";
+        case jobs::StartOutcome::Late:
+            return "late";
+        default:
+            return "room";
+        }
+    }
+
+    std::function<void(const jobs::OrderAnswer&)> respondToOrder(const Responder& respond)
+    {
+        return [respond](const jobs::OrderAnswer& answer) {
+            const Json clock = { { "ClockMs", answer.workerClock.count() } };
+            if (answer.outcome == jobs::StartOutcome::Unknown)
+                return; // the worker is silent
+            if (answer.outcome == jobs::StartOutcome::Started) {
+                respond({ 200, clock.dump(), {} });
+                return;
+            }
+            Json body = clock;
+            body["Reason"] = reasonOf(answer.outcome);
+            respond({ 409, body.dump(), {} });
+        };
+    }
+
+    Json reportBody(const jobs::WorkerReport& report)
+    {
+        Json body = { { "ClockMs", report.workerClock.count() }, { "born", report.bornMs },
+            { "Running", Json::array() }, { "Ended", Json::array() } };
+        for (const jobs::RunningRun& run : report.running)
+            body["Running"].push_back({ jobs::taskName(run.task), run.run, run.checkpoint, run.percent });
+        for (const jobs::EndedRun& end : report.ended)
+            body["Ended"].push_back({ end.number, jobs::taskName(end.task), end.run,
+                std::string(jobs::runEndName(end.end)), end.checkpoint });
+        return body;
+    }
+
+    jobs::TaskKey taskOf(const Json& body)
+    {
+        const auto task = jobs::parseTaskName(body.at("Task").get<std::string>());
+        if (!task)
+            throw std::invalid_argument("not a task: " + body.at("Task").get<std::string>());
+        return *task;
+    }
+
+    void serveWorkerCall(jobs::SimWorkerClient& workers, const jobs::WorkerEntry& worker, const ServerRequest& request,
+        const Responder& respond)
+    {
+        const std::string& path = request.head.getURI();
+        const Json body = Json::parse(request.body);
+        const FencingToken token(body.at("FencingToken").get<std::int64_t>());
+        const Milliseconds leaseEnd(body.value("DeadlineMs", std::int64_t(0)));
+        if (path == "/rosemarylink/run-start") {
+            workers.start(worker,
+                { taskOf(body), body.at("Run"), body.at("Spec"), body.value("Checkpoint", std::string()) }, leaseEnd,
+                token, respondToOrder(respond));
+        } else if (path == "/rosemarylink/run-stop") {
+            workers.stop(worker, taskOf(body), body.at("Run"), token, respondToOrder(respond));
+        } else {
+            workers.hold(worker, leaseEnd, token, body.value("AckCursor", std::int64_t(0)),
+                Milliseconds(body.value("WaitMs", std::int64_t(0))),
+                [respond](const Result<jobs::WorkerReport>& report) {
+                    if (report)
+                        respond({ 200, reportBody(report.value()).dump(), {} });
+                    else if (report.error().code == ErrorCode::Fenced)
+                        respond({ 409, R"({"Reason":"fence"})", {} });
+                });
+        }
+    }
+
+    std::unique_ptr<reactor::LoopHttpServer> serve(reactor::EventLoop& loop, const reactor::RequestHandler& handler)
+    {
+        auto server = reactor::LoopHttpServer::listen(loop, "127.0.0.1:0", {}, handler);
+        if (!server)
+            throw std::runtime_error(server.error().message);
+        return std::move(server).value();
+    }
+
+} // namespace
+
+std::unique_ptr<reactor::LoopHttpServer> serveStore(reactor::EventLoop& loop, jobs::SimStoreClient& store)
+{
+    return serve(loop,
+        [&store](const ServerRequest& request, const Responder& respond) { serveStoreCall(store, request, respond); });
+}
+
+std::unique_ptr<reactor::LoopHttpServer> serveWorker(
+    reactor::EventLoop& loop, jobs::SimWorkerClient& workers, const jobs::WorkerEntry& worker)
+{
+    return serve(loop, [&workers, worker](const ServerRequest& request, const Responder& respond) {
+        serveWorkerCall(workers, worker, request, respond);
+    });
+}
+
+std::string platformEntry(const jobs::WorkerEntry& worker, const std::string& address)
+{
+    return Json({ { "Service", worker.pool.value() }, { "Address", address }, { "Zone", "zone" }, { "State", "ready" },
+                    { "born", worker.bornMs }, { "Labels", worker.labels },
+                    { "Capacity",
+                        { { "Cpu", worker.capacity.milliCores }, { "RequestedMb", worker.capacity.megabytes },
+                            { "Gpu", worker.capacity.accelerators } } } })
+        .dump();
+}
+
+std::string platformJob(const jobs::JobSpec& job)
+{
+    Json steps = Json::array();
+    for (const jobs::StepSpec& step : job.steps) {
+        steps.push_back(
+            { { "Count", step.taskCount }, { "Cpu", step.each.milliCores }, { "RequestedMb", step.each.megabytes },
+                { "Gpu", step.each.accelerators }, { "EstimateMs", step.estimate.count() }, { "After", step.after },
+                { "Gang", step.gang }, { "Checkpointing", step.checkpointing } });
+    }
+    return Json({ { "Spec", job.payload }, { "Steps", steps } }).dump();
+}
+
+} // namespace rosemarylink::soak
--- /dev/null
+++ b/tests/soak/PlatformFront.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "SimFleet.h"
+#include "rosemarylink/reactor/LoopHttpServer.h"
+
+#include <memory>
+#include <string>
+
+namespace rosemarylink::soak {
+
+// Serves a simulated store in the platform's protocol, on any free port of 127.0.0.1.
+std::unique_ptr<reactor::LoopHttpServer> serveStore(reactor::EventLoop&, jobs::SimStoreClient&);
+
+// Serves one simulated worker in the platform's protocol, on any free port of 127.0.0.1.
+std::unique_ptr<reactor::LoopHttpServer> serveWorker(
+    reactor::EventLoop&, jobs::SimWorkerClient&, const jobs::WorkerEntry&);
+
+// A worker's entry as the platform writes it.
+std::string platformEntry(const jobs::WorkerEntry&, const std::string& address);
+
+// A job as callers send it.
+std::string platformJob(const jobs::JobSpec&);
+
+} // namespace rosemarylink::soak
