--- a/include/rosemarylink/jobs/Job.h
+++ b/include/rosemarylink/jobs/Job.h
@@ -84,6 +84,9 @@
 nlohmann::json toJson(const JobSpec&);
 Result<JobSpec> parseJobSpec(const nlohmann::json&);
 
+// Ids are 1 to 64 letters, digits, '-' and '_', so that they can be part of keys and of task names.
+bool isValidJobId(const JobId&);
+
 enum class JobState { Queued, Active, Completed, Failed, Cancelled };
 
 std::string_view jobStateName(JobState);
--- a/include/rosemarylink/reactor/EventLoop.h
+++ b/include/rosemarylink/reactor/EventLoop.h
@@ -51,6 +51,7 @@
     void stop() { stopped_ = true; }
 
 private:
+    static void runGuarded(const Task&);
     void runDueTimers();
     Milliseconds nextWait() const;
 
--- a/include/rosemarylink/reactor/LoopHttpServer.h
+++ b/include/rosemarylink/reactor/LoopHttpServer.h
@@ -38,8 +38,6 @@
     // Closes connections after their current answer and idle ones now, and takes no new ones.
     void drain();
 
-    // Connections with a request in progress or partly received.
-    std::size_t busyConnections() const;
     std::size_t connections() const { return connections_.size(); }
 
     const std::string& address() const { return address_; }
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -129,7 +129,7 @@
         call->spec.account = account;
         call->spec.terms = queue.terms;
         call->spec.acceptedAt = clock_.now();
-        if (call->job.empty() || call->job.value().find('/') != std::string::npos)
+        if (!isValidJobId(call->job))
             call->problem = "the path names no job";
         else if (const auto checked = checkJobSpec(call->spec); !checked && call->problem.empty())
             call->problem = checked.error().message;
@@ -196,6 +196,8 @@
     authorize(call, [this, call](const Queue& queue, const AccountId&) {
         if (call->job.empty())
             countWaiting(call, queue.terms.queue);
+        else if (!isValidJobId(call->job))
+            finish(call, { AdmissionOutcome::NoJob, "no such job" });
         else
             readState(call);
     });
@@ -226,7 +228,12 @@
 void Admission::cancel(const CallerRequest& request, const AdmissionHandler& handler)
 {
     const CallPointer call = begin(request, handler);
-    authorize(call, [this, call](const Queue&, const AccountId&) { readForCancel(call); });
+    authorize(call, [this, call](const Queue&, const AccountId&) {
+        if (isValidJobId(call->job))
+            readForCancel(call);
+        else
+            finish(call, { AdmissionOutcome::NoJob, "no such job" });
+    });
 }
 
 void Admission::readForCancel(const CallPointer& call)
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -1,8 +1,10 @@
 #include "rosemarylink/jobs/Job.h"
 
+#include <Poco/Ascii.h>
 #include <Poco/NumberParser.h>
 #include <Poco/StringTokenizer.h>
 
+#include <algorithm>
 #include <array>
 
 namespace rosemarylink::jobs {
@@ -22,6 +24,13 @@
     constexpr std::size_t maximumSteps = 64;
     constexpr int maximumTasksOfStep = 2000;
     constexpr int maximumOccurrences = 1000;
+    constexpr std::int64_t maximumTasks = 200000; // of all occurrences
+
+    // Keys have at most 200 bytes.
+    constexpr std::size_t longestJobId = 64;
+
+    // Longer times would overflow in sums; the longest steps take minutes.
+    constexpr Milliseconds longestTime { 366LL * 24 * 3600 * 1000 };
 
     nlohmann::json stepToJson(const StepSpec& step)
     {
@@ -52,12 +61,23 @@
 
 } // namespace
 
+bool isValidJobId(const JobId& id)
+{
+    const std::string& text = id.value();
+    return !text.empty() && text.size() <= longestJobId && std::all_of(text.begin(), text.end(), [](char character) {
+        return Poco::Ascii::isAlphaNumeric(character) || character == '-' || character == '_';
+    });
+}
+
 Status checkJobSpec(const JobSpec& job)
 {
     if (job.steps.empty() || job.steps.size() > maximumSteps)
         return invalidArgument("a job has 1 to " + std::to_string(maximumSteps) + " steps");
     if (job.occurrences < 1 || job.occurrences > maximumOccurrences)
         return invalidArgument("a job has 1 to " + std::to_string(maximumOccurrences) + " occurrences");
+    if (job.interval < Milliseconds(0) || job.interval > longestTime)
+        return invalidArgument("the interval is 0 to one year");
+    std::int64_t tasks = 0;
     for (std::size_t number = 0; number < job.steps.size(); ++number) {
         const StepSpec& step = job.steps[number];
         const std::string where = "step " + std::to_string(number) + ": ";
@@ -66,11 +86,16 @@
         if (step.each.milliCores < 0 || step.each.megabytes < 0 || step.each.accelerators < 0
             || step.maximumPerWorker < 0 || step.estimate < Milliseconds(0))
             return invalidArgument(where + "a negative size");
+        if (step.estimate > longestTime)
+            return invalidArgument(where + "an estimate of more than a year");
+        tasks += std::int64_t(step.taskCount) * job.occurrences;
         for (int earlier : step.after) {
             if (earlier < 0 || earlier >= static_cast<int>(number))
                 return invalidArgument(where + "it can wait for earlier steps only");
         }
     }
+    if (tasks > maximumTasks)
+        return invalidArgument("a job has at most " + std::to_string(maximumTasks) + " tasks in all");
     return okStatus();
 }
 
--- a/src/reactor/EventLoop.cpp
+++ b/src/reactor/EventLoop.cpp
@@ -1,5 +1,7 @@
 #include "rosemarylink/reactor/EventLoop.h"
 
+#include "rosemarylink/base/Log.h"
+
 #include <Poco/Thread.h>
 
 #include <algorithm>
@@ -11,6 +13,8 @@
     // Bounds the delay until a flag set by a signal is seen.
     constexpr Milliseconds longestWait { 100 };
 
+    const Logger logger("loop");
+
 } // namespace
 
 EventLoop::TimerId EventLoop::after(Milliseconds delay, Task task)
@@ -56,6 +60,16 @@
     return std::clamp(untilDue, Milliseconds(0), longestWait);
 }
 
+// Whatever one event meets, the others go on.
+void EventLoop::runGuarded(const Task& task)
+{
+    try {
+        task();
+    } catch (const std::exception& problem) {
+        logger.error("An event was not handled to its end", { { "reason", problem.what() } });
+    }
+}
+
 void EventLoop::runDueTimers()
 {
     const Milliseconds now = clock_.monotonic();
@@ -63,7 +77,7 @@
         const Task task = std::move(timers_.begin()->second);
         dueTimes_.erase(timers_.begin()->first.second);
         timers_.erase(timers_.begin());
-        task();
+        runGuarded(task);
     }
 }
 
@@ -86,9 +100,9 @@
                 continue;
             }
             if (mode & Poco::Net::PollSet::POLL_WRITE)
-                handler->onWritable();
+                runGuarded([&handler] { handler->onWritable(); });
             if ((mode & (Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR)) && handlers_.count(socket))
-                handler->onReadable();
+                runGuarded([&handler] { handler->onReadable(); });
         }
         runDueTimers();
         onTurn();
--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -215,12 +215,4 @@
         connection->drain();
 }
 
-std::size_t LoopHttpServer::busyConnections() const
-{
-    std::size_t count = 0;
-    for (const auto& connection : connections_)
-        count += connection->busy() ? 1 : 0;
-    return count;
-}
-
 } // namespace rosemarylink::reactor
--- a/tests/jobs/AdmissionTest.cpp
+++ b/tests/jobs/AdmissionTest.cpp
@@ -106,6 +106,20 @@
     }
 }
 
+// Guards against the crash that FuzzTest found: an id with bytes that are no text could not be written to the store.
+TEST_CASE("only ids of letters, digits, '-' and '_' name jobs")
+{
+    REQUIRE(isValidJobId(JobId("0123456789abcdef")));
+    for (const std::string text : { "", "a.b", "a/b", "a b", "\xb2", "a\n" })
+        REQUIRE_FALSE(isValidJobId(JobId(text)));
+    REQUIRE_FALSE(isValidJobId(JobId(std::string(65, 'a'))));
+    SimCluster cluster(1);
+    cluster.world.run(Milliseconds(3000));
+    REQUIRE(cluster.submit("batch", "\xb2", smallJob).outcome == AdmissionOutcome::Invalid);
+    REQUIRE(cluster.query("batch", "\xb2").outcome == AdmissionOutcome::NoJob);
+    REQUIRE(cluster.cancel("batch", "\xb2").outcome == AdmissionOutcome::NoJob);
+}
+
 // Guards against legs of a job's way that the metrics do not show.
 TEST_CASE("every leg of a job's way is measured")
 {
--- /dev/null
+++ b/tests/reactor/EventLoopTest.cpp
@@ -0,0 +1,90 @@
+#include "rosemarylink/reactor/EventLoop.h"
+#include "rosemarylink/reactor/LoopHttpClient.h"
+#include "rosemarylink/reactor/LoopHttpServer.h"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <optional>
+#include <stdexcept>
+
+namespace rosemarylink::reactor {
+
+// Guards against one event that ends the process and with it all other requests.
+TEST_CASE("an event that throws does not end the loop")
+{
+    const SystemClock clock;
+    EventLoop loop(clock);
+    bool later = false;
+    loop.after(Milliseconds(0), [] { throw std::runtime_error("unexpected"); });
+    loop.after(Milliseconds(5), [&loop, &later] {
+        later = true;
+        loop.stop();
+    });
+    loop.run([] {});
+    REQUIRE(later);
+}
+
+// Guards against answers that go to the wrong call, and against a server that keeps callers waiting after a drain.
+TEST_CASE("a client and a server exchange messages on kept connections until the server drains")
+{
+    const SystemClock clock;
+    EventLoop loop(clock);
+    LoopHttpClient client(loop);
+    auto server
+        = LoopHttpServer::listen(loop, "127.0.0.1:0", {}, [](const ServerRequest& request, const Responder& respond) {
+              respond({ 200, "{\"echo\":" + request.body + "}", {} });
+          });
+    REQUIRE(server.has_value());
+    const std::string address = server.value()->address();
+    constexpr int calls = 20;
+    int answered = 0;
+    std::optional<Verdict> afterDrain;
+    std::function<void()> next = [&] {
+        const std::string body = std::to_string(answered);
+        client.send(
+            address, { "POST", "/", {}, body, Milliseconds(1000) }, [&, body](const Result<ClientReply>& reply) {
+                CHECK(reply.has_value());
+                CHECK(reply.value().body == "{\"echo\":" + body + "}");
+                if (++answered < calls) {
+                    next();
+                    return;
+                }
+                server.value()->drain();
+                loop.after(Milliseconds(20), [&] {
+                    client.send(
+                        address, { "GET", "/", {}, "", Milliseconds(300) }, [&](const Result<ClientReply>& refused) {
+                            if (!refused)
+                                afterDrain = refused.error().verdict;
+                            loop.stop();
+                        });
+                });
+            });
+    };
+    next();
+    loop.run([] {});
+    CHECK(answered == calls);
+    CHECK(client.connectionsOpened() <= 2);
+    CHECK(afterDrain == Verdict::NotRun);
+}
+
+// Guards against a call that waits for ever on a silent server.
+TEST_CASE("a call without an answer ends after its time and may have run")
+{
+    const SystemClock clock;
+    EventLoop loop(clock);
+    LoopHttpClient client(loop);
+    auto server = LoopHttpServer::listen(loop, "127.0.0.1:0", {}, [](const ServerRequest&, const Responder&) {});
+    REQUIRE(server.has_value());
+    std::optional<Verdict> verdict;
+    client.send(
+        server.value()->address(), { "GET", "/", {}, "", Milliseconds(50) }, [&](const Result<ClientReply>& reply) {
+            if (!reply)
+                verdict = reply.error().verdict;
+            loop.stop();
+        });
+    loop.run([] {});
+    REQUIRE(verdict == Verdict::MayHaveRun);
+}
+
+} // namespace rosemarylink::reactor
