Run tasks that last, and refuse jobs of queues with advised placement with a reason

Tasks that last were refused, and jobs of advised queues were accepted although every start of theirs is rejected for want of a ticket. A lasting task is now started again however it ends, without a limit of attempts, after a pause of 0.5 s when it ran for less than 1 s; its job ends by its cancellation. Where a number of tasks that may be away is given, they are not preempted. Advised queues and fillers are refused; machine moves, waves and standby pools are not done. Tests: restarts over ends, failures and a takeover; no preemption; decoding and records.

--- a/include/rosemarylink/jobs/Configuration.h
+++ b/include/rosemarylink/jobs/Configuration.h
@@ -18,6 +18,7 @@
     std::string pathPrefix;
     QueueTerms terms;
     bool needsKey = true;
+    std::string unsupported; // why no job of the queue can be served; empty when they can
 };
 
 struct ClientAccount {
--- a/include/rosemarylink/jobs/Job.h
+++ b/include/rosemarylink/jobs/Job.h
@@ -54,6 +54,8 @@
     std::string workerLabel; // the worker must have it, unless empty
     std::string dataRack; // slower on any other rack, unless empty
     int maximumPerWorker = 0; // tasks of the step on one worker; 0 means no limit
+    bool lasting = false; // its tasks run until the job is cancelled, and are started again however they end
+    bool preemptible = true; // its tasks may be stopped for more urgent work
 };
 
 // What the queue promised when the job was accepted. Kept with the job, since the queue may change or go.
--- a/include/rosemarylink/jobs/JobProgress.h
+++ b/include/rosemarylink/jobs/JobProgress.h
@@ -26,6 +26,7 @@
     std::string checkpoint; // of a task that is not in a gang
     WorkerId worker; // while Starting, Running or Stopping
     Milliseconds startedAt { 0 }; // monotonic time of the run's order
+    Milliseconds notBefore { 0 }; // monotonic time of the next start, of a task that lasts and ends at once
     int percent = 0; // of its work, as the worker last reported
 };
 
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -131,6 +131,8 @@
         call->spec.acceptedAt = clock_.now();
         if (!isValidJobId(call->job))
             call->problem = "the path names no job";
+        else if (!queue.unsupported.empty())
+            call->problem = queue.unsupported;
         else if (const auto checked = checkJobSpec(call->spec); !checked && call->problem.empty())
             call->problem = checked.error().message;
         if (call->problem.empty())
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -39,7 +39,8 @@
             { "estimate", step.estimate.count() }, { "after", step.after }, { "gang", step.gang },
             { "rackLocal", step.rackLocal }, { "checkpointing", step.checkpointing },
             { "workerLabel", step.workerLabel }, { "dataRack", step.dataRack },
-            { "maximumPerWorker", step.maximumPerWorker } };
+            { "maximumPerWorker", step.maximumPerWorker }, { "lasting", step.lasting },
+            { "preemptible", step.preemptible } };
     }
 
     StepSpec stepFromJson(const nlohmann::json& json)
@@ -56,6 +57,9 @@
         step.workerLabel = json.at("workerLabel").get<std::string>();
         step.dataRack = json.at("dataRack").get<std::string>();
         step.maximumPerWorker = json.at("maximumPerWorker").get<int>();
+        // Absent in the records of earlier versions.
+        step.lasting = json.value("lasting", step.lasting);
+        step.preemptible = json.value("preemptible", step.preemptible);
         return step;
     }
 
--- a/src/jobs/TenurePlanning.cpp
+++ b/src/jobs/TenurePlanning.cpp
@@ -188,9 +188,9 @@
             PlanStep step;
             for (int index = 0; index < spec.taskCount; ++index) {
                 const TaskProgress& task = progress.tasks[index];
-                if (task.phase == TaskPhase::Waiting)
+                if (task.phase == TaskPhase::Waiting && input.now >= task.notBefore)
                     step.tasks.push_back(index);
-                else if (task.phase != TaskPhase::Done)
+                else if (task.phase != TaskPhase::Waiting && task.phase != TaskPhase::Done)
                     ++step.present[task.worker];
             }
             if (step.tasks.empty())
@@ -223,6 +223,8 @@
     for (int occurrence = 0; occurrence < job.spec.occurrences; ++occurrence) {
         for (std::size_t number = 0; number < job.spec.steps.size(); ++number) {
             const StepSpec& spec = job.spec.steps[number];
+            if (!spec.preemptible)
+                continue;
             const StepProgress& progress = job.occurrences[occurrence][number];
             const double cores = static_cast<double>(spec.each.milliCores) / 1000.0
                 + coresOfAccelerator * static_cast<double>(spec.each.accelerators);
--- a/src/jobs/TenureTasks.cpp
+++ b/src/jobs/TenureTasks.cpp
@@ -24,6 +24,10 @@
     constexpr std::size_t suspectAfterFailures = 2;
     constexpr Milliseconds suspectFor { 6000 };
 
+    // A task that lasts and ends again and again is not started without a pause. It counts as missing after 3 s.
+    constexpr Milliseconds shortRun { 1000 };
+    constexpr Milliseconds restartPause { 500 };
+
     // Changes that callers wait for are stored at once; a few milliseconds gather those that arrive together.
     constexpr Milliseconds urgentFlushDelay { 2 };
     constexpr Milliseconds lazyFlushDelay { 120 };
@@ -78,7 +82,8 @@
         { { "task", taskName(key) }, { "run", run }, { "end", runEndName(end) }, { "worker", worker },
             { "current", current }, { "ranMs", current ? (now() - task.startedAt).count() : 0 },
             { "checkpointed", !checkpoint.empty() } });
-    if (end == RunEnd::Done) {
+    const StepSpec& spec = job.stepSpec(key);
+    if (end == RunEnd::Done && !spec.lasting) {
         completeTask(job, key);
         return;
     }
@@ -95,9 +100,11 @@
         job.checkpoint(key) = checkpoint;
     if (isFinal(job.state))
         return;
-    if (end == RunEnd::Failed)
+    if (spec.lasting && current && now() - task.startedAt < shortRun)
+        task.notBefore = now() + restartPause;
+    if (end == RunEnd::Failed && !spec.lasting)
         failTask(job, key, run);
-    if (job.stepSpec(key).gang && !isFinal(job.state))
+    if (spec.gang && !isFinal(job.state))
         stopGang(job, key);
     touch(job, /*urgent=*/end != RunEnd::Stopped);
     planSoon();
--- a/tests/jobs/OrdersTest.cpp
+++ b/tests/jobs/OrdersTest.cpp
@@ -121,4 +121,43 @@
     REQUIRE(cluster.currentOwner() != owner);
 }
 
+// Guards against tasks that last and are taken as done or as failed for good.
+TEST_CASE("tasks that last are started again however they end, until their job is cancelled")
+{
+    SimCluster cluster(2);
+    started(cluster, 1, 2);
+    JobSpec job = oneStep(2, 2, Milliseconds(1500), /*gang=*/false);
+    job.steps[0].lasting = true;
+    cluster.submit("batch", "s1", job);
+    cluster.fleet.failuresLeft["s1.0.0"] = 6;
+    cluster.world.run(Milliseconds(12000));
+    CHECK(cluster.stored("s1") == JobState::Active);
+    CHECK(cluster.fleet.running() == 2);
+    CHECK(cluster.fleet.startsOf(JobId("s1")) >= 12);
+    cluster.currentOwner()->kill();
+    cluster.world.run(Milliseconds(6000));
+    CHECK(cluster.fleet.running() == 2);
+    cluster.cancel("batch", "s1", cluster.currentOwner() == cluster.instances[0].get() ? 0 : 1);
+    cluster.world.run(Milliseconds(3000));
+    CHECK(cluster.fleet.running() == 0);
+    CHECK(cluster.stored("s1") == JobState::Cancelled);
+    CHECK(cluster.fleet.violations().empty());
+}
+
+// Guards against stopping more lasting tasks than may be away.
+TEST_CASE("tasks that must not be away do not yield to urgent work")
+{
+    SimCluster cluster(1);
+    started(cluster, 1, 1);
+    JobSpec job = oneStep(1, 8, Milliseconds(60000), /*gang=*/false);
+    job.steps[0].lasting = true;
+    job.steps[0].preemptible = false;
+    cluster.submit("batch", "s1", job);
+    cluster.world.run(Milliseconds(500));
+    cluster.submit("urgent", "u1", oneStep(1, 8, Milliseconds(500), /*gang=*/true));
+    cluster.world.run(Milliseconds(4000));
+    CHECK(cluster.fleet.startsOf(JobId("s1")) == 1);
+    CHECK(cluster.fleet.startsOf(JobId("u1")) == 0);
+}
+
 } // namespace rosemarylink::jobs
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -291,6 +291,9 @@
 void SimFleet::acknowledge(Life& life, std::int64_t number)
 {
     for (const EndedRun& ended : life.ended) {
+        const StepSpec* const spec = specOf(ended.task);
+        if (spec && spec->lasting)
+            continue; // it is to be started again
         if (ended.number > life.acknowledged && ended.number <= number && ended.end == RunEnd::Done)
             notedDone_.insert(ended.task);
     }
--- /dev/null
+++ b/tests/platform/CatalogTest.cpp
@@ -0,0 +1,54 @@
+#include "PlatformCatalog.h"
+#include "rosemarylink/jobs/Job.h"
+
+#include <catch2/catch.hpp>
+
+namespace rosemarylink::platform {
+
+// Guards against jobs that are accepted and can never be served.
+TEST_CASE("what is not built is refused with a reason")
+{
+    const auto filler = parseSubmission(R"({"Steps":[{"Count":1,"Utilization":true}]})");
+    REQUIRE_FALSE(filler.has_value());
+    REQUIRE(filler.error().code == ErrorCode::Unsupported);
+    const PlatformCatalog catalog;
+    const auto configuration = catalog.parseConfiguration({ "op/config",
+        R"({"Version":1,"Routes":[{"Name":"q","Host":"h","Prefix":"/q/","Service":"s",
+            "Recommendation":{"DecisionMs":5,"PeriodMs":1,"ValidityMs":1000}}]})",
+        Revision(1) });
+    REQUIRE(configuration.has_value());
+    REQUIRE_FALSE(configuration.value().queues.at(0).unsupported.empty());
+}
+
+TEST_CASE("the fields of a step are decoded")
+{
+    const auto job = parseSubmission(
+        R"({"Spec":"s","Steps":[{"Count":4,"Cpu":500,"RequestedMb":256,"Gpu":2,"EstimateMs":900,"Gang":true,
+            "LocalitySensitive":true,"Checkpointing":true,"Requirements":"a","Affinity":"r1-3","AntiAffinity":1},
+            {"Count":2,"After":[0],"LongRunning":true,"MayMiss":1}],"Repetitions":3,"StartAtMs":5000,"IntervalMs":700})");
+    REQUIRE(job.has_value());
+    const jobs::StepSpec& first = job.value().steps.at(0);
+    CHECK(first.taskCount == 4);
+    CHECK(first.each.milliCores == 500);
+    CHECK(first.each.megabytes == 256);
+    CHECK(first.each.accelerators == 2);
+    CHECK(first.estimate == Milliseconds(900));
+    CHECK((first.gang && first.rackLocal && first.checkpointing && first.preemptible));
+    CHECK(first.workerLabel == "a");
+    CHECK(first.dataRack == "r1-3");
+    CHECK(first.maximumPerWorker == 1);
+    const jobs::StepSpec& second = job.value().steps.at(1);
+    CHECK(second.after == std::vector<int> { 0 });
+    CHECK((second.lasting && !second.preemptible));
+    CHECK(job.value().occurrences == 3);
+    CHECK(job.value().interval == Milliseconds(700));
+    // The record keeps them all.
+    jobs::JobSpec spec = job.value();
+    spec.id = JobId("a1");
+    const auto again = jobs::parseJobSpec(jobs::toJson(spec));
+    REQUIRE(again.has_value());
+    CHECK(jobs::toJson(again.value()) == jobs::toJson(spec));
+    CHECK(again.value().steps.at(1).lasting);
+}
+
+} // namespace rosemarylink::platform
