Let the reserve for urgent work go within 2 s once no urgent work runs or waits

Test first: 0 of 16 tasks had started after 3 s. The decay is 1 s while urgent work neither runs nor waits; nothing else changes.

--- a/src/jobs/TenurePlanning.cpp
+++ b/src/jobs/TenurePlanning.cpp
@@ -42,6 +42,9 @@
     // The peak of urgent demand is forgotten at this rate: some times the duration of an urgent job.
     constexpr Milliseconds urgentPeakDecay { 8000 };
 
+    // The same while no urgent work runs or waits: a job that the reserve keeps out must start within 3 s then.
+    constexpr Milliseconds idlePeakDecay { 1000 };
+
     // At most this part of a pool is kept free, so that a burst of urgent work does not keep out the rest afterwards.
     constexpr std::int64_t mostReserved = 8;
 
@@ -160,8 +163,9 @@
     const double age = static_cast<double>((input.now - peak.at).count());
     peak.at = input.now;
     const double now = static_cast<double>(wanted);
-    peak.accelerators = std::max(
-        now, now + (peak.accelerators - now) * std::exp(-age / static_cast<double>(urgentPeakDecay.count())));
+    const Milliseconds decay = wanted > 0 ? urgentPeakDecay : idlePeakDecay;
+    peak.accelerators
+        = std::max(now, now + (peak.accelerators - now) * std::exp(-age / static_cast<double>(decay.count())));
     std::int64_t capacity = 0;
     for (const PlanWorker& worker : input.workers)
         capacity += worker.capacity.accelerators;
--- a/tests/jobs/OrdersTest.cpp
+++ b/tests/jobs/OrdersTest.cpp
@@ -160,4 +160,17 @@
     CHECK(cluster.fleet.startsOf(JobId("u1")) == 0);
 }
 
+// Guards against a reserve for urgent work that keeps others waiting after urgent work has gone. A job with room counts
+// as forgotten after 3 s.
+TEST_CASE("work that needs all workers starts soon after the last urgent job")
+{
+    SimCluster cluster(1);
+    started(cluster, 2, 8);
+    cluster.submit("urgent", "u1", oneStep(8, 8, Milliseconds(1000), /*gang=*/true));
+    cluster.world.run(Milliseconds(1500));
+    cluster.submit("batch", "a1", oneStep(16, 8, Milliseconds(500), /*gang=*/true));
+    cluster.world.run(Milliseconds(3000));
+    CHECK(cluster.fleet.startsOf(JobId("a1")) == 16);
+}
+
 } // namespace rosemarylink::jobs
