--- a/tests/platform/CatalogTest.cpp
+++ b/tests/platform/CatalogTest.cpp
@@ -1,4 +1,5 @@
 #include "PlatformCatalog.h"
+#include "PlatformSettings.h"
 #include "rosemarylink/jobs/Job.h"
 
 #include <catch2/catch.hpp>
@@ -51,4 +52,24 @@
     CHECK(again.value().steps.at(1).lasting);
 }
 
+// Guards against a process that does not start because a field that does not apply is empty.
+TEST_CASE("fields of the settings that do not apply may be missing or empty")
+{
+    const std::string head = R"({"NodeName":"n","Zone":"z","Ip":"10.0.0.1","InternalPortRange":[7000,7015],
+        "Listen":{"Frontend":"10.0.0.1:80","Readiness":"10.0.0.1:81"},"platform":{"Address":"10.0.0.9:80"})";
+    for (const char* const rest :
+        { "}", R"(,"Limits":null,"Bounds":null})", R"(,"Limits":{"CpuShare":null},"Bounds":{"GraceS":null}})" }) {
+        const auto settings = parsePlatformSettings(head + rest);
+        REQUIRE(settings.has_value());
+        CHECK(settings.value().stopGrace == Milliseconds(6000));
+        CHECK(jobs::deferenceOf(settings.value().capacity) == Milliseconds(0));
+    }
+    const auto small = parsePlatformSettings(
+        head + R"(,"Limits":{"CpuShare":0.12,"Cores":1,"LinkMbps":10.0},"Bounds":{"GraceS":4}})");
+    REQUIRE(small.has_value());
+    CHECK(small.value().stopGrace == Milliseconds(4000));
+    CHECK(jobs::deferenceOf(small.value().capacity) > Milliseconds(0));
+    CHECK_FALSE(parsePlatformSettings(head + R"(,"Limits":"many"})").has_value());
+}
+
 } // namespace rosemarylink::platform
