--- a/tests/platform/FuzzTest.cpp
+++ b/tests/platform/FuzzTest.cpp
@@ -119,7 +119,7 @@
         const std::string id
             = pick(random, 3) > 0 ? "0123456789abcde" + std::to_string(pick(random, 10)) : anyBytes(random, 300);
         const std::vector<std::string> methods { "POST", "POST", "POST", "GET", "DELETE", "PUT" };
-        const std::string method = methods[static_cast<std::size_t>(pick(random, 6))];
+        const std::string& method = methods[static_cast<std::size_t>(pick(random, 6))];
         int answers = 0;
         int status = 0;
         serveCaller(cluster.instances[0]->admission,
