Resolve an unanswered submission before a new configuration refuses it

Cause: a write of a submission got no response and took effect; the key was removed meanwhile, and the retry was evaluated under the new configuration only.

Now the job's progress record is read once the configuration named by the attempt has been replaced: it is there (accepted) or never will be (refused). A cancellation whose write was unanswered reads how the job ended.

Ruled out: a late write after the refusal; its precondition on the replaced configuration fails (test with a write delayed by 2.5 s).

--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -64,6 +64,8 @@
     CallPointer begin(const CallerRequest&, const AdmissionHandler&);
     void authorize(const CallPointer&, const std::function<void(const Queue&, const AccountId&)>& proceed);
     void evaluateSubmission(const CallPointer&);
+    void authorizeSubmission(const CallPointer&);
+    void resolveAttempt(const CallPointer&);
     void commitSubmission(const CallPointer&);
     void resolveConflict(const CallPointer&, const StoreResponse&, Milliseconds requestedAt);
     // Schedules `retry` if the call's time allows, otherwise finishes the call: with NotRun if no attempt may have
@@ -73,6 +75,7 @@
     void countWaiting(const CallPointer&, const QueueId&);
     void readForCancel(const CallPointer&);
     void commitCancel(const CallPointer&, Revision jobRevision);
+    void resolveCancellation(const CallPointer&);
     void finish(const CallPointer&, const AdmissionResponse&);
 
     RecordStore& store_;
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -34,7 +34,8 @@
     JobId job;
     JobSpec spec; // of a submission
     std::string rejection; // why the submission is invalid; empty if it is valid
-    bool mayHaveRun = false; // a write got no response
+    bool mayHaveRun = false; // a write got no response, and its effect is not known yet
+    JobId unresolvedJob; // the job of that write, if it was a submission
     Revision configRevision { 0 }; // revision of the configuration in the last write's precondition
 };
 
@@ -124,7 +125,43 @@
 }
 
 // Evaluates the submission anew for each attempt, since the write's precondition names the configuration that decided.
+// A newer configuration may refuse what an unresolved earlier attempt has stored, so that attempt is resolved first.
 void Admission::evaluateSubmission(const CallPointer& call)
+{
+    if (call->mayHaveRun) {
+        config_.whenConfirmed([this, call](const Configuration* configuration) {
+            if (!configuration)
+                retryLater(call, /*mayHaveWritten=*/false, [this, call] { evaluateSubmission(call); });
+            else if (config_.revision() != call->configRevision)
+                resolveAttempt(call);
+            else
+                authorizeSubmission(call);
+        });
+        return;
+    }
+    authorizeSubmission(call);
+}
+
+// Reads whether an unresolved attempt has stored its job. The configuration in its precondition has been replaced, so
+// an attempt that has not taken effect by now never will.
+void Admission::resolveAttempt(const CallPointer& call)
+{
+    store_.read(keys::progress(call->unresolvedJob), storeTimeout, [this, call](const StoreResponse& response) {
+        if (response.done()) {
+            logger.info("Job was stored by an attempt without a response",
+                { { "job", call->unresolvedJob }, { "revision", response.records.front().revision.value() },
+                    { "configRevision", config_.revision().value() } });
+            finish(call, { AdmissionOutcome::Accepted, "" });
+        } else if (response.outcome == StoreOutcome::NotFound) {
+            call->mayHaveRun = false;
+            evaluateSubmission(call);
+        } else {
+            retryLater(call, /*mayHaveWritten=*/false, [this, call] { resolveAttempt(call); });
+        }
+    });
+}
+
+void Admission::authorizeSubmission(const CallPointer& call)
 {
     authorize(call, [this, call](const Queue& queue, const AccountId& account) {
         call->spec.id = call->job;
@@ -169,6 +206,8 @@
             resolveConflict(call, response, requestedAt);
             return;
         default:
+            if (response.outcome == StoreOutcome::Unknown)
+                call->unresolvedJob = call->job;
             retryLater(call, response.outcome == StoreOutcome::Unknown, [this, call] { evaluateSubmission(call); });
         }
     });
@@ -188,10 +227,12 @@
         config_.apply(record, requestedAt);
     // The job's records are absent, so no earlier attempt of this call has taken effect. If the configuration has
     // changed, none ever will, because their precondition on the old revision fails for good.
-    if (config_.revision() == call->configRevision)
+    if (config_.revision() == call->configRevision) {
         retryLater(call, /*mayHaveWritten=*/false, [this, call] { evaluateSubmission(call); });
-    else
-        evaluateSubmission(call);
+        return;
+    }
+    call->mayHaveRun = false;
+    evaluateSubmission(call);
 }
 
 void Admission::query(const CallerRequest& request, const AdmissionHandler& handler)
@@ -245,7 +286,10 @@
     store_.read(keys::job(call->job), storeTimeout, [this, call](const StoreResponse& response) {
         if (response.outcome == StoreOutcome::NotFound) {
             // The submission record is absent if the job was never accepted or has ended.
-            finish(call, { AdmissionOutcome::NoJob, "no such job, or the job has ended" });
+            if (call->mayHaveRun)
+                resolveCancellation(call);
+            else
+                finish(call, { AdmissionOutcome::NoJob, "no such job, or the job has ended" });
             return;
         }
         if (!response.done()) {
@@ -256,6 +300,22 @@
     });
 }
 
+// Reads how a job ended for which a cancellation got no response from the store.
+void Admission::resolveCancellation(const CallPointer& call)
+{
+    store_.read(keys::progress(call->job), storeTimeout, [this, call](const StoreResponse& response) {
+        if (!response.done() && response.outcome != StoreOutcome::NotFound) {
+            retryLater(call, /*mayHaveWritten=*/false, [this, call] { resolveCancellation(call); });
+            return;
+        }
+        const auto state = response.done() ? parseProgressState(response.records.front().value) : std::nullopt;
+        if (state == JobState::Cancelled)
+            finish(call, { AdmissionOutcome::Accepted, "" });
+        else
+            finish(call, { AdmissionOutcome::NoJob, "the job has ended" });
+    });
+}
+
 void Admission::commitCancel(const CallPointer& call, Revision jobRevision)
 {
     Batch batch;
--- a/tests/jobs/AdmissionTest.cpp
+++ b/tests/jobs/AdmissionTest.cpp
@@ -49,6 +49,64 @@
     REQUIRE(cluster.storedState("a1").has_value());
 }
 
+// Guards against refusing a job that is stored: the write of the submission got no response, and before the retry the
+// configuration changed so that the submission would be refused (found with bench setup frescura-hq mix, seed
+// 566323145325).
+TEST_CASE("a stored submission is accepted although its key or queue was removed before the write was resolved")
+{
+    const bool keyRemoved = GENERATE(true, false);
+    SimCluster cluster;
+    cluster.world.run(Milliseconds(1200));
+    cluster.store.lostResponseShare = 1;
+    cluster.world.after(Milliseconds(300), [&cluster, keyRemoved] {
+        cluster.store.lostResponseShare = 0;
+        cluster.putConfiguration(keyRemoved ? "another-key" : "key", keyRemoved ? "" : "urgent");
+    });
+    REQUIRE(cluster.submit("batch", "a1", smallJob).outcome == AdmissionOutcome::Accepted);
+    REQUIRE(cluster.storedState("a1").has_value());
+}
+
+// Guards against the opposite fault: reporting MayHaveRun, or accepting, although the write can no longer take effect.
+TEST_CASE("a submission whose unresolved write is ruled out by a new configuration is refused and never runs")
+{
+    SimCluster cluster;
+    cluster.world.run(Milliseconds(1200));
+    cluster.store.lostResponseShare = 1;
+    cluster.store.lostResponseWriteDelay = Milliseconds(2500);
+    cluster.world.after(Milliseconds(300), [&cluster] {
+        cluster.store.lostResponseShare = 0;
+        cluster.putConfiguration("another-key");
+    });
+    REQUIRE(cluster.submit("batch", "a1", smallJob).outcome == AdmissionOutcome::NoKey);
+    cluster.world.run(Milliseconds(5000));
+    REQUIRE_FALSE(cluster.storedState("a1").has_value());
+}
+
+// Guards against a refusal that is not known to be true: while the job's records cannot be read, an unresolved write
+// may have stored the job.
+TEST_CASE("an unresolved submission is reported as MayHaveRun while the store cannot be read")
+{
+    SimCluster cluster;
+    cluster.world.run(Milliseconds(1200));
+    cluster.store.lostResponseShare = 1;
+    cluster.world.after(Milliseconds(300), [&cluster] { cluster.putConfiguration("another-key"); });
+    cluster.world.after(Milliseconds(950), [&cluster] { cluster.store.mode = SimStore::Mode::Refusing; });
+    REQUIRE(cluster.submit("batch", "a1", smallJob).outcome == AdmissionOutcome::MayHaveRun);
+}
+
+// Guards against telling a caller that there was nothing to cancel when its own cancellation, whose write got no
+// response, has ended the job.
+TEST_CASE("a cancellation whose write got no response is accepted once the job has been cancelled")
+{
+    SimCluster cluster(2);
+    cluster.world.run(Milliseconds(1200));
+    REQUIRE(cluster.submit("batch", "a1", smallJob).outcome == AdmissionOutcome::Accepted);
+    cluster.store.lostResponseShare = 1;
+    cluster.world.after(Milliseconds(100), [&cluster] { cluster.store.lostResponseShare = 0; });
+    REQUIRE(cluster.cancel("batch", "a1", 1).outcome == AdmissionOutcome::Accepted);
+    REQUIRE(cluster.storedState("a1") == JobState::Cancelled);
+}
+
 // Guards against making a caller wait until its deadline, and against a refused submission that takes effect later.
 TEST_CASE("a submission is refused promptly while the store refuses calls")
 {
