--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Planner.h"
+#include "RunTimeModel.h"
+#include "UrgentHeadroom.h"
 #include "rosemarylink/jobs/PoolOwner.h"
 
 #include <deque>
@@ -20,7 +22,11 @@
 struct WorkerRun {
     Resources resources;
     TaskPhase phase = TaskPhase::Starting;
+    int priority = 0; // of its job
+    Milliseconds startedAt { 0 };
+    std::optional<Milliseconds> expectedEndAt; // absent if the task runs until its job is cancelled
     std::string checkpoint; // from which the run starts
+    bool adopted = false; // was started by a previous owner
     int startAttempts = 0; // start commands sent for this run
     // Until then, an unanswered start command for this run may still be executed; absent if none is unanswered.
     std::optional<Milliseconds> strayStartUntil;
@@ -57,8 +63,6 @@
     std::set<JobId> recentFailures; // jobs with a failed run on the worker since its last successful run
     Milliseconds avoidUntil { 0 }; // the planner prefers other workers until then
     std::optional<Milliseconds> unresponsiveSince;
-
-    Resources allocated(bool stoppingOnly) const;
 };
 
 // Schedules all pools during one period of ownership. Callbacks hold the session weakly, so that whatever arrives after
@@ -145,9 +149,15 @@
     void schedulePlan();
     void plan();
     PlanInput planInput(const ServiceId& pool);
-    void addSteps(PlanInput&, const Job&, std::int64_t remainingGuarantee);
-    void addRunning(PlanInput&, const Job&, bool guaranteed);
-    std::int64_t urgentHeadroom(const ServiceId& pool, const PlanInput&);
+    PlanWorker planWorker(const Worker&) const;
+    // Calls `visit` with each job of the pool that has not ended, in the order of arrival, and what is left of its
+    // account's guarantee after it.
+    void forEachJob(const ServiceId& pool, const std::function<void(Job&, std::int64_t)>& visit);
+    void addSteps(PlanInput&, Job&, std::int64_t remainingGuarantee);
+    void addRunning(PlanInput&, const Job&, bool guaranteed) const;
+    Milliseconds criticalPath(const JobSpec&, std::size_t from) const;
+    Milliseconds expectedRunTime(const JobSpec&, std::size_t step) const;
+    void expectEnd(const Job&, const TaskKey&, WorkerRun&, int percent) const;
     void applyPlan(const ServiceId& pool, const PlanInput&, const Plan&);
     void logWaiting(const ServiceId& pool, const PlanInput&, const Plan&);
 
@@ -180,12 +190,8 @@
     std::map<std::tuple<JobId, int, int>, std::set<WorkerId>>
         reservedWorkers_; // by job, occurrence and step; reservations of the last plan
     std::map<ServiceId, WaitReasons> loggedWaitReasons_;
-    // Recent peak of the accelerators that urgent work uses or waits for; decays over time.
-    struct UrgentPeak {
-        double accelerators = 0;
-        Milliseconds at { 0 };
-    };
-    std::map<ServiceId, UrgentPeak> urgentPeaks_;
+    std::map<ServiceId, UrgentHeadroom> urgentHeadrooms_;
+    RunTimeModel runTimes_;
     bool recovered_ = false;
     bool planPending_ = false;
     bool flushPending_ = false;
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -3,7 +3,6 @@
 #include "rosemarylink/base/Log.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace rosemarylink::jobs::internal {
 
@@ -33,36 +32,14 @@
             return "no-room";
         case WaitReason::CapacityBeingFreed:
             return "room-is-freed";
+        case WaitReason::Reserved:
+            return "reserved";
         case WaitReason::WaitsForRack:
             return "waits-for-rack";
         }
         return "no-room";
     }
 
-    // Time constant with which the peak of urgent demand decays: several times the duration of an urgent job.
-    constexpr Milliseconds urgentPeakDecay { 8000 };
-
-    // The same while no urgent work runs or waits. A job that the headroom keeps out must then start within 3 s.
-    constexpr Milliseconds idlePeakDecay { 1000 };
-
-    // The headroom is at most this fraction (1/N) of a pool, so that a burst of urgent work does not block other work
-    // afterwards.
-    constexpr std::int64_t headroomDivisor = 8;
-
-    Milliseconds criticalPath(const JobSpec& job, std::size_t from)
-    {
-        std::vector<Milliseconds> ends(job.steps.size());
-        Milliseconds longest { 0 };
-        for (std::size_t number = 0; number < job.steps.size(); ++number) {
-            Milliseconds start { 0 };
-            for (int dependency : job.steps[number].dependencies)
-                start = std::max(start, ends[static_cast<std::size_t>(dependency)]);
-            ends[number] = start + (number < from ? Milliseconds(0) : job.steps[number].estimate);
-            longest = std::max(longest, ends[number]);
-        }
-        return longest;
-    }
-
     std::int64_t peakAccelerators(const JobSpec& job)
     {
         std::int64_t most = 0;
@@ -92,40 +69,74 @@
     for (const auto& [id, job] : jobs_)
         pools.insert(job.spec.policy.pool);
     for (const ServiceId& pool : pools) {
-        const PlanInput input = planInput(pool);
-        if (!input.steps.empty())
-            applyPlan(pool, input, makePlan(input));
+        PlanInput input = planInput(pool);
+        if (input.steps.empty())
+            continue;
+        Plan plan = makePlan(input);
+        if (plan.wantsPreemption) {
+            forEachJob(pool, [&](const Job& job, std::int64_t left) {
+                addRunning(input, job, job.spec.policy.priority == 0 && left >= 0);
+            });
+            if (!input.running.empty())
+                plan = makePlan(input);
+        }
+        applyPlan(pool, input, plan);
     }
 }
 
-PlanInput OwnerSession::planInput(const ServiceId& pool)
+Milliseconds OwnerSession::expectedRunTime(const JobSpec& job, std::size_t step) const
 {
-    PlanInput input;
-    input.now = now();
-    input.urgentRackWait = owner_.limits_.reclaimTimeout - owner_.limits_.stopTime - reclaimMargin;
-    for (const auto& [id, worker] : workers_) {
-        if (worker.entry.pool != pool || !worker.listed)
-            continue;
-        PlanWorker row;
-        row.id = id;
-        row.rack = worker.entry.rack;
-        row.labels = &worker.entry.labels;
-        row.capacity = worker.entry.capacity;
-        row.free = worker.entry.capacity;
-        row.free -= worker.allocated(/*stoppingOnly=*/false);
-        row.releasing = worker.allocated(/*stoppingOnly=*/true);
-        for (const auto& [key, run] : worker.runs) {
-            const Job* const job = find(key.first.job);
-            if (job && job->spec.policy.priority == 0)
-                row.urgentAccelerators += run.resources.accelerators;
+    return runTimes_.predict(job.policy.queue, job.steps[step].estimate);
+}
+
+Milliseconds OwnerSession::criticalPath(const JobSpec& job, std::size_t from) const
+{
+    std::vector<Milliseconds> ends(job.steps.size());
+    Milliseconds longest { 0 };
+    for (std::size_t number = 0; number < job.steps.size(); ++number) {
+        Milliseconds start { 0 };
+        for (int dependency : job.steps[number].dependencies)
+            start = std::max(start, ends[static_cast<std::size_t>(dependency)]);
+        ends[number] = start + (number < from ? Milliseconds(0) : expectedRunTime(job, number));
+        longest = std::max(longest, ends[number]);
+    }
+    return longest;
+}
+
+PlanWorker OwnerSession::planWorker(const Worker& worker) const
+{
+    PlanWorker row;
+    row.id = worker.entry.id;
+    row.rack = worker.entry.rack;
+    row.labels = &worker.entry.labels;
+    row.capacity = worker.entry.capacity;
+    row.free = worker.entry.capacity;
+    row.expectedEnds.reserve(worker.runs.size());
+    for (const auto& [key, run] : worker.runs) {
+        row.free -= run.resources;
+        if (run.priority == 0)
+            row.urgentAccelerators += run.resources.accelerators;
+        if (run.phase == TaskPhase::Stopping) {
+            row.releasing += run.resources;
+            row.expectedEnds.push_back({ now() + owner_.limits_.stopTime, run.resources });
+        } else if (run.expectedEndAt) {
+            // A run that is overdue is expected to take a while longer.
+            const Milliseconds earliest = now() + (now() - run.startedAt) / 8;
+            row.expectedEnds.push_back({ std::max(*run.expectedEndAt, earliest), run.resources });
         }
-        row.schedulable = worker.reconciled && recordedWorkers_.count(id) > 0 && worker.clock && !worker.entry.draining
-            && !worker.unresponsiveSince;
-        row.suspect = worker.avoidUntil > input.now;
-        input.workers.push_back(std::move(row));
     }
-    std::vector<const Job*> byArrival;
-    for (const auto& [id, job] : jobs_) {
+    std::sort(row.expectedEnds.begin(), row.expectedEnds.end(),
+        [](const ExpectedEnd& a, const ExpectedEnd& b) { return a.at < b.at; });
+    row.schedulable = worker.reconciled && recordedWorkers_.count(worker.entry.id) > 0 && worker.clock
+        && !worker.entry.draining && !worker.unresponsiveSince;
+    row.suspect = worker.avoidUntil > now();
+    return row;
+}
+
+void OwnerSession::forEachJob(const ServiceId& pool, const std::function<void(Job&, std::int64_t)>& visit)
+{
+    std::vector<Job*> byArrival;
+    for (auto& [id, job] : jobs_) {
         if (!isFinal(job.state) && job.spec.policy.pool == pool)
             byArrival.push_back(&job);
     }
@@ -136,45 +147,41 @@
         for (const ClientAccount& account : configuration->accounts)
             remainingGuarantee[account.id] = account.guaranteedAccelerators;
     }
-    for (const Job* job : byArrival) {
+    for (Job* job : byArrival) {
         std::int64_t left = -1;
-        if (job->spec.policy.priority == 0) {
+        if (job->spec.policy.priority == 0)
             left = remainingGuarantee[job->spec.account] -= peakAccelerators(job->spec);
-        }
-        if (!job->mayHaveUnknownRuns)
-            addSteps(input, *job, left);
-        addRunning(input, *job, job->spec.policy.priority == 0 && left >= 0);
+        visit(*job, left);
     }
-    input.urgentHeadroom = urgentHeadroom(pool, input);
-    return input;
 }
 
-// Returns the accelerators to keep free for urgent work: its recent peak demand less its current demand. Without this
-// headroom, other work would fill the capacity that each urgent job releases and be preempted by the next one, which
-// loses more work than the idle headroom costs.
-std::int64_t OwnerSession::urgentHeadroom(const ServiceId& pool, const PlanInput& input)
+PlanInput OwnerSession::planInput(const ServiceId& pool)
 {
-    std::int64_t demand = 0;
-    for (const PlanWorker& worker : input.workers)
-        demand += worker.urgentAccelerators;
+    PlanInput input;
+    input.now = now();
+    input.urgentRackWait = owner_.limits_.reclaimTimeout - owner_.limits_.stopTime - reclaimMargin;
+    std::int64_t urgentDemand = 0;
+    std::int64_t capacity = 0;
+    for (const auto& [id, worker] : workers_) {
+        if (worker.entry.pool != pool || !worker.listed)
+            continue;
+        input.workers.push_back(planWorker(worker));
+        urgentDemand += input.workers.back().urgentAccelerators;
+        capacity += input.workers.back().capacity.accelerators;
+    }
+    forEachJob(pool, [&](Job& job, std::int64_t left) {
+        if (!job.mayHaveUnknownRuns)
+            addSteps(input, job, left);
+    });
     for (const PlanStep& step : input.steps) {
         if (step.priority == 0)
-            demand += step.spec->perTask.accelerators * static_cast<std::int64_t>(step.tasks.size());
+            urgentDemand += step.spec->perTask.accelerators * static_cast<std::int64_t>(step.tasks.size());
     }
-    UrgentPeak& peak = urgentPeaks_[pool];
-    const double age = static_cast<double>((input.now - peak.at).count());
-    peak.at = input.now;
-    const double now = static_cast<double>(demand);
-    const Milliseconds decay = demand > 0 ? urgentPeakDecay : idlePeakDecay;
-    peak.accelerators
-        = std::max(now, now + (peak.accelerators - now) * std::exp(-age / static_cast<double>(decay.count())));
-    std::int64_t capacity = 0;
-    for (const PlanWorker& worker : input.workers)
-        capacity += worker.capacity.accelerators;
-    return std::min(static_cast<std::int64_t>(peak.accelerators - now), capacity / headroomDivisor);
+    input.urgentHeadroom = urgentHeadrooms_[pool].update(input.now, urgentDemand, capacity);
+    return input;
 }
 
-void OwnerSession::addSteps(PlanInput& input, const Job& job, std::int64_t remainingGuarantee)
+void OwnerSession::addSteps(PlanInput& input, Job& job, std::int64_t remainingGuarantee)
 {
     const Milliseconds wallOffset = input.now - Milliseconds(toMilliseconds(owner_.clock_.now()));
     for (int occurrence = 0; occurrence < job.spec.occurrences; ++occurrence) {
@@ -185,10 +192,12 @@
                 return;
         }
         for (std::size_t number = 0; number < job.spec.steps.size(); ++number) {
-            const StepProgress& progress = job.occurrences[occurrence][number];
+            StepProgress& progress = job.occurrences[occurrence][number];
             const StepSpec& spec = job.spec.steps[number];
             if (progress.complete() || !job.dependenciesComplete(occurrence, static_cast<int>(number)))
                 continue;
+            if (!progress.readyAt)
+                progress.readyAt = spec.dependencies.empty() ? dueAt : input.now;
             if (spec.gang && progress.anyActive())
                 continue;
             PlanStep step;
@@ -211,7 +220,8 @@
             if (reserved != reservedWorkers_.end())
                 step.reservedWorkers = reserved->second;
             step.arrivedAt = dueAt;
-            step.readyAt = dueAt;
+            step.readyAt = *progress.readyAt;
+            step.expectedRunTime = expectedRunTime(job.spec, number);
             step.remaining = criticalPath(job.spec, number);
             const Milliseconds chain = criticalPath(job.spec, 0);
             const Milliseconds objective
@@ -224,7 +234,7 @@
     }
 }
 
-void OwnerSession::addRunning(PlanInput& input, const Job& job, bool guaranteed)
+void OwnerSession::addRunning(PlanInput& input, const Job& job, bool guaranteed) const
 {
     for (int occurrence = 0; occurrence < job.spec.occurrences; ++occurrence) {
         for (std::size_t number = 0; number < job.spec.steps.size(); ++number) {
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -26,6 +26,9 @@
     constexpr Milliseconds startRetryDelay { 40 };
     constexpr int maximumStartAttempts = 4;
 
+    // From this completed share on, a run's own pace predicts its end better than the run times of other tasks.
+    constexpr int reliablePercent = 20;
+
     // A worker may execute a command up to this long after it was sent.
     constexpr Milliseconds longestCommandDelay { 12000 };
 
@@ -57,8 +60,14 @@
     if (ended.number <= worker.lastSeenEnd)
         return;
     worker.lastSeenEnd = ended.number;
-    worker.runs.erase({ ended.task, ended.run });
     Job* const job = find(ended.task.job);
+    const auto run = worker.runs.find({ ended.task, ended.run });
+    if (run != worker.runs.end()) {
+        if (job && ended.end == RunEnd::Done && run->second.checkpoint.empty() && !run->second.adopted)
+            runTimes_.observe(
+                job->spec.policy.queue, job->stepSpec(ended.task).estimate, now() - run->second.startedAt);
+        worker.runs.erase(run);
+    }
     if (!job || !job->contains(ended.task))
         return;
     endRun(*job, ended.task, ended.run, ended.end, ended.checkpoint, worker.entry.id);
@@ -70,6 +79,18 @@
         worker.pendingEnds.push_back({ ended.number, ended.task.job, job->changes });
 }
 
+// Predicts the end of a run that has completed `percent` of its work by now.
+void OwnerSession::expectEnd(const Job& job, const TaskKey& key, WorkerRun& run, int percent) const
+{
+    run.priority = job.spec.policy.priority;
+    if (job.stepSpec(key).longRunning)
+        return;
+    if (percent >= reliablePercent && run.checkpoint.empty() && !run.adopted)
+        run.expectedEndAt = now() + (now() - run.startedAt) * (100 - percent) / percent;
+    else
+        run.expectedEndAt = now() + expectedRunTime(job.spec, static_cast<std::size_t>(key.step)) * (100 - percent) / 100;
+}
+
 void OwnerSession::recordFailure(Worker& worker, const JobId& job)
 {
     worker.recentFailures.insert(job);
@@ -234,6 +255,8 @@
     WorkerRun run;
     run.resources = job.stepSpec(key).perTask;
     run.checkpoint = job.checkpoint(key);
+    run.startedAt = now();
+    expectEnd(job, key, run, /*percent=*/0);
     worker.runs[runKey] = run;
     if (job.state == JobState::Queued) {
         job.state = JobState::Active;
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -43,16 +43,6 @@
 
 } // namespace
 
-Resources Worker::allocated(bool stoppingOnly) const
-{
-    Resources sum;
-    for (const auto& [key, run] : runs) {
-        if (!stoppingOnly || run.phase == TaskPhase::Stopping)
-            sum += run.resources;
-    }
-    return sum;
-}
-
 Milliseconds OwnerSession::leaseEndFor(const Worker& worker) const
 {
     return *worker.clock + (now() - worker.clockReadAt) + owner_.limits_.workerLease;
@@ -239,6 +229,8 @@
         else if (task.phase == TaskPhase::Stopping && run.phase != TaskPhase::Stopping)
             stopRun(worker, key);
         task.percent = running.percent;
+        if (running.percent > 0)
+            expectEnd(*job, running.task, run, running.percent);
         if (!running.checkpoint.empty())
             job->checkpoint(running.task) = running.checkpoint;
         return;
@@ -266,6 +258,9 @@
     run.resources = job.stepSpec(running.task).perTask;
     run.phase = TaskPhase::Running;
     run.confirmedAt = now();
+    run.startedAt = now();
+    run.adopted = true;
+    expectEnd(job, running.task, run, running.percent);
     const RunKey key { running.task, running.run };
     worker.runs.emplace(key, run);
     const bool expected = task.phase == TaskPhase::Waiting && running.run >= task.run;
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -9,6 +9,12 @@
 
 namespace rosemarylink::jobs::internal {
 
+// Resources that a run on a worker occupies until its expected end.
+struct ExpectedEnd {
+    Milliseconds at { 0 };
+    Resources resources;
+};
+
 // The planner's view of a worker.
 struct PlanWorker {
     WorkerId id;
@@ -20,6 +26,7 @@
     std::int64_t urgentAccelerators = 0; // allocated to work of priority 0, which is rarely preempted
     bool schedulable = true; // may be given new work
     bool suspect = false; // tasks of several jobs have failed on it recently
+    std::vector<ExpectedEnd> expectedEnds; // of all runs on it, in the order of time
 };
 
 // The tasks of one step that are ready to start. For a gang these are all of its tasks.
@@ -38,6 +45,7 @@
     Milliseconds objectiveAt { 0 }; // objective for the job's completion time
     Milliseconds lateDeadline { 0 }; // completion after the objective still has value until this time
     Milliseconds remaining { 0 }; // estimated length of the critical path from this step on
+    Milliseconds expectedRunTime { 0 }; // of one task
 };
 
 // Running work that may be preempted: a task, or a whole gang.
@@ -56,6 +64,7 @@
     Milliseconds now { 0 };
     std::vector<PlanWorker> workers;
     std::vector<PlanStep> steps;
+    // Empty in a first plan; see Plan::wantsPreemption.
     std::vector<PreemptibleWork> running;
     std::int64_t urgentHeadroom = 0; // accelerators that work of lower priority must leave free for urgent work
     Milliseconds urgentRackWait { 0 }; // how long urgent work waits for its preferred rack before it may use others
@@ -78,6 +87,7 @@
 enum class WaitReason {
     NoCapacity, // there is not enough capacity, and none is being freed for it
     CapacityBeingFreed, // capacity is reserved for it while other work is being stopped
+    Reserved, // workers are reserved for it, and other work uses them only until they are expected to be free
     WaitsForRack, // its preferred rack has no capacity and other racks are not allowed yet
 };
 
@@ -92,6 +102,7 @@
     std::vector<CapacityReservation> reservations;
     std::vector<WaitingStep> waiting; // in the order in which the steps were considered
     std::vector<std::size_t> preemptions; // indices into PlanInput::running
+    bool wantsPreemption = false; // a step that may preempt work does not fit; plan again with PlanInput::running
 };
 
 // Decides which tasks of one pool start on which workers and which running work is preempted for them. Has no side
--- /dev/null
+++ b/src/jobs/PlannerFleet.cpp
@@ -0,0 +1,175 @@
+#include "PlannerFleet.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <tuple>
+
+namespace rosemarylink::jobs::internal {
+
+namespace {
+
+    // Run times are predicted with an error. Work that is to end before a hold begins is expected to take this much
+    // longer than predicted.
+    constexpr double runTimeMargin = 1.25;
+
+    // Ranks racks other than the one with the step's data behind it.
+    constexpr std::int64_t otherRackPenalty = 1000000;
+
+    int countFittingOne(std::int64_t perTask, std::int64_t available)
+    {
+        if (perTask <= 0)
+            return std::numeric_limits<int>::max();
+        return static_cast<int>(std::max<std::int64_t>(0, available) / perTask);
+    }
+
+    Resources smallerOf(const Resources& a, const Resources& b)
+    {
+        return { std::min(a.milliCores, b.milliCores), std::min(a.megabytes, b.megabytes),
+            std::min(a.accelerators, b.accelerators) };
+    }
+
+} // namespace
+
+PlannerFleet::PlannerFleet(const PlanInput& input)
+    : input_(input)
+{
+    workers_.reserve(input.workers.size());
+    all_.reserve(input.workers.size());
+    std::map<std::string_view, std::size_t> rackNumbers;
+    for (const PlanWorker& row : input.workers) {
+        workers_.push_back({ &row, row.free, row.releasing, row.schedulable, std::nullopt });
+        all_.push_back(&workers_.back());
+        const auto [position, added] = rackNumbers.emplace(row.rack, racks_.size());
+        if (added)
+            racks_.emplace_back();
+        racks_[position->second].push_back(all_.back());
+    }
+}
+
+FleetWorker* PlannerFleet::find(const WorkerId& id)
+{
+    const auto position = std::find_if(
+        workers_.begin(), workers_.end(), [&id](const FleetWorker& worker) { return worker.row->id == id; });
+    return position == workers_.end() ? nullptr : &*position;
+}
+
+int PlannerFleet::countFitting(const Resources& perTask, const Resources& available)
+{
+    return std::min({ countFittingOne(perTask.milliCores, available.milliCores),
+        countFittingOne(perTask.megabytes, available.megabytes),
+        countFittingOne(perTask.accelerators, available.accelerators) });
+}
+
+bool PlannerFleet::isEligible(const PlanStep& step, const FleetWorker& worker)
+{
+    return worker.schedulable
+        && (step.spec->workerLabel.empty() || worker.row->labels->count(step.spec->workerLabel) > 0);
+}
+
+int PlannerFleet::applySpreadLimit(const PlanStep& step, const FleetWorker& worker, int count)
+{
+    if (step.spec->maximumPerWorker == 0)
+        return count;
+    const auto present = step.activeTasks.find(worker.row->id);
+    const int placed = present == step.activeTasks.end() ? 0 : present->second;
+    return std::min(count, std::max(0, step.spec->maximumPerWorker - placed));
+}
+
+int PlannerFleet::capacityOn(const PlanStep& step, const FleetWorker& worker, bool includeReleasing) const
+{
+    if (!worker.schedulable)
+        return 0;
+    Resources available = worker.free;
+    if (includeReleasing)
+        available += worker.releasing;
+    if (worker.hold && (worker.hold->againstPeers || step.priority > worker.hold->priority)) {
+        const auto longestRun = static_cast<std::int64_t>(static_cast<double>(step.expectedRunTime.count()) * runTimeMargin);
+        if (input_.now + Milliseconds(longestRun) > worker.hold->from)
+            available = smallerOf(available, worker.hold->spare);
+    }
+    const int fitting = countFitting(step.spec->perTask, available);
+    if (fitting == 0 || !isEligible(step, worker))
+        return 0;
+    return applySpreadLimit(step, worker, fitting);
+}
+
+FleetWorkers PlannerFleet::select(
+    const PlanStep& step, const FleetWorkers& candidates, std::size_t count, bool includeReleasing) const
+{
+    struct Candidate {
+        std::tuple<bool, bool, bool, std::int64_t, std::int64_t, std::int64_t> order;
+        FleetWorker* worker;
+        int capacity;
+    };
+    std::vector<Candidate> fitting;
+    std::size_t available = 0;
+    for (FleetWorker* worker : candidates) {
+        const int capacity = capacityOn(step, *worker, includeReleasing);
+        if (capacity <= 0)
+            continue;
+        available += static_cast<std::size_t>(capacity);
+        // If reservations moved with every plan, smaller work would take the capacity that was freed for the step.
+        // Urgent work is packed onto few workers; spread over all of them, it would leave none that can be emptied for
+        // a guaranteed task that needs a whole worker.
+        const bool reserved = !step.reservedWorkers.empty() && step.reservedWorkers.count(worker->row->id) > 0;
+        const bool remote = !step.spec->dataRack.empty() && worker->row->rack != step.spec->dataRack;
+        const std::int64_t urgent = step.priority == 0 ? -worker->row->urgentAccelerators : 0;
+        fitting.push_back(
+            { { !reserved, worker->row->suspect, remote, urgent, worker->free.accelerators, worker->free.milliCores },
+                worker, capacity });
+    }
+    if (available < count)
+        return {};
+    std::stable_sort(
+        fitting.begin(), fitting.end(), [](const Candidate& a, const Candidate& b) { return a.order < b.order; });
+    FleetWorkers chosen;
+    chosen.reserve(count);
+    for (const Candidate& candidate : fitting) {
+        const std::size_t used = std::min(count - chosen.size(), static_cast<std::size_t>(candidate.capacity));
+        chosen.insert(chosen.end(), used, candidate.worker);
+        if (chosen.size() == count)
+            break;
+    }
+    return chosen;
+}
+
+FleetWorkers PlannerFleet::selectInOneRack(const PlanStep& step, bool includeReleasing) const
+{
+    FleetWorkers best;
+    std::int64_t fewestFree = std::numeric_limits<std::int64_t>::max();
+    for (const FleetWorkers& members : racks_) {
+        FleetWorkers chosen = select(step, members, step.tasks.size(), includeReleasing);
+        if (chosen.empty())
+            continue;
+        const bool reserved = std::any_of(members.begin(), members.end(),
+            [&step](const FleetWorker* worker) { return step.reservedWorkers.count(worker->row->id) > 0; });
+        if (reserved)
+            return chosen;
+        std::int64_t freeInRack = 0;
+        for (const FleetWorker* worker : members)
+            freeInRack += worker->free.accelerators;
+        if (!step.spec->dataRack.empty() && members.front()->row->rack != step.spec->dataRack)
+            freeInRack += otherRackPenalty;
+        if (freeInRack < fewestFree) {
+            fewestFree = freeInRack;
+            best = std::move(chosen);
+        }
+    }
+    return best;
+}
+
+bool PlannerFleet::fitsAnyEmptyRack(const PlanStep& step) const
+{
+    return std::any_of(racks_.begin(), racks_.end(), [&step](const FleetWorkers& members) {
+        std::size_t available = 0;
+        for (const FleetWorker* worker : members) {
+            if (isEligible(step, *worker))
+                available += static_cast<std::size_t>(
+                    applySpreadLimit(step, *worker, countFitting(step.spec->perTask, worker->row->capacity)));
+        }
+        return available >= step.tasks.size();
+    });
+}
+
+} // namespace rosemarylink::jobs::internal
--- /dev/null
+++ b/src/jobs/PlannerFleet.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Planner.h"
+
+#include <optional>
+#include <vector>
+
+namespace rosemarylink::jobs::internal {
+
+// Capacity of a worker that is held for a gang from a time on. Other work may use it until then.
+struct CapacityHold {
+    Milliseconds from { 0 };
+    Resources spare; // free from that time on, beside what is held
+    int priority = 0; // of the gang
+    bool againstPeers = false; // also binds work of the gang's own priority, not only that of lower ones
+};
+
+// The state of a worker while a plan is made.
+struct FleetWorker {
+    const PlanWorker* row = nullptr;
+    Resources free;
+    Resources releasing;
+    bool schedulable = false;
+    std::optional<CapacityHold> hold;
+};
+
+using FleetWorkers = std::vector<FleetWorker*>;
+
+// The capacity of a pool while a plan is made: which tasks of a step fit where, and where they fit best. Costs grow with
+// the number of workers that have capacity for a step, since an overloaded pool has many waiting steps and few such
+// workers.
+class PlannerFleet {
+public:
+    // The input must outlive the fleet.
+    explicit PlannerFleet(const PlanInput&);
+    PlannerFleet(const PlannerFleet&) = delete;
+    PlannerFleet& operator=(const PlannerFleet&) = delete;
+
+    const FleetWorkers& all() const { return all_; }
+    const std::vector<FleetWorkers>& racks() const { return racks_; }
+    FleetWorker* find(const WorkerId&);
+
+    // Number of tasks of this size that fit into the available resources.
+    static int countFitting(const Resources& perTask, const Resources& available);
+
+    static bool isEligible(const PlanStep&, const FleetWorker&);
+
+    // Number of the step's tasks that fit on the worker beside what it may run already, optionally counting resources
+    // that are being released. On a worker with a hold that binds the step, tasks that may still run when the hold begins
+    // get only what is spare then.
+    int capacityOn(const PlanStep&, const FleetWorker&, bool includeReleasing) const;
+
+    // Selects workers for `count` tasks, one element per task. Prefers workers that the previous plan reserved for the
+    // step, then those with the least free capacity, so that large blocks stay free (best fit). Returns an empty vector
+    // if the tasks do not all fit.
+    FleetWorkers select(const PlanStep&, const FleetWorkers& candidates, std::size_t count, bool includeReleasing) const;
+
+    // Selects workers for all of the step's tasks in one rack: the rack that already has a reservation for the step,
+    // otherwise the fitting one with the fewest free accelerators.
+    FleetWorkers selectInOneRack(const PlanStep&, bool includeReleasing) const;
+
+    // Whether some rack could hold all of the step's tasks if nothing ran there.
+    bool fitsAnyEmptyRack(const PlanStep&) const;
+
+    // Applies the step's limit of tasks on one worker to `count`.
+    static int applySpreadLimit(const PlanStep&, const FleetWorker&, int count);
+
+private:
+    const PlanInput& input_;
+    std::vector<FleetWorker> workers_;
+    FleetWorkers all_;
+    std::vector<FleetWorkers> racks_;
+};
+
+} // namespace rosemarylink::jobs::internal
--- /dev/null
+++ b/src/jobs/PreemptionChoice.cpp
@@ -0,0 +1,216 @@
+#include "PreemptionChoice.h"
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <set>
+#include <tuple>
+
+namespace rosemarylink::jobs::internal {
+
+namespace {
+
+    // Added to the loss of each piece of work, for the time in which its resources are idle while it is stopped and
+    // started again.
+    constexpr double restartCoreSeconds = 2.0;
+
+    std::int64_t acceleratorsOf(const PreemptibleWork& work)
+    {
+        std::int64_t sum = 0;
+        for (const auto& [worker, resources] : work.resources)
+            sum += resources.accelerators;
+        return sum;
+    }
+
+    double costOf(const PreemptibleWork& work) { return work.lostCoreSeconds + restartCoreSeconds; }
+
+} // namespace
+
+PreemptionChooser::PreemptionChooser(const PlanInput& input, PlannerFleet& fleet)
+    : input_(input)
+    , fleet_(fleet)
+    , stopped_(input.running.size(), false)
+{
+}
+
+std::size_t PreemptionChooser::indexOf(const FleetWorker& worker) const
+{
+    return static_cast<std::size_t>(&worker - fleet_.all().front());
+}
+
+void PreemptionChooser::buildIndex()
+{
+    if (indexed_)
+        return;
+    indexed_ = true;
+    runningOn_.resize(fleet_.all().size());
+    workersOf_.resize(input_.running.size());
+    std::map<WorkerId, std::size_t> numbers;
+    for (const FleetWorker* worker : fleet_.all())
+        numbers.emplace(worker->row->id, indexOf(*worker));
+    for (std::size_t index = 0; index < input_.running.size(); ++index) {
+        for (const auto& [id, resources] : input_.running[index].resources) {
+            const auto position = numbers.find(id);
+            if (position == numbers.end())
+                continue;
+            runningOn_[position->second].push_back({ index, resources });
+            workersOf_[index].push_back(position->second);
+        }
+    }
+}
+
+// Work of a lower priority may always be preempted. A guaranteed step may also preempt work of its own priority, once it
+// has waited for a part of the time in which it must start: work beyond its account's guarantee, and as a last resort
+// guaranteed work that uses fewer accelerators than the step needs and can therefore be placed elsewhere. Limiting this
+// to smaller work prevents two jobs from preempting each other in turn.
+bool PreemptionChooser::mayPreempt(const PlanStep& step, std::size_t index) const
+{
+    const PreemptibleWork& work = input_.running[index];
+    if (stopped_[index])
+        return false;
+    if (work.priority > step.priority)
+        return true;
+    const Milliseconds minimumWait = work.guaranteed ? input_.urgentRackWait * 3 / 4 : input_.urgentRackWait / 2;
+    if (!step.guaranteed || input_.now - step.readyAt < minimumWait)
+        return false;
+    const std::int64_t demand = step.spec->perTask.accelerators * static_cast<std::int64_t>(step.tasks.size());
+    return !work.guaranteed || acceleratorsOf(work) < demand;
+}
+
+int PreemptionChooser::capacityWith(const PlanStep& step, std::size_t worker, const Resources& freed) const
+{
+    FleetWorker trial = *fleet_.all()[worker];
+    trial.free += freed;
+    return fleet_.capacityOn(step, trial, /*includeReleasing=*/true);
+}
+
+std::vector<PreemptionChooser::Slot> PreemptionChooser::slotsOn(
+    const PlanStep& step, std::size_t worker, int needed) const
+{
+    // Work of the step's own priority is preempted last.
+    std::vector<std::tuple<bool, double, const Share*>> victims;
+    for (const Share& share : runningOn_[worker]) {
+        if (mayPreempt(step, share.work))
+            victims.emplace_back(
+                input_.running[share.work].priority <= step.priority, costOf(input_.running[share.work]), &share);
+    }
+    std::sort(victims.begin(), victims.end(), [](const auto& a, const auto& b) {
+        return std::make_tuple(std::get<0>(a), std::get<1>(a), std::get<2>(a)->work)
+            < std::make_tuple(std::get<0>(b), std::get<1>(b), std::get<2>(b)->work);
+    });
+    std::vector<Slot> slots;
+    Slot next { 0, worker, {} };
+    Resources freed;
+    int capacity = capacityWith(step, worker, freed);
+    for (const auto& [equallyUrgent, cost, share] : victims) {
+        freed += share->resources;
+        next.cost += cost;
+        next.work.push_back(share->work);
+        const int now = capacityWith(step, worker, freed);
+        if (now == capacity)
+            continue;
+        slots.push_back(next);
+        // Further tasks that fit into the same freed capacity cost nothing.
+        for (int more = capacity + 1; more < now && static_cast<int>(slots.size()) < needed; ++more)
+            slots.push_back({ 0, worker, {} });
+        capacity = now;
+        next = { 0, worker, {} };
+        if (static_cast<int>(slots.size()) >= needed)
+            break;
+    }
+    return slots;
+}
+
+std::optional<PreemptionChoice> PreemptionChooser::choose(const PlanStep& step, const FleetWorkers& candidates)
+{
+    buildIndex();
+    int needed = static_cast<int>(step.tasks.size());
+    for (const FleetWorker* worker : candidates)
+        needed -= fleet_.capacityOn(step, *worker, /*includeReleasing=*/true);
+    if (needed <= 0)
+        return PreemptionChoice {};
+    std::vector<std::vector<Slot>> slots;
+    // Each worker's slots are taken in their order, across workers the cheapest next slot first.
+    using Next = std::tuple<double, std::size_t, std::size_t>; // cost, index into `slots`, slot of that worker
+    std::priority_queue<Next, std::vector<Next>, std::greater<>> queue;
+    for (const FleetWorker* worker : candidates) {
+        std::vector<Slot> found = slotsOn(step, indexOf(*worker), needed);
+        if (found.empty())
+            continue;
+        queue.emplace(found.front().cost, slots.size(), 0);
+        slots.push_back(std::move(found));
+    }
+    std::set<std::size_t> chosen;
+    for (; needed > 0 && !queue.empty(); --needed) {
+        const auto [cost, worker, slot] = queue.top();
+        queue.pop();
+        chosen.insert(slots[worker][slot].work.begin(), slots[worker][slot].work.end());
+        if (slot + 1 < slots[worker].size())
+            queue.emplace(slots[worker][slot + 1].cost, worker, slot + 1);
+    }
+    if (needed > 0)
+        return std::nullopt;
+    PreemptionChoice choice { 0, { chosen.begin(), chosen.end() } };
+    dropNeedless(step, candidates, choice);
+    for (std::size_t index : choice.work)
+        choice.lostCoreSeconds += costOf(input_.running[index]);
+    return choice;
+}
+
+void PreemptionChooser::dropNeedless(
+    const PlanStep& step, const FleetWorkers& candidates, PreemptionChoice& choice) const
+{
+    std::map<std::size_t, Resources> freed; // by worker
+    std::set<std::size_t> isCandidate;
+    for (const FleetWorker* worker : candidates)
+        isCandidate.insert(indexOf(*worker));
+    const auto share = [this](std::size_t work, std::size_t worker) {
+        return input_.running[work].resources.at(fleet_.all()[worker]->row->id);
+    };
+    for (std::size_t work : choice.work) {
+        for (std::size_t worker : workersOf_[work]) {
+            if (isCandidate.count(worker) > 0)
+                freed[worker] += share(work, worker);
+        }
+    }
+    int available = 0;
+    for (std::size_t worker : isCandidate)
+        available += capacityWith(step, worker, freed.count(worker) > 0 ? freed.at(worker) : Resources {});
+    std::vector<std::size_t> byCost = choice.work;
+    std::sort(byCost.begin(), byCost.end(), [this](std::size_t a, std::size_t b) {
+        return std::make_pair(costOf(input_.running[a]), a) > std::make_pair(costOf(input_.running[b]), b);
+    });
+    for (std::size_t work : byCost) {
+        int without = available;
+        for (std::size_t worker : workersOf_[work]) {
+            if (isCandidate.count(worker) == 0)
+                continue;
+            Resources reduced = freed.at(worker);
+            without -= capacityWith(step, worker, reduced);
+            reduced -= share(work, worker);
+            without += capacityWith(step, worker, reduced);
+        }
+        if (without < static_cast<int>(step.tasks.size()))
+            continue;
+        available = without;
+        for (std::size_t worker : workersOf_[work]) {
+            if (isCandidate.count(worker) > 0)
+                freed.at(worker) -= share(work, worker);
+        }
+        choice.work.erase(std::find(choice.work.begin(), choice.work.end(), work));
+    }
+}
+
+void PreemptionChooser::stop(const PreemptionChoice& choice)
+{
+    buildIndex();
+    for (std::size_t work : choice.work) {
+        stopped_[work] = true;
+        for (std::size_t worker : workersOf_[work]) {
+            FleetWorker& row = *fleet_.all()[worker];
+            row.releasing += input_.running[work].resources.at(row.row->id);
+        }
+    }
+}
+
+} // namespace rosemarylink::jobs::internal
--- /dev/null
+++ b/src/jobs/PreemptionChoice.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "PlannerFleet.h"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+// Load pattern: urgent work arrives faster than running work ends, on workers full of small tasks. What is stopped must
+// make room where the urgent tasks fit: a task that needs a whole worker gains nothing from capacity freed on many. The
+// cheapest way to make room for one more task is therefore found worker by worker.
+namespace rosemarylink::jobs::internal {
+
+struct PreemptionChoice {
+    double lostCoreSeconds = 0;
+    std::vector<std::size_t> work; // indices into PlanInput::running, ascending
+};
+
+class PreemptionChooser {
+public:
+    PreemptionChooser(const PlanInput&, PlannerFleet&);
+
+    // Returns the work whose end makes all tasks of the step fit on the candidates, at the smallest loss that is found;
+    // nullopt if there is none.
+    std::optional<PreemptionChoice> choose(const PlanStep&, const FleetWorkers& candidates);
+
+    // Counts the chosen work's resources as being released. The work is not chosen again.
+    void stop(const PreemptionChoice&);
+
+private:
+    struct Share {
+        std::size_t work;
+        Resources resources;
+    };
+    // The victims that make room for one more task on a worker, besides those of the worker's earlier slots.
+    struct Slot {
+        double cost = 0;
+        std::size_t worker = 0;
+        std::vector<std::size_t> work;
+    };
+
+    void buildIndex();
+    std::size_t indexOf(const FleetWorker& worker) const;
+    bool mayPreempt(const PlanStep&, std::size_t work) const;
+    int capacityWith(const PlanStep&, std::size_t worker, const Resources& freed) const;
+    std::vector<Slot> slotsOn(const PlanStep&, std::size_t worker, int needed) const;
+    // Drops work that is not needed, most expensive first, because a stopped gang frees capacity on several workers.
+    void dropNeedless(const PlanStep&, const FleetWorkers& candidates, PreemptionChoice&) const;
+
+    const PlanInput& input_;
+    PlannerFleet& fleet_;
+    bool indexed_ = false;
+    std::vector<std::vector<Share>> runningOn_; // by worker
+    std::vector<std::vector<std::size_t>> workersOf_; // by work
+    std::vector<bool> stopped_; // by work
+};
+
+} // namespace rosemarylink::jobs::internal
--- /dev/null
+++ b/src/jobs/StepOrder.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "Planner.h"
+
+#include <vector>
+
+// Load pattern: more work than the pool completes in time. Work that can still meet its objective goes first, work that
+// can only end late follows, and work whose result has lost its value comes last, behind all other priorities, so that
+// a backlog does not make the work behind it late as well. A bound on waiting keeps the last group from starving.
+namespace rosemarylink::jobs::internal {
+
+// Returns the waiting steps in the order in which they are given capacity.
+std::vector<const PlanStep*> orderSteps(const PlanInput&);
+
+} // namespace rosemarylink::jobs::internal
--- a/tests/jobs/PlannerTest.cpp
+++ b/tests/jobs/PlannerTest.cpp
@@ -32,6 +32,7 @@
         PlanStep step;
         step.job = JobId("j");
         step.spec = &spec;
+        step.expectedRunTime = spec.estimate;
         step.priority = priority;
         for (int index = 0; index < spec.taskCount; ++index)
             step.tasks.push_back(index);
