Answer every caller within half of its time, and spread refused callers

Refused callers were all told to return after 500 ms, whatever the length of the outage.

A timer now ends each request after half of the caller's time, with MayHaveRun if a write of it is open, otherwise NotRun; nothing is written afterwards. The retry hint grows with the time for which the store has not answered, up to 2 s, and is spread by the request over half of that time again (src/jobs/RetryHint.h).

Tests: a caller is answered within half of its time; refused callers return later and not together; a request refused at its limit is not stored afterwards (failed first: the job was stored after NotRun).

--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -68,9 +68,12 @@
     void resolveAttempt(const CallPointer&);
     void commitSubmission(const CallPointer&);
     void resolveConflict(const CallPointer&, const StoreResponse&, Milliseconds requestedAt);
-    // Schedules `retry` if the call's time allows, otherwise finishes the call: with NotRun if no attempt may have
-    // written, with MayHaveRun if one may have. `mayHaveWritten` tells this of the last attempt.
+    // Schedules `retry` if the call's time allows, otherwise calls fail(). `mayHaveWritten` tells whether the last attempt
+    // may have taken effect.
     void retryLater(const CallPointer&, bool mayHaveWritten, const std::function<void()>& retry);
+    // Finishes the call with MayHaveRun if a write of it may have taken effect, otherwise with NotRun.
+    void fail(const CallPointer&);
+    static Milliseconds resolutionLimit(const Call&);
     void readState(const CallPointer&);
     void countWaiting(const CallPointer&, const QueueId&);
     void readForCancel(const CallPointer&);
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -1,5 +1,6 @@
 #include "rosemarylink/jobs/Admission.h"
 
+#include "RetryHint.h"
 #include "rosemarylink/base/Log.h"
 #include "rosemarylink/jobs/JobProgress.h"
 
@@ -18,7 +19,10 @@
     // A request that certainly has not run is retried for this long and then refused with a retry hint. Short refusals
     // of the store (rate limit, leader change) are over sooner; a real outage lasts seconds.
     constexpr Milliseconds refusalTimeout { 700 };
-    constexpr Milliseconds retryAfterRefusal { 500 };
+
+    // A request ends after at most this fraction (1/N) of the caller's time, so that the caller can use the rest of it at
+    // another instance, which may reach the store.
+    constexpr int resolutionDivisor = 2;
 
     // Reserved out of the caller's deadline for delivering the response.
     constexpr Milliseconds responseMargin { 150 };
@@ -31,6 +35,9 @@
     CallerRequest request;
     AdmissionHandler handler;
     Milliseconds startedAt { 0 };
+    Timers::Id limitTimer = 0; // ends the call when its time limit is reached
+    bool finished = false;
+    bool writeInFlight = false;
     JobId job;
     JobSpec spec; // of a submission
     std::string rejection; // why the submission is invalid; empty if it is valid
@@ -57,11 +64,21 @@
     call->request = request;
     call->handler = handler;
     call->startedAt = clock_.monotonic();
+    call->limitTimer = timers_.after(resolutionLimit(*call), [this, call] {
+        call->mayHaveRun = call->mayHaveRun || call->writeInFlight;
+        if (!call->finished)
+            fail(call);
+    });
     return call;
 }
 
+// A call that has reached its time limit is finished already when the store responds late.
 void Admission::finish(const CallPointer& call, const AdmissionResponse& response)
 {
+    if (call->finished)
+        return;
+    call->finished = true;
+    timers_.cancel(call->limitTimer);
     --inProgress_;
     metrics_.countResponse(response.outcome);
     call->handler(response);
@@ -93,12 +110,21 @@
 {
     const Milliseconds waited = clock_.monotonic() - call->startedAt;
     call->mayHaveRun = call->mayHaveRun || mayHaveWritten;
-    const Milliseconds untilDeadline = std::max(Milliseconds(0), call->request.deadline - responseMargin);
-    const Milliseconds timeLimit = call->mayHaveRun ? untilDeadline : std::min(untilDeadline, refusalTimeout);
-    if (waited + retryDelay < timeLimit) {
-        timers_.after(retryDelay, retry);
+    const Milliseconds timeLimit
+        = call->mayHaveRun ? resolutionLimit(*call) : std::min(resolutionLimit(*call), refusalTimeout);
+    if (waited + retryDelay >= timeLimit) {
+        fail(call);
         return;
     }
+    timers_.after(retryDelay, [call, retry] {
+        if (!call->finished)
+            retry();
+    });
+}
+
+void Admission::fail(const CallPointer& call)
+{
+    const Milliseconds waited = clock_.monotonic() - call->startedAt;
     // Logs the path because the job id can be extracted from it only with a confirmed configuration.
     const auto age = config_.age();
     logger.warning("Request failed because the store is unavailable",
@@ -110,7 +136,13 @@
             { AdmissionOutcome::MayHaveRun, "the store did not respond in time; the request may have taken effect" });
     else
         finish(call,
-            { AdmissionOutcome::NotRun, "the store is unavailable; the request has had no effect", retryAfterRefusal });
+            { AdmissionOutcome::NotRun, "the store is unavailable; the request has had no effect",
+                internal::retryHint(age.value_or(waited), call->request.path) });
+}
+
+Milliseconds Admission::resolutionLimit(const Call& call)
+{
+    return std::max(Milliseconds(0), call.request.deadline - responseMargin) / resolutionDivisor;
 }
 
 void Admission::submit(const CallerRequest& request, const SpecParser& parse, const AdmissionHandler& handler)
@@ -183,6 +215,8 @@
 
 void Admission::commitSubmission(const CallPointer& call)
 {
+    if (call->finished)
+        return;
     // The precondition on the configuration's revision ensures that the job is accepted under the newest one only.
     call->configRevision = config_.revision();
     Batch batch;
@@ -192,7 +226,9 @@
     batch.puts = { { keys::job(call->job), toJson(call->spec).dump() }, { keys::progress(call->job), progress.dump() },
         { keys::waitingJob(call->spec.policy.queue, call->job), "-" } };
     const Milliseconds requestedAt = clock_.monotonic();
+    call->writeInFlight = true;
     store_.commit(batch, storeTimeout, [this, call, requestedAt](const StoreResponse& response) {
+        call->writeInFlight = false;
         switch (response.outcome) {
         case StoreOutcome::Done:
             metrics_.accept.record(static_cast<double>((clock_.monotonic() - call->startedAt).count()));
@@ -263,7 +299,9 @@
         const auto state = parseProgressState(response.records.front().value);
         if (!state) {
             logger.error("Progress record is malformed", { { "job", call->job } });
-            finish(call, { AdmissionOutcome::NotRun, "the job's progress record is malformed", retryAfterRefusal });
+            finish(call,
+                { AdmissionOutcome::NotRun, "the job's progress record is malformed",
+                    internal::retryHint(Milliseconds(0), call->request.path) });
             return;
         }
         finish(call, { AdmissionOutcome::Accepted, "", Milliseconds(0), *state });
@@ -318,10 +356,14 @@
 
 void Admission::commitCancel(const CallPointer& call, Revision jobRevision)
 {
+    if (call->finished)
+        return;
     Batch batch;
     batch.preconditions = { { keys::job(call->job), jobRevision } };
     batch.puts = { { keys::cancellation(call->job), "-" } };
+    call->writeInFlight = true;
     store_.commit(batch, storeTimeout, [this, call, jobRevision](const StoreResponse& response) {
+        call->writeInFlight = false;
         if (response.done()) {
             logger.info("Cancellation accepted", { { "job", call->job }, { "revision", response.revision.value() } });
             finish(call, { AdmissionOutcome::Accepted, "" });
--- a/tests/jobs/AdmissionTest.cpp
+++ b/tests/jobs/AdmissionTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 namespace rosemarylink::jobs {
 
 namespace {
@@ -123,6 +125,54 @@
     REQUIRE_FALSE(cluster.storedState("a1").has_value());
 }
 
+// Guards against holding a caller until its deadline: a call to the store that began late ended after it (found with
+// bench setup tidyroom-jo-large trouble-3, where 22 callers got no answer in an outage of the store).
+TEST_CASE("a caller is answered within half of its time while the store does not respond")
+{
+    SimCluster cluster;
+    cluster.world.run(Milliseconds(1200));
+    REQUIRE(cluster.submit("batch", "a1", smallJob).outcome == AdmissionOutcome::Accepted);
+    cluster.store.mode = SimStore::Mode::Silent;
+    for (const char* const id : { "a2", "a3" }) {
+        const Milliseconds before = cluster.world.now();
+        REQUIRE(cluster.submit("batch", id, smallJob).outcome != AdmissionOutcome::Accepted);
+        CHECK(cluster.world.now() - before <= Milliseconds(1500));
+        REQUIRE(cluster.cancel("batch", "a1").outcome != AdmissionOutcome::Accepted);
+    }
+}
+
+// Guards against storing a submission after its caller was told that it had not run: the time limit was reached while
+// the configuration was being confirmed.
+TEST_CASE("a submission that was refused at its time limit is not stored afterwards")
+{
+    SimCluster cluster;
+    cluster.world.run(Milliseconds(5000));
+    const AdmissionResponse response = cluster.submit("batch", "a1", smallJob, 0, Milliseconds(152));
+    REQUIRE(response.outcome == AdmissionOutcome::NotRun);
+    cluster.world.run(Milliseconds(5000));
+    REQUIRE_FALSE(cluster.storedState("a1").has_value());
+}
+
+// Guards against callers that all return together, and that use up their attempts during a long outage.
+TEST_CASE("refused callers return later the longer the store is unavailable, and not together")
+{
+    SimCluster cluster;
+    cluster.world.run(Milliseconds(1200));
+    cluster.store.mode = SimStore::Mode::Refusing;
+    Milliseconds first { 0 };
+    std::set<Milliseconds> hints;
+    for (int number = 0; number < 6; ++number) {
+        const AdmissionResponse response = cluster.submit("batch", "a" + std::to_string(number), smallJob);
+        REQUIRE(response.outcome == AdmissionOutcome::NotRun);
+        hints.insert(response.retryAfter);
+        if (number == 0)
+            first = response.retryAfter;
+    }
+    CHECK(hints.size() >= 4);
+    CHECK(*hints.rbegin() > first);
+    CHECK(*hints.rbegin() <= Milliseconds(3000));
+}
+
 // Guards against accepting a submission under a configuration that has been replaced.
 TEST_CASE("a submission is evaluated against the newest configuration even before its watch event arrives")
 {
