--- a/include/rosemarylink/jobs/Ownership.h
+++ b/include/rosemarylink/jobs/Ownership.h
@@ -41,6 +41,11 @@
     // True while this instance holds the record and its lease cannot have expired, judged by the local monotonic clock.
     bool valid() const { return held_ && clock_.monotonic() < validUntil_; }
     bool held() const { return held_; }
+
+    // True while runs that this owner has started may be kept alive or stopped: the lease is valid, or a renewal that was
+    // sent after its end failed because the store did not respond. Without the latter, a process that resumes after a
+    // pause would command workers that another owner may command by now.
+    bool mayCommand() const { return held_ && (valid() || (failedRenewalAt_ && *failedRenewalAt_ >= validUntil_)); }
     FencingToken token() const { return token_; }
 
     // Precondition that every write of the owner must include. It fails once another instance is the owner.
@@ -70,6 +75,7 @@
     FencingToken token_ { 0 };
     StoreLeaseId lease_ = 0;
     Milliseconds validUntil_ { 0 };
+    std::optional<Milliseconds> failedRenewalAt_; // when the last renewal that got no response was sent
     bool held_ = false;
     bool acquiring_ = false;
     bool resigning_ = false;
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -404,9 +404,11 @@
     run.stopSentAt = now();
     const WorkerId id = worker.entry.id;
     const std::uint64_t incarnation = worker.incarnation;
-    owner_.workers_.stop(worker.entry, key.first, key.second, token_,
-        guarded([this, key, id, incarnation](
-                    const CommandResponse& response) { handleStopResponse(key, id, incarnation, response); }));
+    if (owner_.ownership_.mayCommand()) {
+        owner_.workers_.stop(worker.entry, key.first, key.second, token_,
+            guarded([this, key, id, incarnation](
+                        const CommandResponse& response) { handleStopResponse(key, id, incarnation, response); }));
+    }
     runAfter(stopRetry, [this, key, id, incarnation] {
         Worker* const current = find(id);
         if (!current || current->incarnation != incarnation)
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -19,6 +19,10 @@
 
     constexpr Milliseconds retryDelay { 250 };
 
+    // The lease of a worker that does not report is renewed for this long, since only its reports may be lost or late.
+    // Then it is left to expire, so that the runs can start elsewhere if the worker is cut off.
+    constexpr Milliseconds silentRenewalLimit { 3000 };
+
     // A worker may execute a command up to this long after it was sent.
     constexpr Milliseconds longestCommandDelay { 12000 };
 
@@ -90,6 +94,10 @@
 {
     if (worker.pollInFlight || !owner_.ownership_.held())
         return;
+    if (!owner_.ownership_.mayCommand()) {
+        schedulePoll(worker.entry.id, retryDelay);
+        return;
+    }
     const std::uint64_t number = ++worker.lastPoll;
     worker.pollInFlight = true;
     const WorkerId id = worker.entry.id;
@@ -102,11 +110,12 @@
     const bool sameIncarnation = now() - worker.reportedAt <= minimumRestartTime;
     const std::int64_t cursor = pending && sameIncarnation ? acknowledgeableEnd(worker) : 0;
     worker.skipWait = worker.skipWait || (pending && !sameIncarnation);
-    const bool renewsLease = worker.clock && !worker.runs.empty();
+    const bool silent = worker.unresponsiveSince && now() - worker.reportedAt > silentRenewalLimit;
+    const bool renewsLease = worker.clock && !worker.runs.empty() && !silent;
     const Milliseconds leaseEnd = renewsLease ? leaseEndFor(worker) : Milliseconds(0);
     if (renewsLease)
         extendLease(worker, leaseEnd);
-    const bool waitsForEnd = renewsLease && worker.pendingEnds.empty() && !std::exchange(worker.skipWait, false);
+    const bool waitsForEnd = renewsLease && !worker.unresponsiveSince && worker.pendingEnds.empty() && !std::exchange(worker.skipWait, false);
     const Milliseconds wait = waitsForEnd ? pollWait : Milliseconds(0);
     owner_.workers_.poll(worker.entry, leaseEnd, token_, cursor, wait,
         guarded([this, id, incarnation, sentAt, leaseEnd, number, cursor](const Result<WorkerReport>& report) {
--- a/src/jobs/Ownership.cpp
+++ b/src/jobs/Ownership.cpp
@@ -151,6 +151,7 @@
     lease_ = lease;
     token_ = FencingToken(revision.value());
     validUntil_ = grantedAt + ttl - validityMargin;
+    failedRenewalAt_.reset();
     logger.info(
         "Ownership gained", { { "token", token_ }, { "validForMs", (validUntil_ - clock_.monotonic()).count() } });
     listener_.gained(token_);
@@ -172,9 +173,11 @@
         }
         if (response.done())
             validUntil_ = std::max(validUntil_, sentAt + response.leaseTtl - validityMargin);
-        else
+        else {
+            failedRenewalAt_ = sentAt;
             logger.warning("Store lease was not renewed; retrying",
                 { { "token", token_ }, { "validForMs", (validUntil_ - clock_.monotonic()).count() } });
+        }
         timers_.after(response.done() ? renewInterval : retryDelay, [this, epoch] {
             if (epoch == epoch_)
                 renew();
--- a/tests/jobs/SimCluster.cpp
+++ b/tests/jobs/SimCluster.cpp
@@ -24,8 +24,8 @@
 Result<WorkerEntry> SimCatalog::parseWorker(const Record& record) const
 {
     const nlohmann::json json = nlohmann::json::parse(record.value, nullptr, /*allow_exceptions=*/false);
-    if (!json.is_object())
-        return invalidArgument("the worker's registration is not a JSON object");
+    if (!json.is_object() || !json.contains("rack") || !json.contains("born"))
+        return invalidArgument("the worker's registration is malformed");
     WorkerEntry entry;
     entry.id = WorkerId(record.key.substr(workerPrefix().size()));
     entry.address = entry.id.value();
@@ -63,6 +63,14 @@
     workers.killed = true;
 }
 
+void SimInstance::pause(Milliseconds duration)
+{
+    const Milliseconds until = timers.now() + duration;
+    timers.pausedUntil = until;
+    store.pausedUntil = until;
+    workers.pausedUntil = until;
+}
+
 void SimInstance::shutDown()
 {
     owner.flush([this] {
--- a/tests/jobs/SimCluster.h
+++ b/tests/jobs/SimCluster.h
@@ -24,7 +24,7 @@
     Result<WorkerEntry> parseWorker(const Record&) const override;
 };
 
-// Timers of one instance. None fires after `killed` has been set.
+// Timers of one instance. None fires after `killed` has been set, or before `pausedUntil`.
 class SimTimers final : public Timers {
 public:
     explicit SimTimers(SimWorld& world)
@@ -33,15 +33,19 @@
     }
 
     bool killed = false;
+    Milliseconds pausedUntil { 0 };
 
     Id after(Milliseconds delay, std::function<void()> task) override
     {
         return world_.after(delay, [this, task] {
-            if (!killed)
+            if (world_.now() < pausedUntil)
+                after(pausedUntil - world_.now(), task);
+            else if (!killed)
                 task();
         });
     }
     void cancel(Id id) override { world_.cancel(id); }
+    Milliseconds now() const { return world_.now(); }
 
 private:
     SimWorld& world_;
@@ -52,6 +56,7 @@
     SimInstance(SimWorld&, SimStore&, SimFleet&, const std::string& name, const InstanceCapacity&);
 
     void kill(); // without any cleanup, as by SIGKILL
+    void pause(Milliseconds duration); // as by SIGSTOP and SIGCONT; what arrives meanwhile is handled afterwards
     void shutDown(); // flushes progress and releases ownership, as on SIGTERM
 
     SimCatalog catalog;
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -128,6 +128,7 @@
     response.workerClock = clockOf(incarnation);
     const StepSpec* const spec = specOf(order.task);
     if (fence < incarnation.fence) {
+        ++staleCommands;
         response.outcome = CommandOutcome::Fenced;
         return response;
     }
@@ -250,6 +251,7 @@
     CommandResponse response;
     response.workerClock = clockOf(incarnation);
     if (fence < incarnation.fence) {
+        ++staleCommands;
         response.outcome = CommandOutcome::Fenced;
         return response;
     }
@@ -329,10 +331,7 @@
     const std::function<void(const CommandResponse&)>& handler)
 {
     const auto respond = [this, handler](Milliseconds delay, const CommandResponse& result) {
-        world_.after(delay, [this, handler, result] {
-            if (!killed)
-                handler(result);
-        });
+        world_.after(delay, [this, handler, result] { deliver([handler, result] { handler(result); }); });
     };
     if (!findReachable(id)) {
         respond(commandTimeout, {});
@@ -380,13 +379,21 @@
         handler);
 }
 
+void SimWorkerClient::deliver(const std::function<void()>& task)
+{
+    if (world_.now() < pausedUntil)
+        world_.after(pausedUntil - world_.now(), [this, task] { deliver(task); });
+    else if (!killed)
+        task();
+}
+
 void SimWorkerClient::poll(const WorkerEntry& worker, Milliseconds leaseEnd, FencingToken token,
     std::int64_t acknowledged, Milliseconds wait, std::function<void(Result<WorkerReport>)> handler)
 {
     const auto responded = std::make_shared<bool>(false);
     const auto once = [this, responded, handler](const Result<WorkerReport>& result) {
         if (!killed && !std::exchange(*responded, true))
-            handler(result);
+            deliver([handler, result] { handler(result); });
     };
     world_.after(wait + pollMargin, [once] { once(unavailable("no response", Verdict::MayHaveRun)); });
     world_.after(oneWay, [this, id = worker.id, leaseEnd, token, acknowledged, wait, once] {
@@ -394,6 +401,7 @@
         if (!incarnation)
             return;
         if (token.value() < incarnation->fence) {
+            ++fleet_.staleCommands;
             once(makeError(ErrorCode::Fenced, "a later owner has called the worker"));
             return;
         }
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -49,7 +49,9 @@
     // Descriptions of the violated invariants.
     const std::vector<std::string>& violations() const { return violations_; }
     int startsOf(const JobId&) const;
+    int staleCommands = 0; // commands and polls with a lower token than the worker has seen
     int running() const;
+    int runningOn(const WorkerId& id) const { return static_cast<int>(workers_.at(id).runs.size()); }
     std::vector<std::string> checkpointsUsed; // one "task checkpoint" per start with a checkpoint
 
 private:
@@ -112,6 +114,7 @@
     }
 
     bool killed = false;
+    Milliseconds pausedUntil { 0 }; // nothing is delivered before
 
     void start(const WorkerEntry&, const StartCommand&, Milliseconds leaseEnd, FencingToken,
         std::function<void(const CommandResponse&)>) override;
@@ -122,6 +125,7 @@
 
 private:
     SimFleet::WorkerState* findReachable(const WorkerId&);
+    void deliver(const std::function<void()>&);
     void order(const WorkerId&, const std::function<CommandResponse(SimFleet::WorkerState&)>& work,
         const std::function<void(const CommandResponse&)>& handler);
 
--- a/tests/jobs/SimStore.cpp
+++ b/tests/jobs/SimStore.cpp
@@ -141,7 +141,9 @@
 void SimStoreClient::respondLater(Milliseconds delay, const StoreHandler& handler, const StoreResponse& response)
 {
     world_.after(delay, [this, handler, response] {
-        if (!killed)
+        if (world_.now() < pausedUntil)
+            respondLater(pausedUntil - world_.now(), handler, response);
+        else if (!killed)
             handler(response);
     });
 }
--- a/tests/jobs/SimStore.h
+++ b/tests/jobs/SimStore.h
@@ -81,6 +81,7 @@
 
     bool disconnected = false; // calls are lost and time out
     bool killed = false; // the instance was killed; nothing is sent or delivered any more
+    Milliseconds pausedUntil { 0 }; // nothing is delivered before
 
     void commit(const Batch&, Milliseconds timeout, StoreHandler) override;
     void read(const std::string& key, Milliseconds timeout, StoreHandler) override;
