--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -191,6 +191,7 @@
         reservedWorkers_; // by job, occurrence and step; reservations of the last plan
     std::map<ServiceId, WaitReasons> loggedWaitReasons_;
     std::map<ServiceId, UrgentHeadroom> urgentHeadrooms_;
+    std::map<ServiceId, Milliseconds> preemptedForOthersAt_; // last plan that could preempt for work that is not urgent
     RunTimeModel runTimes_;
     bool recovered_ = false;
     bool planPending_ = false;
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -11,12 +11,18 @@
     // Combines events that arrive together into one plan.
     constexpr Milliseconds planDelay { 2 };
 
+    // Only some plans look for work to preempt for steps that are not urgent, because the search is costly.
+    constexpr Milliseconds otherPreemptionInterval { 25 };
+
     // An occurrence starts this long after its due time, so that it is not early by a slightly different clock.
     constexpr Milliseconds dueMargin { 20 };
 
     // Weight of an accelerator in lost core-seconds, as defined by the platform's users.
     constexpr double coresPerAccelerator = 8.0;
 
+    // A stopped run that returns a checkpoint loses the time in which it is saved and restored.
+    constexpr Milliseconds resumeTime { 100 };
+
     // A job that completes within this multiple of its objective still has some value.
     constexpr int lateFactor = 3;
 
@@ -177,6 +183,10 @@
         if (step.priority == 0)
             urgentDemand += step.spec->perTask.accelerators * static_cast<std::int64_t>(step.tasks.size());
     }
+    Milliseconds& preemptedAt = preemptedForOthersAt_[pool];
+    input.mayPreemptForOthers = input.now - preemptedAt >= otherPreemptionInterval;
+    if (input.mayPreemptForOthers)
+        preemptedAt = input.now;
     input.urgentHeadroom = urgentHeadrooms_[pool].update(input.now, urgentDemand, capacity);
     return input;
 }
@@ -245,7 +255,7 @@
             const double cores = static_cast<double>(spec.perTask.milliCores) / 1000.0
                 + coresPerAccelerator * static_cast<double>(spec.perTask.accelerators);
             PreemptibleWork gang { job.spec.id, occurrence, static_cast<int>(number), {}, {}, job.spec.policy.priority,
-                guaranteed, 0 };
+                guaranteed, 0, Milliseconds(0) };
             for (int index = 0; index < spec.taskCount; ++index) {
                 const TaskProgress& task = progress.tasks[index];
                 if (task.phase != TaskPhase::Running && task.phase != TaskPhase::Starting)
@@ -254,8 +264,8 @@
                 one.tasks = { index };
                 one.resources.clear();
                 one.resources[task.worker] += spec.perTask;
-                const double elapsed = static_cast<double>((input.now - task.startedAt).count()) / 1000.0;
-                one.lostCoreSeconds = spec.checkpointing ? cores * 0.1 : cores * elapsed;
+                one.lostTime = spec.checkpointing ? resumeTime : input.now - task.startedAt;
+                one.lostCoreSeconds = cores * static_cast<double>(one.lostTime.count()) / 1000.0;
                 if (!spec.gang) {
                     input.running.push_back(std::move(one));
                     continue;
@@ -263,6 +273,7 @@
                 gang.tasks.push_back(index);
                 gang.resources[task.worker] += spec.perTask;
                 gang.lostCoreSeconds += one.lostCoreSeconds;
+                gang.lostTime = std::max(gang.lostTime, one.lostTime);
             }
             if (!gang.tasks.empty())
                 input.running.push_back(std::move(gang));
--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -106,25 +106,60 @@
             return chosen;
         }
 
+        struct GangSize {
+            Resources perTask;
+            std::size_t tasks;
+            bool spread; // over several racks
+            int priority;
+            Milliseconds expectedRunTime;
+        };
+
+        // Whether a gang that needs no more than this one has failed before in this plan. What is available only shrinks
+        // while a plan is made, except by preemptions.
+        static bool isKnown(const std::vector<GangSize>& failed, const PlanStep& step, bool spread)
+        {
+            return std::any_of(failed.begin(), failed.end(), [&](const GangSize& other) {
+                return other.perTask.fitsIn(step.spec->perTask) && other.tasks <= step.tasks.size()
+                    && (other.spread || !spread) && other.priority <= step.priority
+                    && other.expectedRunTime <= step.expectedRunTime;
+            });
+        }
+
+        static void remember(std::vector<GangSize>& failed, const PlanStep& step, bool spread)
+        {
+            if (step.spec->workerLabel.empty() && step.spec->maximumPerWorker == 0)
+                failed.push_back(
+                    { step.spec->perTask, step.tasks.size(), spread, step.priority, step.expectedRunTime });
+        }
+
         // Returns whether workers are reserved for the gang against the expected ends of what runs there.
         bool planGang(const PlanStep& step, bool spread)
         {
             const bool preferRack = step.spec->rackLocal || !step.spec->dataRack.empty();
-            FleetWorkers chosen = selectForGang(step, preferRack, spread, /*includeReleasing=*/false);
-            if (!chosen.empty()) {
-                place(step, chosen);
-                return false;
-            }
-            // Reserves capacity that is already being freed instead of preempting more work.
-            chosen = selectForGang(step, preferRack, spread, /*includeReleasing=*/true);
-            if (!chosen.empty()) {
-                reserve(step, chosen);
-                return false;
+            FleetWorkers chosen;
+            if (!isKnown(withoutCapacity_, step, spread)) {
+                chosen = selectForGang(step, preferRack, spread, /*includeReleasing=*/false);
+                if (!chosen.empty()) {
+                    place(step, chosen);
+                    return false;
+                }
+                // Reserves capacity that is already being freed instead of preempting more work.
+                chosen = selectForGang(step, preferRack, spread, /*includeReleasing=*/true);
+                if (!chosen.empty()) {
+                    reserve(step, chosen);
+                    return false;
+                }
+                remember(withoutCapacity_, step, spread);
             }
             if (step.priority == 0) {
                 preemptFor(step, preferRack && !spread);
                 return false;
             }
+            if (input_.mayPreemptForOthers && !isKnown(withoutVictims_, step, spread)) {
+                if (preemptFor(step, preferRack && !spread))
+                    return false;
+                remember(withoutVictims_, step, spread);
+            }
             chosen = gangReservations_.reserve(step, preferRack && !spread);
             if (chosen.empty())
                 return false;
@@ -197,12 +232,12 @@
         }
 
         // Preempts the work with the smallest loss that makes the step fit, and reserves the freed capacity. With
-        // `oneRack`, only capacity of a single rack counts.
-        void preemptFor(const PlanStep& step, bool oneRack)
+        // `oneRack`, only capacity of a single rack counts. Returns whether work is preempted.
+        bool preemptFor(const PlanStep& step, bool oneRack)
         {
             if (input_.running.empty()) {
                 plan_.wantsPreemption = true;
-                return;
+                return false;
             }
             std::optional<PreemptionChoice> best;
             if (oneRack || step.spec->rackLocal) {
@@ -215,15 +250,19 @@
             if (!best && !oneRack)
                 best = preemptions_.choose(step, fleet_.all());
             if (!best)
-                return;
+                return false;
             preemptions_.stop(*best);
+            withoutCapacity_.clear();
             plan_.preemptions.insert(plan_.preemptions.end(), best->work.begin(), best->work.end());
             const bool inRack = oneRack || step.spec->rackLocal;
             reserve(step, selectForGang(step, inRack, /*spread=*/true, /*includeReleasing=*/true));
+            return true;
         }
 
         const PlanInput& input_;
         PlannerFleet fleet_;
+        std::vector<GangSize> withoutCapacity_; // gangs that do not fit
+        std::vector<GangSize> withoutVictims_; // gangs that are not urgent and do not fit with preemptions either
         GangReservations gangReservations_;
         PreemptionChooser preemptions_;
         Plan plan_;
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -58,6 +58,7 @@
     int priority = 0;
     bool guaranteed = false; // within its client account's guarantee
     double lostCoreSeconds = 0; // work that would have to be repeated
+    Milliseconds lostTime { 0 }; // the run time of that work
 };
 
 struct PlanInput {
@@ -66,6 +67,7 @@
     std::vector<PlanStep> steps;
     // Empty in a first plan; see Plan::wantsPreemption.
     std::vector<PreemptibleWork> running;
+    bool mayPreemptForOthers = false; // steps that are not urgent may preempt work that loses little
     std::int64_t urgentHeadroom = 0; // accelerators that work of lower priority must leave free for urgent work
     Milliseconds urgentRackWait { 0 }; // how long urgent work waits for its preferred rack before it may use others
 };
--- a/src/jobs/PreemptionChoice.cpp
+++ b/src/jobs/PreemptionChoice.cpp
@@ -14,6 +14,9 @@
     // started again.
     constexpr double restartCoreSeconds = 2.0;
 
+    // Work that is not urgent preempts only what loses at most this much of its run time.
+    constexpr Milliseconds maximumLossForOthers { 500 };
+
     std::int64_t acceleratorsOf(const PreemptibleWork& work)
     {
         std::int64_t sum = 0;
@@ -45,6 +48,8 @@
     indexed_ = true;
     runningOn_.resize(fleet_.all().size());
     workersOf_.resize(input_.running.size());
+    for (std::vector<Resources>& resources : preemptible_)
+        resources.resize(fleet_.all().size());
     std::map<WorkerId, std::size_t> numbers;
     for (const FleetWorker* worker : fleet_.all())
         numbers.emplace(worker->row->id, indexOf(*worker));
@@ -55,10 +60,25 @@
                 continue;
             runningOn_[position->second].push_back({ index, resources });
             workersOf_[index].push_back(position->second);
+            for (const Reach reach : { Reach::Urgent, Reach::Others }) {
+                if (isWithin(reach, input_.running[index]))
+                    preemptible_[static_cast<int>(reach)][position->second] += resources;
+            }
         }
     }
 }
 
+bool PreemptionChooser::isWithin(Reach reach, const PreemptibleWork& work)
+{
+    return reach == Reach::Urgent || (work.priority > 0 && work.lostTime <= maximumLossForOthers);
+}
+
+int PreemptionChooser::mostOn(const PlanStep& step, std::size_t worker) const
+{
+    const Reach reach = step.priority == 0 ? Reach::Urgent : Reach::Others;
+    return capacityWith(step, worker, preemptible_[static_cast<int>(reach)][worker]);
+}
+
 // Work of a lower priority may always be preempted. A guaranteed step may also preempt work of its own priority, once it
 // has waited for a part of the time in which it must start: work beyond its account's guarantee, and as a last resort
 // guaranteed work that uses fewer accelerators than the step needs and can therefore be placed elsewhere. Limiting this
@@ -69,7 +89,7 @@
     if (stopped_[index])
         return false;
     if (work.priority > step.priority)
-        return true;
+        return step.priority == 0 || isWithin(Reach::Others, work);
     const Milliseconds minimumWait = work.guaranteed ? input_.urgentRackWait * 3 / 4 : input_.urgentRackWait / 2;
     if (!step.guaranteed || input_.now - step.readyAt < minimumWait)
         return false;
@@ -125,6 +145,11 @@
 {
     buildIndex();
     int needed = static_cast<int>(step.tasks.size());
+    int most = 0;
+    for (const FleetWorker* worker : candidates)
+        most += mostOn(step, indexOf(*worker));
+    if (most < needed)
+        return std::nullopt;
     for (const FleetWorker* worker : candidates)
         needed -= fleet_.capacityOn(step, *worker, /*includeReleasing=*/true);
     if (needed <= 0)
@@ -134,6 +159,8 @@
     using Next = std::tuple<double, std::size_t, std::size_t>; // cost, index into `slots`, slot of that worker
     std::priority_queue<Next, std::vector<Next>, std::greater<>> queue;
     for (const FleetWorker* worker : candidates) {
+        if (mostOn(step, indexOf(*worker)) <= fleet_.capacityOn(step, *worker, /*includeReleasing=*/true))
+            continue;
         std::vector<Slot> found = slotsOn(step, indexOf(*worker), needed);
         if (found.empty())
             continue;
--- a/src/jobs/PreemptionChoice.h
+++ b/src/jobs/PreemptionChoice.h
@@ -39,7 +39,13 @@
         std::vector<std::size_t> work;
     };
 
+    // Work that urgent steps may preempt, and work that any step of a higher priority may preempt.
+    enum class Reach { Urgent, Others };
+
     void buildIndex();
+    static bool isWithin(Reach, const PreemptibleWork&);
+    // Upper limit on the number of the step's tasks that fit on the worker after preemptions.
+    int mostOn(const PlanStep&, std::size_t worker) const;
     std::size_t indexOf(const FleetWorker& worker) const;
     bool mayPreempt(const PlanStep&, std::size_t work) const;
     int capacityWith(const PlanStep&, std::size_t worker, const Resources& freed) const;
@@ -51,6 +57,7 @@
     PlannerFleet& fleet_;
     bool indexed_ = false;
     std::vector<std::vector<Share>> runningOn_; // by worker
+    std::vector<Resources> preemptible_[2]; // by reach and worker
     std::vector<std::vector<std::size_t>> workersOf_; // by work
     std::vector<bool> stopped_; // by work
 };
