--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -146,7 +146,10 @@
     void markChanged(Job&, bool urgent);
 
     // OwnerSessionPlanning.cpp
-    void schedulePlan();
+    // Plans soon after an event: almost at once if urgent work arrives, otherwise together with the events of the next
+    // while, which grows with the cost of a plan.
+    void schedulePlan(bool urgentArrival = false);
+    Milliseconds planDelay(bool urgentArrival) const;
     void plan();
     PlanInput planInput(const ServiceId& pool);
     PlanWorker planWorker(const Worker&) const;
@@ -194,7 +197,8 @@
     std::map<ServiceId, Milliseconds> preemptedForOthersAt_; // last plan that could preempt for work that is not urgent
     RunTimeModel runTimes_;
     bool recovered_ = false;
-    bool planPending_ = false;
+    std::optional<Milliseconds> planDueAt_; // when the pending plan is made
+    bool urgentWaits_ = false; // urgent work did not fit in the last plan
     bool flushPending_ = false;
     bool flushing_ = false;
     std::vector<std::function<void()>> flushWaiters_;
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -9,7 +9,12 @@
 namespace {
 
     // Combines events that arrive together into one plan.
-    constexpr Milliseconds planDelay { 2 };
+    constexpr Milliseconds shortestPlanDelay { 2 };
+    constexpr Milliseconds longestPlanDelay { 50 };
+    constexpr Milliseconds longestUrgentPlanDelay { 8 }; // while urgent work waits
+
+    // A plan takes time in proportion to the workers, so the delay grows by 1 ms for each of these.
+    constexpr std::size_t workersPerDelay = 20;
 
     // Only some plans look for work to preempt for steps that are not urgent, because the search is costly.
     constexpr Milliseconds otherPreemptionInterval { 25 };
@@ -56,13 +61,25 @@
 
 } // namespace
 
-void OwnerSession::schedulePlan()
+Milliseconds OwnerSession::planDelay(bool urgentArrival) const
+{
+    if (urgentArrival)
+        return shortestPlanDelay;
+    const Milliseconds paced(static_cast<std::int64_t>(workers_.size() / workersPerDelay));
+    return std::clamp(paced, shortestPlanDelay, urgentWaits_ ? longestUrgentPlanDelay : longestPlanDelay);
+}
+
+void OwnerSession::schedulePlan(bool urgentArrival)
 {
-    if (planPending_)
+    const Milliseconds delay = planDelay(urgentArrival);
+    const Milliseconds dueAt = now() + delay;
+    if (planDueAt_ && *planDueAt_ <= dueAt)
         return;
-    planPending_ = true;
-    runAfter(planDelay, [this] {
-        planPending_ = false;
+    planDueAt_ = dueAt;
+    runAfter(delay, [this, dueAt] {
+        if (planDueAt_ != dueAt)
+            return;
+        planDueAt_.reset();
         plan();
     });
 }
@@ -71,6 +88,7 @@
 {
     if (!owner_.ownership_.valid())
         return;
+    urgentWaits_ = false;
     std::set<ServiceId> pools;
     for (const auto& [id, job] : jobs_)
         pools.insert(job.spec.policy.pool);
@@ -86,6 +104,8 @@
             if (!input.running.empty())
                 plan = makePlan(input);
         }
+        for (const WaitingStep& waiting : plan.waiting)
+            urgentWaits_ = urgentWaits_ || input.steps[waiting.step].priority == 0;
         applyPlan(pool, input, plan);
     }
 }
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -182,8 +182,9 @@
     } else {
         owner_.metrics_.handOver.record(static_cast<double>(age.count()));
     }
+    const bool urgent = job.spec.policy.priority == 0;
     jobs_.emplace(id, std::move(job));
-    schedulePlan();
+    schedulePlan(urgent);
 }
 
 void OwnerSession::handleCancellation(const JobId& id)
