End a request at once when its handler throws

Cause: the event loop logs an exception and goes on, but the request whose handler threw got no response until its caller gave up. The connection is now closed: the request may have had an effect, so the caller repeats it, which is idempotent.

Before: the new test waits for the client's time-out of 60 s. After: it passes.

--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -91,8 +91,16 @@
         requestInProgress_ = true;
         closeAfterSend_ = !extracted.value()->head.getKeepAlive();
         const auto self = shared_from_this();
-        server_->handler_(
-            std::move(*extracted.value()), [self](const ServerResponse& response) { self->respond(response); });
+        const std::string target = extracted.value()->head.getURI();
+        try {
+            server_->handler_(
+                std::move(*extracted.value()), [self](const ServerResponse& response) { self->respond(response); });
+        } catch (const std::exception& problem) {
+            // The request may have had an effect, so the caller is told nothing and can repeat it.
+            logger.error("Request handler threw an exception; closing the connection",
+                { { "target", target }, { "reason", problem.what() } });
+            close();
+        }
     }
 
     void respond(const ServerResponse& response)
--- a/tests/reactor/EventLoopTest.cpp
+++ b/tests/reactor/EventLoopTest.cpp
@@ -25,6 +25,34 @@
     REQUIRE(later);
 }
 
+// Guards against callers that wait until their deadline for a request whose handler failed.
+TEST_CASE("a request whose handler throws is ended at once and the next one is served")
+{
+    const SystemClock clock;
+    EventLoop loop(clock);
+    LoopHttpClient client(loop);
+    bool failed = false;
+    auto server
+        = LoopHttpServer::listen(loop, "127.0.0.1:0", {}, [](const ServerRequest& request, const Responder& respond) {
+              if (request.body == "bad")
+                  throw std::runtime_error("unexpected");
+              respond({ 200, "{}", {} });
+          });
+    REQUIRE(server.has_value());
+    const std::string address = server.value()->address();
+    bool served = false;
+    client.send(address, { "POST", "/", {}, "bad", Milliseconds(60000) }, [&](const Result<ClientResponse>& first) {
+        failed = !first && first.error().verdict == Verdict::MayHaveRun;
+        client.send(address, { "POST", "/", {}, "", Milliseconds(5000) }, [&](const Result<ClientResponse>& second) {
+            served = second.has_value();
+            loop.stop();
+        });
+    });
+    loop.run([] {});
+    CHECK(failed);
+    CHECK(served);
+}
+
 // Guards against responses that are delivered to the wrong request, and against a server that accepts connections after
 // it was drained.
 TEST_CASE("a client reuses connections to a server until the server is drained")
