Share the run time predictor between the policy library and the jobs library

The two predictors (correction of the declared time, typical time) stood in the policy library only; they move to base as RunTimePredictor, and PolicyBase's estimates and the owner session use it. The owner learns one run of each step, the median of its tasks, because declared times of one step share one error.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Planner.h"
-#include "RunTimeModel.h"
 #include "UrgentHeadroom.h"
+#include "rosemarylink/base/RunTimePredictor.h"
 #include "rosemarylink/jobs/PoolOwner.h"
 
 #include <deque>
@@ -125,6 +125,7 @@
 
     // OwnerSessionTasks.cpp: commands to workers and ends of runs.
     void handleEnd(Worker&, const EndedRun&);
+    void learnRunTime(Job&, const EndedRun&, const WorkerRun&);
     void endRun(Job&, const TaskKey&, int run, RunEnd, const std::string& checkpoint, const WorkerId&);
     void completeTask(Job&, const TaskKey&);
     void failTask(Job&, const TaskKey&, int run);
@@ -195,7 +196,7 @@
     std::map<ServiceId, WaitReasons> loggedWaitReasons_;
     std::map<ServiceId, UrgentHeadroom> urgentHeadrooms_;
     std::map<ServiceId, Milliseconds> preemptedForOthersAt_; // last plan that could preempt for work that is not urgent
-    RunTimeModel runTimes_;
+    RunTimePredictor runTimes_; // by queue
     bool recovered_ = false;
     std::optional<Milliseconds> planDueAt_; // when the pending plan is made
     bool urgentWaits_ = false; // urgent work did not fit in the last plan
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -112,7 +112,7 @@
 
 Milliseconds OwnerSession::expectedRunTime(const JobSpec& job, std::size_t step) const
 {
-    return runTimes_.predict(job.policy.queue, job.steps[step].estimate);
+    return runTimes_.predict(job.policy.queue.value(), job.steps[step].estimate);
 }
 
 Milliseconds OwnerSession::criticalPath(const JobSpec& job, std::size_t from) const
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -63,9 +63,8 @@
     Job* const job = find(ended.task.job);
     const auto run = worker.runs.find({ ended.task, ended.run });
     if (run != worker.runs.end()) {
-        if (job && ended.end == RunEnd::Done && run->second.checkpoint.empty() && !run->second.adopted)
-            runTimes_.observe(
-                job->spec.policy.queue, job->stepSpec(ended.task).estimate, now() - run->second.startedAt);
+        if (job && job->contains(ended.task))
+            learnRunTime(*job, ended, run->second);
         worker.runs.erase(run);
     }
     if (!job || !job->contains(ended.task))
@@ -79,6 +78,15 @@
         worker.pendingEnds.push_back({ ended.number, ended.task.job, job->changes });
 }
 
+// Learns from one run of each step, the median of its tasks, because the declared times of its tasks share one error.
+void OwnerSession::learnRunTime(Job& job, const EndedRun& ended, const WorkerRun& run)
+{
+    const StepSpec& spec = job.stepSpec(ended.task);
+    const int median = spec.gang ? 0 : spec.taskCount / 2;
+    if (ended.end == RunEnd::Done && run.checkpoint.empty() && !run.adopted && job.step(ended.task).done == median)
+        runTimes_.observe(job.spec.policy.queue.value(), spec.estimate, now() - run.startedAt);
+}
+
 // Predicts the end of a run that has completed `percent` of its work by now.
 void OwnerSession::expectEnd(const Job& job, const TaskKey& key, WorkerRun& run, int percent) const
 {
--- a/src/policy/RunTimeEstimates.cpp
+++ b/src/policy/RunTimeEstimates.cpp
@@ -1,6 +1,6 @@
 #include "RunTimeEstimates.h"
 
-#include <cmath>
+#include <algorithm>
 
 namespace rosemarylink::policy::internal {
 
@@ -8,41 +8,16 @@
 
     std::string keyOf(const model::JobSpec& spec) { return spec.account.value() + "\n" + spec.kind.value(); }
 
-    // Limits the weight of old runs, so that estimates follow a change of a kind within a few dozen runs.
-    constexpr int maxEffectiveRuns = 30;
-
 } // namespace
 
-void RunTimeEstimates::update(Predictor& predictor, double sample, double weight)
-{
-    const double error = sample - predictor.logMean;
-    predictor.squaredError += weight * (error * error - predictor.squaredError);
-    predictor.logMean += weight * error;
-}
-
 void RunTimeEstimates::observe(const model::JobSpec& spec, Milliseconds ran)
 {
-    History& history = histories_[keyOf(spec)];
-    history.count = std::min(history.count + 1, maxEffectiveRuns);
-    const double weight = 1.0 / history.count;
-    const double logRan = std::log(static_cast<double>(std::max<std::int64_t>(ran.count(), 1)));
-    const double logDeclared = std::log(static_cast<double>(std::max<std::int64_t>(spec.declaredRunTime.count(), 1)));
-    if (history.count == 1)
-        history.typical.logMean = logRan;
-    update(history.correction, logRan - logDeclared, weight);
-    update(history.typical, logRan, weight);
+    predictor_.observe(keyOf(spec), spec.declaredRunTime, ran);
 }
 
 Milliseconds RunTimeEstimates::expectedRunTime(const model::JobSpec& spec) const
 {
-    const auto found = histories_.find(keyOf(spec));
-    if (found == histories_.end())
-        return spec.declaredRunTime;
-    const History& history = found->second;
-    if (history.count > 4 && history.typical.squaredError < history.correction.squaredError)
-        return Milliseconds(static_cast<std::int64_t>(std::exp(history.typical.logMean)) + 1);
-    const double corrected = static_cast<double>(spec.declaredRunTime.count()) * std::exp(history.correction.logMean);
-    return Milliseconds(static_cast<std::int64_t>(corrected) + 1);
+    return predictor_.predict(keyOf(spec), spec.declaredRunTime);
 }
 
 Milliseconds expectedRemaining(const RunTimeEstimates& estimates, const Job& job, Timestamp now)
--- a/src/policy/RunTimeEstimates.h
+++ b/src/policy/RunTimeEstimates.h
@@ -1,15 +1,11 @@
 #pragma once
 
 #include "Job.h"
-
-#include <string>
-#include <unordered_map>
+#include "rosemarylink/base/RunTimePredictor.h"
 
 namespace rosemarylink::policy::internal {
 
-// Estimates run times from the completed runs of each account and kind. Two predictors are kept, a correction factor
-// for the declared time and a typical time that ignores the declaration; the one with the smaller squared error is
-// used. Memory grows only with the number of accounts and kinds.
+// Predicts run times from the completed runs of each account and kind.
 class RunTimeEstimates {
 public:
     void observe(const model::JobSpec&, Milliseconds ran);
@@ -18,18 +14,7 @@
     Milliseconds expectedRunTime(const model::JobSpec&) const;
 
 private:
-    struct Predictor {
-        double logMean = 0;
-        double squaredError = 0; // weighted moving mean of the squared error
-    };
-    struct History {
-        int count = 0;
-        Predictor correction; // of log(ran / declared)
-        Predictor typical; // of log(ran)
-    };
-    static void update(Predictor&, double sample, double weight);
-
-    std::unordered_map<std::string, History> histories_;
+    RunTimePredictor predictor_;
 };
 
 // The expected remaining run time of a job, after what it ran and what checkpoints preserved. At least half of the time
