Limit start commands on their way, and store the ends of tasks together

A burst of starts was sent at once; their responses came after the time-out of 500 ms; the commands were given up, their gangs stopped, and everything was started again over new connections. Each end of a task also wrote the progress of its whole job at once.

A window limits the starts without a response; it shrinks when more than two fifths of the latest responses are slow and grows while they are quick. No plan is made while starts wait. Ends of single tasks are stored every 120 ms, ends of jobs at once, and jobs in turn, so that none waits behind jobs that change all the time.

Ruled out: watching the registrations of workers instead of listing them each second; all of them change with every heartbeat (trial with a log line).

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CommandWindow.h"
 #include "Planner.h"
 #include "UrgentHeadroom.h"
 #include "rosemarylink/base/RunTimePredictor.h"
@@ -16,6 +17,11 @@
 
 namespace rosemarylink::jobs::internal {
 
+// The end of a job, which callers wait for, is stored almost immediately; the short delay batches those that arrive
+// together. Ends of single tasks are stored together, since each write holds the progress of a whole job.
+inline constexpr Milliseconds urgentFlushDelay { 2 };
+inline constexpr Milliseconds deferredFlushDelay { 120 };
+
 using RunKey = std::pair<TaskKey, int>; // a task and the number of its run
 
 // A run that occupies resources of a worker, from its start command until its end is known.
@@ -33,6 +39,9 @@
     std::optional<Milliseconds> confirmedAt; // when the worker first confirmed the run
     std::optional<Milliseconds> stopAcceptedAt; // when the worker accepted the stop; the run cannot start afterwards
     Milliseconds stopSentAt { 0 };
+
+    // Whether no command has been sent for it yet.
+    bool isQueued() const { return phase == TaskPhase::Starting && startAttempts == 0 && !adopted && !confirmedAt; }
 };
 
 // An end that a worker has reported and that must be stored before it is acknowledged.
@@ -135,6 +144,8 @@
     void finishJob(Job&, JobState);
     void startTasks(const std::vector<Placement>&);
     void startTask(Job&, const TaskKey&, Worker&);
+    // Sends the start commands that are queued as far as the command window allows.
+    void sendQueuedStarts();
     void sendStart(const Job&, const RunKey&, Worker&);
     bool mayRepeatStart(const RunKey&, const Worker&);
     void repeatStartLater(const RunKey&, const WorkerId&, std::uint64_t incarnation);
@@ -168,7 +179,9 @@
     // OwnerSessionRecords.cpp
     void scheduleFlush(Milliseconds delay);
     void flushNow();
-    void handleFlushResponse(const std::vector<std::pair<JobId, std::int64_t>>&, const StoreResponse&);
+    std::vector<const Job*> dirtyJobs() const;
+    void handleFlushResponse(
+        const std::vector<std::pair<JobId, std::int64_t>>& written, const StoreResponse&, bool complete);
     void updateRevisions(const std::vector<Record>&);
     bool appendToBatch(Batch&, const Job&) const;
     void writeFleet();
@@ -198,8 +211,11 @@
     std::map<ServiceId, Milliseconds> preemptedForOthersAt_; // last plan that could preempt for work that is not urgent
     RunTimePredictor runTimes_; // by queue
     bool recovered_ = false;
+    CommandWindow commandWindow_;
+    std::deque<std::pair<RunKey, WorkerId>> queuedStarts_;
     std::optional<Milliseconds> planDueAt_; // when the pending plan is made
     bool urgentWaits_ = false; // urgent work did not fit in the last plan
+    JobId lastStored_;
     bool flushPending_ = false;
     bool flushing_ = false;
     std::vector<std::function<void()>> flushWaiters_;
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -88,6 +88,14 @@
 {
     if (!owner_.ownership_.valid())
         return;
+    if (!queuedStarts_.empty()) {
+        // What is placed now would only wait behind the commands in the queue.
+        sendQueuedStarts();
+        if (!queuedStarts_.empty()) {
+            schedulePlan();
+            return;
+        }
+    }
     urgentWaits_ = false;
     std::set<ServiceId> pools;
     for (const auto& [id, job] : jobs_)
--- a/src/jobs/OwnerSessionRecords.cpp
+++ b/src/jobs/OwnerSessionRecords.cpp
@@ -2,6 +2,8 @@
 
 #include "rosemarylink/base/Log.h"
 
+#include <algorithm>
+
 namespace rosemarylink::jobs::internal {
 
 namespace {
@@ -47,21 +49,39 @@
     return true;
 }
 
+// Jobs with changes to store: first those that have ended, then the others in turn, beginning after the one that was
+// stored last, so that none waits behind jobs that change all the time.
+std::vector<const Job*> OwnerSession::dirtyJobs() const
+{
+    std::vector<const Job*> dirty;
+    for (const auto& [id, job] : jobs_) {
+        if (job.dirty())
+            dirty.push_back(&job);
+    }
+    std::rotate(dirty.begin(),
+        std::find_if(dirty.begin(), dirty.end(), [this](const Job* job) { return lastStored_ < job->spec.id; }),
+        dirty.end());
+    std::stable_partition(dirty.begin(), dirty.end(), [](const Job* job) { return isFinal(job->state); });
+    return dirty;
+}
+
 void OwnerSession::flushNow()
 {
-    if (flushing_)
-        return;
     flushPending_ = false;
+    if (flushing_)
+        return; // what is not in the batch on its way is stored after it
     Batch batch;
     batch.preconditions.push_back(owner_.ownership_.condition());
     std::vector<std::pair<JobId, std::int64_t>> written;
-    for (const auto& [id, job] : jobs_) {
-        if (!job.dirty())
-            continue;
-        if (!appendToBatch(batch, job))
+    bool complete = true;
+    for (const Job* job : dirtyJobs()) {
+        complete = appendToBatch(batch, *job);
+        if (!complete)
             break;
-        written.emplace_back(id, job.changes);
+        written.emplace_back(job->spec.id, job->changes);
     }
+    if (!written.empty())
+        lastStored_ = written.back().first;
     if (written.empty()) {
         const auto waiters = std::move(flushWaiters_);
         flushWaiters_.clear();
@@ -71,14 +91,14 @@
     }
     flushing_ = true;
     const Milliseconds sentAt = now();
-    owner_.store_.commit(batch, commitTimeout, guarded([this, written, sentAt](const StoreResponse& response) {
+    owner_.store_.commit(batch, commitTimeout, guarded([this, written, sentAt, complete](const StoreResponse& response) {
         owner_.metrics_.storeWrite.record(static_cast<double>((now() - sentAt).count()));
-        handleFlushResponse(written, response);
+        handleFlushResponse(written, response, complete);
     }));
 }
 
 void OwnerSession::handleFlushResponse(
-    const std::vector<std::pair<JobId, std::int64_t>>& written, const StoreResponse& response)
+    const std::vector<std::pair<JobId, std::int64_t>>& written, const StoreResponse& response, bool complete)
 {
     flushing_ = false;
     if (response.outcome == StoreOutcome::Conflict) {
@@ -92,6 +112,7 @@
         // retry can take effect, even if the store executes the failed write late.
         logger.warning("Progress was not stored; retrying",
             { { "jobs", written.size() }, { "unanswered", response.outcome == StoreOutcome::Unknown } });
+        flushPending_ = false;
         scheduleFlush(retryDelay);
         // Lets a change that is made before the retry schedule its own flush, whatever its delay.
         flushPending_ = false;
@@ -107,7 +128,11 @@
             job->hasWaitingRecord = false;
     }
     handleProgressStored();
-    flushNow();
+    // What exceeded the batch, a job that has ended and a caller of flush() do not wait for further changes.
+    const bool urgent = !complete || !flushWaiters_.empty() || std::any_of(jobs_.begin(), jobs_.end(), [](const auto& entry) {
+        return entry.second.dirty() && isFinal(entry.second.state);
+    });
+    scheduleFlush(urgent ? Milliseconds(0) : deferredFlushDelay);
 }
 
 // Takes over the current revisions after a conflict, which means that an earlier write without a response took effect
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -41,10 +41,6 @@
     constexpr Milliseconds shortRunLimit { 1000 };
     constexpr Milliseconds restartPause { 500 };
 
-    // Changes that callers wait for are stored almost immediately; the short delay batches those that arrive together.
-    constexpr Milliseconds urgentFlushDelay { 2 };
-    constexpr Milliseconds deferredFlushDelay { 120 };
-
     const Logger logger("tasks");
 
 } // namespace
@@ -145,7 +141,7 @@
         failTask(job, key, run);
     if (spec.gang && !isFinal(job.state))
         stopGang(job, key);
-    markChanged(job, /*urgent=*/end != RunEnd::Stopped);
+    markChanged(job, /*urgent=*/false);
     schedulePlan();
 }
 
@@ -170,7 +166,7 @@
     if (job.complete())
         finishJob(job, JobState::Completed);
     else
-        markChanged(job, /*urgent=*/true);
+        markChanged(job, /*urgent=*/false);
     schedulePlan();
 }
 
@@ -194,9 +190,17 @@
     TaskProgress& task = job.task(key);
     if (task.phase != TaskPhase::Starting && task.phase != TaskPhase::Running)
         return;
+    Worker* const worker = find(task.worker);
+    const RunKey runKey { key, task.run };
+    if (worker && worker->runs.count(runKey) > 0 && worker->runs.at(runKey).isQueued()) {
+        worker->runs.erase(runKey);
+        task.phase = TaskPhase::Waiting;
+        task.worker = WorkerId();
+        return;
+    }
     task.phase = TaskPhase::Stopping;
-    if (Worker* const worker = find(task.worker))
-        stopRun(*worker, { key, task.run });
+    if (worker)
+        stopRun(*worker, runKey);
 }
 
 void OwnerSession::stopJob(Job& job)
@@ -237,6 +241,7 @@
         lastJob = job->spec.id;
         startTask(*job, placement.task, *worker);
     }
+    sendQueuedStarts();
 }
 
 void OwnerSession::startTask(Job& job, const TaskKey& key, Worker& worker)
@@ -271,11 +276,32 @@
         owner_.metrics_.firstStart.record(static_cast<double>((now() - job.arrivedAt).count()));
         markChanged(job, /*urgent=*/false);
     }
-    sendStart(job, runKey, worker);
+    queuedStarts_.emplace_back(runKey, worker.entry.id);
+}
+
+void OwnerSession::sendQueuedStarts()
+{
+    while (!queuedStarts_.empty() && commandWindow_.hasSpace() && owner_.ownership_.valid()) {
+        const auto [key, id] = queuedStarts_.front();
+        queuedStarts_.pop_front();
+        Worker* const worker = find(id);
+        Job* const job = find(key.first.job);
+        if (!worker || !job || !worker->clock)
+            continue;
+        const auto run = worker->runs.find(key);
+        if (run == worker->runs.end() || !run->second.isQueued())
+            continue;
+        // The wait in the queue does not count as run time, nor for the time limits of starts.
+        job->task(key.first).startedAt = now();
+        run->second.startedAt = now();
+        expectEnd(*job, key.first, run->second, /*percent=*/0);
+        sendStart(*job, key, *worker);
+    }
 }
 
 void OwnerSession::sendStart(const Job& job, const RunKey& key, Worker& worker)
 {
+    commandWindow_.sent();
     WorkerRun& run = worker.runs.at(key);
     ++run.startAttempts;
     const Milliseconds leaseEnd = leaseEndFor(worker);
@@ -285,10 +311,12 @@
     const Milliseconds sentAt = now();
     owner_.workers_.start(worker.entry, { key.first, key.second, job.spec.payload, run.checkpoint }, leaseEnd, token_,
         guarded([this, key, id, incarnation, sentAt](const CommandResponse& response) {
+            commandWindow_.responded(now(), now() - sentAt);
             owner_.metrics_.startResponse.record(static_cast<double>((now() - sentAt).count()));
             if (response.outcome != CommandOutcome::Accepted)
                 owner_.metrics_.countRefusedStart(response.outcome);
             handleStartResponse(key, id, incarnation, response);
+            sendQueuedStarts();
         }));
 }
 
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -191,7 +191,6 @@
     if (!newest)
         return;
     if (!worker.pendingEnds.empty()) {
-        scheduleFlush(Milliseconds(2));
         schedulePoll(id, pendingEndsPollInterval); // polled earlier once the ends are stored
     } else if (!worker.runs.empty() || worker.acknowledged < worker.lastSeenEnd) {
         poll(worker);
