--- a/include/rosemarylink/base/RunTimePredictor.h
+++ b/include/rosemarylink/base/RunTimePredictor.h
@@ -8,8 +8,8 @@
 namespace rosemarylink {
 
 // Predicts run times of work of one kind from those observed, because declared run times may be far off. Two predictors
-// are kept for each kind, a correction factor for the declared time and a typical time that ignores the declaration; the
-// one with the smaller squared error is used. Memory grows only with the number of kinds.
+// are kept for each kind, a correction factor for the declared time and a typical time that ignores the declaration;
+// the one with the smaller squared error is used. Memory grows only with the number of kinds.
 class RunTimePredictor {
 public:
     void observe(const std::string& kind, Milliseconds declared, Milliseconds ran);
--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -68,8 +68,8 @@
     void resolveAttempt(const CallPointer&);
     void commitSubmission(const CallPointer&);
     void resolveConflict(const CallPointer&, const StoreResponse&, Milliseconds requestedAt);
-    // Schedules `retry` if the call's time allows, otherwise calls fail(). `mayHaveWritten` tells whether the last attempt
-    // may have taken effect.
+    // Schedules `retry` if the call's time allows, otherwise calls fail(). `mayHaveWritten` tells whether the last
+    // attempt may have taken effect.
     void retryLater(const CallPointer&, bool mayHaveWritten, const std::function<void()>& retry);
     // Finishes the call with MayHaveRun if a write of it may have taken effect, otherwise with NotRun.
     void fail(const CallPointer&);
--- a/include/rosemarylink/jobs/Ownership.h
+++ b/include/rosemarylink/jobs/Ownership.h
@@ -42,9 +42,9 @@
     bool valid() const { return held_ && clock_.monotonic() < validUntil_; }
     bool held() const { return held_; }
 
-    // True while runs that this owner has started may be kept alive or stopped: the lease is valid, or a renewal that was
-    // sent after its end failed because the store did not respond. Without the latter, a process that resumes after a
-    // pause would command workers that another owner may command by now.
+    // True while runs that this owner has started may be kept alive or stopped: the lease is valid, or a renewal that
+    // was sent after its end failed because the store did not respond. Without the latter, a process that resumes after
+    // a pause would command workers that another owner may command by now.
     bool mayCommand() const { return held_ && (valid() || (failedRenewalAt_ && *failedRenewalAt_ >= validUntil_)); }
     FencingToken token() const { return token_; }
 
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -20,8 +20,8 @@
     // of the store (rate limit, leader change) are over sooner; a real outage lasts seconds.
     constexpr Milliseconds refusalTimeout { 700 };
 
-    // A request ends after at most this fraction (1/N) of the caller's time, so that the caller can use the rest of it at
-    // another instance, which may reach the store.
+    // A request ends after at most this fraction (1/N) of the caller's time, so that the caller can use the rest of it
+    // at another instance, which may reach the store.
     constexpr int resolutionDivisor = 2;
 
     // Reserved out of the caller's deadline for delivering the response.
--- a/src/jobs/CommandWindow.h
+++ b/src/jobs/CommandWindow.h
@@ -4,10 +4,10 @@
 
 namespace rosemarylink::jobs::internal {
 
-// Load pattern: many tasks are placed at once by an owner on a slow link. If all start commands were sent together, their
-// responses would arrive after the time-out, the commands would be repeated and their gangs stopped, which loads the link
-// further. The number of start commands without a response is therefore limited: the limit rises while responses are
-// quick and falls when many are slow.
+// Load pattern: many tasks are placed at once by an owner on a slow link. If all start commands were sent together,
+// their responses would arrive after the time-out, the commands would be repeated and their gangs stopped, which loads
+// the link further. The number of start commands without a response is therefore limited: the limit rises while
+// responses are quick and falls when many are slow.
 class CommandWindow {
 public:
     // Whether one more command may be sent now.
--- a/src/jobs/GangReservations.cpp
+++ b/src/jobs/GangReservations.cpp
@@ -49,10 +49,9 @@
     if (worker.hold || !PlannerFleet::isEligible(gang, worker))
         return;
     const Resources& perTask = gang.spec->perTask;
-    const int most = PlannerFleet::applySpreadLimit(
-        gang, worker, PlannerFleet::countFitting(perTask, worker.row->capacity));
-    const Milliseconds bonus
-        = gang.reservedWorkers.count(worker.row->id) > 0 ? reservationStability : Milliseconds(0);
+    const int most
+        = PlannerFleet::applySpreadLimit(gang, worker, PlannerFleet::countFitting(perTask, worker.row->capacity));
+    const Milliseconds bonus = gang.reservedWorkers.count(worker.row->id) > 0 ? reservationStability : Milliseconds(0);
     Resources available = worker.free;
     int counted = 0;
     const auto addFitting = [&](Milliseconds time) {
--- a/src/jobs/GangReservations.h
+++ b/src/jobs/GangReservations.h
@@ -4,11 +4,11 @@
 
 #include <cstddef>
 
-// Load pattern: a pool with more work than capacity, where tasks of a few seconds end one by one. A gang that needs many
-// whole workers at once never finds them free, because each freed worker goes to smaller work first. A gang that does
-// not fit now is therefore given the workers that are expected to become free first, and work of lower priorities may use
-// them only until then. The first gang's reservation also binds work of its own priority (EASY backfilling); binding it
-// for every waiting gang would leave the pool idle behind the widest ones.
+// Load pattern: a pool with more work than capacity, where tasks of a few seconds end one by one. A gang that needs
+// many whole workers at once never finds them free, because each freed worker goes to smaller work first. A gang that
+// does not fit now is therefore given the workers that are expected to become free first, and work of lower priorities
+// may use them only until then. The first gang's reservation also binds work of its own priority (EASY backfilling);
+// binding it for every waiting gang would leave the pool idle behind the widest ones.
 namespace rosemarylink::jobs::internal {
 
 // Makes the reservations of one plan, in the order of the calls.
@@ -16,9 +16,9 @@
 public:
     GangReservations(PlannerFleet&, Milliseconds now);
 
-    // Holds the workers on which all tasks of the gang can be expected to start first, in one rack if `oneRack`. Returns
-    // them, one element per task, or an empty vector if they do not exist or the limit on reserved capacity is reached.
-    // Workers reserved by the previous plan are preferred.
+    // Holds the workers on which all tasks of the gang can be expected to start first, in one rack if `oneRack`.
+    // Returns them, one element per task, or an empty vector if they do not exist or the limit on reserved capacity is
+    // reached. Workers reserved by the previous plan are preferred.
     FleetWorkers reserve(const PlanStep& gang, bool oneRack);
 
 private:
--- a/src/jobs/OwnerSessionRecords.cpp
+++ b/src/jobs/OwnerSessionRecords.cpp
@@ -91,10 +91,11 @@
     }
     flushing_ = true;
     const Milliseconds sentAt = now();
-    owner_.store_.commit(batch, commitTimeout, guarded([this, written, sentAt, complete](const StoreResponse& response) {
-        owner_.metrics_.storeWrite.record(static_cast<double>((now() - sentAt).count()));
-        handleFlushResponse(written, response, complete);
-    }));
+    owner_.store_.commit(
+        batch, commitTimeout, guarded([this, written, sentAt, complete](const StoreResponse& response) {
+            owner_.metrics_.storeWrite.record(static_cast<double>((now() - sentAt).count()));
+            handleFlushResponse(written, response, complete);
+        }));
 }
 
 void OwnerSession::handleFlushResponse(
@@ -129,9 +130,9 @@
     }
     handleProgressStored();
     // What exceeded the batch, a job that has ended and a caller of flush() do not wait for further changes.
-    const bool urgent = !complete || !flushWaiters_.empty() || std::any_of(jobs_.begin(), jobs_.end(), [](const auto& entry) {
-        return entry.second.dirty() && isFinal(entry.second.state);
-    });
+    const bool urgent = !complete || !flushWaiters_.empty()
+        || std::any_of(jobs_.begin(), jobs_.end(),
+            [](const auto& entry) { return entry.second.dirty() && isFinal(entry.second.state); });
     scheduleFlush(urgent ? Milliseconds(0) : deferredFlushDelay);
 }
 
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -92,7 +92,8 @@
     if (percent >= reliablePercent && run.checkpoint.empty() && !run.adopted)
         run.expectedEndAt = now() + (now() - run.startedAt) * (100 - percent) / percent;
     else
-        run.expectedEndAt = now() + expectedRunTime(job.spec, static_cast<std::size_t>(key.step)) * (100 - percent) / 100;
+        run.expectedEndAt
+            = now() + expectedRunTime(job.spec, static_cast<std::size_t>(key.step)) * (100 - percent) / 100;
 }
 
 void OwnerSession::recordFailure(Worker& worker, const JobId& job)
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -115,7 +115,8 @@
     const Milliseconds leaseEnd = renewsLease ? leaseEndFor(worker) : Milliseconds(0);
     if (renewsLease)
         extendLease(worker, leaseEnd);
-    const bool waitsForEnd = renewsLease && !worker.unresponsiveSince && worker.pendingEnds.empty() && !std::exchange(worker.skipWait, false);
+    const bool waitsForEnd = renewsLease && !worker.unresponsiveSince && worker.pendingEnds.empty()
+        && !std::exchange(worker.skipWait, false);
     const Milliseconds wait = waitsForEnd ? pollWait : Milliseconds(0);
     owner_.workers_.poll(worker.entry, leaseEnd, token_, cursor, wait,
         guarded([this, id, incarnation, sentAt, leaseEnd, number, cursor](const Result<WorkerReport>& report) {
--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -114,8 +114,8 @@
             Milliseconds expectedRunTime;
         };
 
-        // Whether a gang that needs no more than this one has failed before in this plan. What is available only shrinks
-        // while a plan is made, except by preemptions.
+        // Whether a gang that needs no more than this one has failed before in this plan. What is available only
+        // shrinks while a plan is made, except by preemptions.
         static bool isKnown(const std::vector<GangSize>& failed, const PlanStep& step, bool spread)
         {
             return std::any_of(failed.begin(), failed.end(), [&](const GangSize& other) {
@@ -180,8 +180,8 @@
                 fitting += static_cast<std::size_t>(capacity);
                 candidates.push_back(worker);
             }
-            const FleetWorkers chosen = fleet_.select(
-                step, candidates, std::min(fitting, step.tasks.size()), /*includeReleasing=*/false);
+            const FleetWorkers chosen
+                = fleet_.select(step, candidates, std::min(fitting, step.tasks.size()), /*includeReleasing=*/false);
             place(step, chosen);
             if (step.priority != 0 || chosen.size() == step.tasks.size())
                 return;
--- a/src/jobs/PlannerFleet.cpp
+++ b/src/jobs/PlannerFleet.cpp
@@ -84,7 +84,8 @@
     if (includeReleasing)
         available += worker.releasing;
     if (worker.hold && (worker.hold->againstPeers || step.priority > worker.hold->priority)) {
-        const auto longestRun = static_cast<std::int64_t>(static_cast<double>(step.expectedRunTime.count()) * runTimeMargin);
+        const auto longestRun
+            = static_cast<std::int64_t>(static_cast<double>(step.expectedRunTime.count()) * runTimeMargin);
         if (input_.now + Milliseconds(longestRun) > worker.hold->from)
             available = smallerOf(available, worker.hold->spare);
     }
--- a/src/jobs/PlannerFleet.h
+++ b/src/jobs/PlannerFleet.h
@@ -26,9 +26,9 @@
 
 using FleetWorkers = std::vector<FleetWorker*>;
 
-// The capacity of a pool while a plan is made: which tasks of a step fit where, and where they fit best. Costs grow with
-// the number of workers that have capacity for a step, since an overloaded pool has many waiting steps and few such
-// workers.
+// The capacity of a pool while a plan is made: which tasks of a step fit where, and where they fit best. Costs grow
+// with the number of workers that have capacity for a step, since an overloaded pool has many waiting steps and few
+// such workers.
 class PlannerFleet {
 public:
     // The input must outlive the fleet.
@@ -46,14 +46,15 @@
     static bool isEligible(const PlanStep&, const FleetWorker&);
 
     // Number of the step's tasks that fit on the worker beside what it may run already, optionally counting resources
-    // that are being released. On a worker with a hold that binds the step, tasks that may still run when the hold begins
-    // get only what is spare then.
+    // that are being released. On a worker with a hold that binds the step, tasks that may still run when the hold
+    // begins get only what is spare then.
     int capacityOn(const PlanStep&, const FleetWorker&, bool includeReleasing) const;
 
     // Selects workers for `count` tasks, one element per task. Prefers workers that the previous plan reserved for the
     // step, then those with the least free capacity, so that large blocks stay free (best fit). Returns an empty vector
     // if the tasks do not all fit.
-    FleetWorkers select(const PlanStep&, const FleetWorkers& candidates, std::size_t count, bool includeReleasing) const;
+    FleetWorkers select(
+        const PlanStep&, const FleetWorkers& candidates, std::size_t count, bool includeReleasing) const;
 
     // Selects workers for all of the step's tasks in one rack: the rack that already has a reservation for the step,
     // otherwise the fitting one with the fewest free accelerators.
--- a/src/jobs/PreemptionChoice.cpp
+++ b/src/jobs/PreemptionChoice.cpp
@@ -79,10 +79,10 @@
     return capacityWith(step, worker, preemptible_[static_cast<int>(reach)][worker]);
 }
 
-// Work of a lower priority may always be preempted. A guaranteed step may also preempt work of its own priority, once it
-// has waited for a part of the time in which it must start: work beyond its account's guarantee, and as a last resort
-// guaranteed work that uses fewer accelerators than the step needs and can therefore be placed elsewhere. Limiting this
-// to smaller work prevents two jobs from preempting each other in turn.
+// Work of a lower priority may always be preempted. A guaranteed step may also preempt work of its own priority, once
+// it has waited for a part of the time in which it must start: work beyond its account's guarantee, and as a last
+// resort guaranteed work that uses fewer accelerators than the step needs and can therefore be placed elsewhere.
+// Limiting this to smaller work prevents two jobs from preempting each other in turn.
 bool PreemptionChooser::mayPreempt(const PlanStep& step, std::size_t index) const
 {
     const PreemptibleWork& work = input_.running[index];
--- a/src/jobs/StepOrder.cpp
+++ b/src/jobs/StepOrder.cpp
@@ -40,8 +40,7 @@
     ranked.reserve(input.steps.size());
     for (const PlanStep& step : input.steps)
         ranked.emplace_back(rankOf(step, input.now), &step);
-    std::stable_sort(
-        ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::stable_sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
     std::vector<const PlanStep*> order;
     order.reserve(ranked.size());
     for (const auto& [rank, step] : ranked)
--- a/tests/jobs/CommandWindowTest.cpp
+++ b/tests/jobs/CommandWindowTest.cpp
@@ -5,9 +5,9 @@
 
 namespace rosemarylink::jobs {
 
-// Guards against a collapse on a slow link: all start commands of a burst were sent together, their responses came after
-// the time-out, and the repeated and stopped runs loaded the link further (found with bench setup tidyroom-jo-large, the
-// small twins of its days, whose machines have 2 Mbit/s).
+// Guards against a collapse on a slow link: all start commands of a burst were sent together, their responses came
+// after the time-out, and the repeated and stopped runs loaded the link further (found with bench setup
+// tidyroom-jo-large, the small twins of its days, whose machines have 2 Mbit/s).
 TEST_CASE("the number of start commands on their way falls while responses are slow and rises again")
 {
     internal::CommandWindow window;
--- a/tests/jobs/OverloadTest.cpp
+++ b/tests/jobs/OverloadTest.cpp
@@ -128,8 +128,8 @@
     CHECK(makePlan(input).preemptions.empty());
 }
 
-// Guards against a backlog that makes everything behind it late: work without remaining value held its place before work
-// that could still be of use. Guards as well against starving that work.
+// Guards against a backlog that makes everything behind it late: work without remaining value held its place before
+// work that could still be of use. Guards as well against starving that work.
 TEST_CASE("work that has lost its value comes last until it has waited too long")
 {
     const StepSpec spec = smallTasks(1, Milliseconds(1000));
@@ -152,8 +152,8 @@
 
 namespace rosemarylink::jobs {
 
-// Replays the load of bench setup tidyroom-jo-large scale-2 at a small size: a flow of small jobs of a lower priority that
-// exceeds the pool, and a gang that needs most of the workers whole. Guards against starving the gang.
+// Replays the load of bench setup tidyroom-jo-large scale-2 at a small size: a flow of small jobs of a lower priority
+// that exceeds the pool, and a gang that needs most of the workers whole. Guards against starving the gang.
 TEST_CASE("a wide gang starts within a few run times of the small jobs that overload the pool")
 {
     SimCluster cluster(1);
