Logs that explain a job at 540 workers: one line a second for each step

Starts, ordinary ends and stops of a step's tasks are counted and logged together each second ("Step progressed"); ends that need an explanation and those of gangs keep a line of their own. A preemption has one line for each step that loses tasks, and names the job that it is for.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -155,6 +155,8 @@
     void handleStopResponse(const RunKey&, const WorkerId&, std::uint64_t incarnation, const CommandResponse&);
     void stopIncompleteGangs();
     void recordFailure(Worker&, const JobId&);
+    void logEnd(const StepSpec&, const TaskKey&, int run, RunEnd, const WorkerId&, Milliseconds ran, bool current);
+    void logStepActivity();
     void markChanged(Job&, bool urgent);
 
     // OwnerSessionPlanning.cpp
@@ -174,6 +176,7 @@
     Milliseconds expectedRunTime(const JobSpec&, std::size_t step) const;
     void expectEnd(const Job&, const TaskKey&, WorkerRun&, int percent) const;
     void applyPlan(const ServiceId& pool, const PlanInput&, const Plan&);
+    void preempt(const PlanInput&, const Plan&);
     void logWaiting(const ServiceId& pool, const PlanInput&, const Plan&);
 
     // OwnerSessionRecords.cpp
@@ -211,6 +214,15 @@
     std::map<ServiceId, Milliseconds> preemptedForOthersAt_; // last plan that could preempt for work that is not urgent
     RunTimePredictor runTimes_; // by queue
     bool recovered_ = false;
+    // Starts and ends of a step's tasks that are logged together, because their number grows with the fleet.
+    struct StepActivity {
+        int started = 0;
+        int done = 0;
+        int stopped = 0;
+        Milliseconds ran { 0 }; // by the runs that have ended
+    };
+    std::map<std::tuple<JobId, int, int>, StepActivity> stepActivity_; // by job, occurrence and step
+    Milliseconds activityLoggedAt_ { 0 };
     CommandWindow commandWindow_;
     std::deque<std::pair<RunKey, WorkerId>> queuedStarts_;
     std::optional<Milliseconds> planDueAt_; // when the pending plan is made
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -316,18 +316,36 @@
         reservedWorkers_.erase({ step.job, step.occurrence, step.step });
     for (const CapacityReservation& reservation : plan.reservations)
         reservedWorkers_[{ reservation.job, reservation.occurrence, reservation.step }] = reservation.workers;
-    for (std::size_t index : plan.preemptions) {
-        const PreemptibleWork& victim = input.running[index];
+    preempt(input, plan);
+    startTasks(plan.placements);
+}
+
+// Stops the preempted work. Logs one line for each step that loses tasks to another.
+void OwnerSession::preempt(const PlanInput& input, const Plan& plan)
+{
+    struct Loss {
+        std::size_t tasks = 0;
+        double coreSeconds = 0;
+    };
+    std::map<std::tuple<JobId, int, JobId, int>, Loss> losses; // by job and step that lose and that gain
+    for (const Preemption& preemption : plan.preemptions) {
+        const PreemptibleWork& victim = input.running[preemption.work];
+        const PlanStep& step = input.steps[preemption.step];
         Job* const job = find(victim.job);
         if (!job)
             continue;
-        logger.info("Work is preempted by a more urgent job",
-            { { "job", victim.job }, { "step", victim.step }, { "tasks", victim.tasks.size() },
-                { "lostCoreSeconds", victim.lostCoreSeconds } });
+        Loss& loss = losses[{ victim.job, victim.step, step.job, step.step }];
+        loss.tasks += victim.tasks.size();
+        loss.coreSeconds += victim.lostCoreSeconds;
         for (int task : victim.tasks)
             stopTask(*job, { victim.job, victim.occurrence, victim.step, task });
     }
-    startTasks(plan.placements);
+    for (const auto& [key, loss] : losses) {
+        const auto& [job, step, forJob, forStep] = key;
+        logger.info("Work is preempted",
+            { { "job", job }, { "step", step }, { "tasks", loss.tasks }, { "lostCoreSeconds", loss.coreSeconds },
+                { "forJob", forJob }, { "forStep", forStep } });
+    }
 }
 
 // Logs when a step begins to wait and whenever the reason changes.
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -54,6 +54,7 @@
     checkRecovered();
     removeDepartedWorkers();
     removeExpiredRecords();
+    logStepActivity();
     schedulePlan();
     runAfter(tickInterval, [this] { tick(); });
 }
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -26,6 +26,9 @@
     constexpr Milliseconds startRetryDelay { 40 };
     constexpr int maximumStartAttempts = 4;
 
+    // Starts and ends of the tasks of one step are logged together for this long.
+    constexpr Milliseconds activityInterval { 1000 };
+
     // From this completed share on, a run's own pace predicts its end better than the run times of other tasks.
     constexpr int reliablePercent = 20;
 
@@ -114,11 +117,8 @@
         return;
     const bool current = task.run == run && task.worker == worker && task.phase != TaskPhase::Waiting;
     owner_.metrics_.countEnd(end);
-    logger.info("Run ended",
-        { { "task", taskName(key) }, { "run", run }, { "end", runEndName(end) }, { "worker", worker },
-            { "current", current }, { "ranMs", current ? (now() - task.startedAt).count() : 0 },
-            { "checkpointed", !checkpoint.empty() } });
     const StepSpec& spec = job.stepSpec(key);
+    logEnd(spec, key, run, end, worker, current ? now() - task.startedAt : Milliseconds(0), current);
     if (end == RunEnd::Done && !spec.longRunning) {
         completeTask(job, key);
         return;
@@ -146,6 +146,37 @@
     schedulePlan();
 }
 
+// Ends that need an explanation, and those of gangs, are logged one by one; the others are counted for each step.
+void OwnerSession::logEnd(const StepSpec& spec, const TaskKey& key, int run, RunEnd end, const WorkerId& worker,
+    Milliseconds ran, bool current)
+{
+    if (end == RunEnd::Stopped || (end == RunEnd::Done && !spec.gang)) {
+        StepActivity& activity = stepActivity_[{ key.job, key.occurrence, key.step }];
+        ++(end == RunEnd::Done ? activity.done : activity.stopped);
+        activity.ran += ran;
+        return;
+    }
+    logger.info("Run ended",
+        { { "task", taskName(key) }, { "run", run }, { "end", runEndName(end) }, { "worker", worker },
+            { "current", current }, { "ranMs", ran.count() } });
+}
+
+void OwnerSession::logStepActivity()
+{
+    if (now() - activityLoggedAt_ < activityInterval)
+        return;
+    activityLoggedAt_ = now();
+    for (const auto& [key, activity] : stepActivity_) {
+        const auto& [job, occurrence, step] = key;
+        const int ended = activity.done + activity.stopped;
+        logger.info("Step progressed",
+            { { "job", job }, { "step", step }, { "occurrence", occurrence }, { "started", activity.started },
+                { "done", activity.done }, { "stopped", activity.stopped },
+                { "meanRanMs", ended > 0 ? activity.ran.count() / ended : 0 }, { "token", token_ } });
+    }
+    stepActivity_.clear();
+}
+
 void OwnerSession::completeTask(Job& job, const TaskKey& key)
 {
     StepProgress& step = job.step(key);
@@ -228,18 +259,17 @@
 
 void OwnerSession::startTasks(const std::vector<Placement>& placements)
 {
-    JobId lastJob;
     for (const Placement& placement : placements) {
         Job* const job = find(placement.task.job);
         Worker* const worker = find(placement.worker);
         if (!job || !worker)
             continue;
-        if (job->spec.id != lastJob)
+        StepActivity& activity = stepActivity_[{ placement.task.job, placement.task.occurrence, placement.task.step }];
+        if (activity.started++ == 0)
             logger.info("Step starts",
                 { { "job", job->spec.id }, { "step", placement.task.step }, { "occurrence", placement.task.occurrence },
-                    { "rack", worker->entry.rack }, { "sinceArrivalMs", (now() - job->arrivedAt).count() },
-                    { "token", token_ } });
-        lastJob = job->spec.id;
+                    { "rack", worker->entry.rack }, { "worker", worker->entry.id },
+                    { "sinceArrivalMs", (now() - job->arrivedAt).count() }, { "token", token_ } });
         startTask(*job, placement.task, *worker);
     }
     sendQueuedStarts();
--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -43,6 +43,7 @@
     private:
         void planStep(const PlanStep& step)
         {
+            plannedStep_ = static_cast<std::size_t>(&step - input_.steps.data());
             const std::size_t placedBefore = plan_.placements.size();
             const std::size_t reservationsBefore = plan_.reservations.size();
             const bool spreadAllowed = maySpread(step);
@@ -59,8 +60,7 @@
                 reason = WaitReason::Reserved;
             else if (plan_.reservations.size() > reservationsBefore)
                 reason = WaitReason::CapacityBeingFreed;
-            plan_.waiting.push_back(
-                { static_cast<std::size_t>(&step - input_.steps.data()), step.tasks.size() - placed, reason });
+            plan_.waiting.push_back({ plannedStep_, step.tasks.size() - placed, reason });
         }
 
         // Marks enough workers as not schedulable to keep the urgent headroom free. It takes all free accelerators of a
@@ -253,7 +253,8 @@
                 return false;
             preemptions_.stop(*best);
             withoutCapacity_.clear();
-            plan_.preemptions.insert(plan_.preemptions.end(), best->work.begin(), best->work.end());
+            for (std::size_t work : best->work)
+                plan_.preemptions.push_back({ work, plannedStep_ });
             const bool inRack = oneRack || step.spec->rackLocal;
             reserve(step, selectForGang(step, inRack, /*spread=*/true, /*includeReleasing=*/true));
             return true;
@@ -265,6 +266,7 @@
         std::vector<GangSize> withoutVictims_; // gangs that are not urgent and do not fit with preemptions either
         GangReservations gangReservations_;
         PreemptionChooser preemptions_;
+        std::size_t plannedStep_ = 0; // index into PlanInput::steps
         Plan plan_;
     };
 
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -99,11 +99,16 @@
     WaitReason reason = WaitReason::NoCapacity;
 };
 
+struct Preemption {
+    std::size_t work = 0; // index into PlanInput::running
+    std::size_t step = 0; // index into PlanInput::steps, of the step that needs the capacity
+};
+
 struct Plan {
     std::vector<Placement> placements;
     std::vector<CapacityReservation> reservations;
     std::vector<WaitingStep> waiting; // in the order in which the steps were considered
-    std::vector<std::size_t> preemptions; // indices into PlanInput::running
+    std::vector<Preemption> preemptions;
     bool wantsPreemption = false; // a step that may preempt work does not fit; plan again with PlanInput::running
 };
 
--- a/src/jobs/PlannerFleet.cpp
+++ b/src/jobs/PlannerFleet.cpp
@@ -47,13 +47,6 @@
     }
 }
 
-FleetWorker* PlannerFleet::find(const WorkerId& id)
-{
-    const auto position = std::find_if(
-        workers_.begin(), workers_.end(), [&id](const FleetWorker& worker) { return worker.row->id == id; });
-    return position == workers_.end() ? nullptr : &*position;
-}
-
 int PlannerFleet::countFitting(const Resources& perTask, const Resources& available)
 {
     return std::min({ countFittingOne(perTask.milliCores, available.milliCores),
--- a/src/jobs/PlannerFleet.h
+++ b/src/jobs/PlannerFleet.h
@@ -38,7 +38,6 @@
 
     const FleetWorkers& all() const { return all_; }
     const std::vector<FleetWorkers>& racks() const { return racks_; }
-    FleetWorker* find(const WorkerId&);
 
     // Number of tasks of this size that fit into the available resources.
     static int countFitting(const Resources& perTask, const Resources& available);
--- a/tests/jobs/OverloadTest.cpp
+++ b/tests/jobs/OverloadTest.cpp
@@ -108,8 +108,8 @@
     const Plan plan = makePlan(input);
     REQUIRE(plan.preemptions.size() == 8);
     REQUIRE(plan.reservations.size() == 1);
-    for (std::size_t index : plan.preemptions)
-        CHECK(input.running[index].resources.begin()->first == *plan.reservations[0].workers.begin());
+    for (const Preemption& preemption : plan.preemptions)
+        CHECK(input.running[preemption.work].resources.begin()->first == *plan.reservations[0].workers.begin());
 }
 
 // Guards against gangs that wait behind work of a lower priority that could resume later without loss, and against
--- a/tests/jobs/PlannerTest.cpp
+++ b/tests/jobs/PlannerTest.cpp
@@ -27,7 +27,8 @@
     input.steps.push_back(step);
     input.running = { runningWork("w0-0", 0, /*guaranteed=*/true), runningWork("w0-1", 0, /*guaranteed=*/false) };
     const Plan plan = makePlan(input);
-    REQUIRE(plan.preemptions == std::vector<std::size_t> { 1 });
+    REQUIRE(plan.preemptions.size() == 1);
+    REQUIRE(plan.preemptions[0].work == 1);
     input.running[1].guaranteed = true;
     REQUIRE(makePlan(input).preemptions.empty());
 }
