--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -283,7 +283,7 @@
             const double cores = static_cast<double>(spec.perTask.milliCores) / 1000.0
                 + coresPerAccelerator * static_cast<double>(spec.perTask.accelerators);
             PreemptibleWork gang { job.spec.id, occurrence, static_cast<int>(number), {}, {}, job.spec.policy.priority,
-                guaranteed, 0, Milliseconds(0) };
+                guaranteed, 0, Milliseconds(0), Milliseconds(0) };
             for (int index = 0; index < spec.taskCount; ++index) {
                 const TaskProgress& task = progress.tasks[index];
                 if (task.phase != TaskPhase::Running && task.phase != TaskPhase::Starting)
@@ -292,7 +292,8 @@
                 one.tasks = { index };
                 one.resources.clear();
                 one.resources[task.worker] += spec.perTask;
-                one.lostTime = spec.checkpointing ? resumeTime : input.now - task.startedAt;
+                one.ranFor = input.now - task.startedAt;
+                one.lostTime = spec.checkpointing ? resumeTime : one.ranFor;
                 one.lostCoreSeconds = cores * static_cast<double>(one.lostTime.count()) / 1000.0;
                 if (!spec.gang) {
                     input.running.push_back(std::move(one));
@@ -302,6 +303,7 @@
                 gang.resources[task.worker] += spec.perTask;
                 gang.lostCoreSeconds += one.lostCoreSeconds;
                 gang.lostTime = std::max(gang.lostTime, one.lostTime);
+                gang.ranFor = std::max(gang.ranFor, one.ranFor);
             }
             if (!gang.tasks.empty())
                 input.running.push_back(std::move(gang));
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -59,6 +59,7 @@
     bool guaranteed = false; // within its client account's guarantee
     double lostCoreSeconds = 0; // work that would have to be repeated
     Milliseconds lostTime { 0 }; // the run time of that work
+    Milliseconds ranFor { 0 }; // since it was started last
 };
 
 struct PlanInput {
--- a/src/jobs/PreemptionChoice.cpp
+++ b/src/jobs/PreemptionChoice.cpp
@@ -17,6 +17,10 @@
     // Work that is not urgent preempts only what loses at most this much of its run time.
     constexpr Milliseconds maximumLossForOthers { 500 };
 
+    // Work that was started more recently is not preempted for work that is not urgent. Otherwise resumable work that
+    // fits in anywhere would be stopped and started again all the time.
+    constexpr Milliseconds minimumRunForOthers { 1500 };
+
     std::int64_t acceleratorsOf(const PreemptibleWork& work)
     {
         std::int64_t sum = 0;
@@ -70,7 +74,8 @@
 
 bool PreemptionChooser::isWithin(Reach reach, const PreemptibleWork& work)
 {
-    return reach == Reach::Urgent || (work.priority > 0 && work.lostTime <= maximumLossForOthers);
+    return reach == Reach::Urgent
+        || (work.priority > 0 && work.lostTime <= maximumLossForOthers && work.ranFor >= minimumRunForOthers);
 }
 
 int PreemptionChooser::mostOn(const PlanStep& step, std::size_t worker) const
--- a/tests/jobs/OverloadTest.cpp
+++ b/tests/jobs/OverloadTest.cpp
@@ -32,6 +32,7 @@
             PreemptibleWork work = runningWork(worker.id.value(), 2, /*guaranteed=*/false);
             work.resources[worker.id] = { 1000, 1000, 1 };
             work.lostTime = lostTime;
+            work.ranFor = Milliseconds(3000);
             work.lostCoreSeconds = static_cast<double>(lostTime.count()) / 1000.0 * 9.0;
             input.running.push_back(work);
         }
@@ -126,6 +127,11 @@
     CHECK(makePlan(input).preemptions.size() == (resumable ? 16 : 0));
     input.steps = { stepOf(gang, 2) };
     CHECK(makePlan(input).preemptions.empty());
+    // Work that has just been started would otherwise be stopped again and again.
+    input.steps = { stepOf(gang, 1) };
+    for (PreemptibleWork& work : input.running)
+        work.ranFor = Milliseconds(300);
+    CHECK(makePlan(input).preemptions.empty());
 }
 
 // Guards against a backlog that makes everything behind it late: work without remaining value held its place before
