--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -22,6 +22,12 @@
 inline constexpr Milliseconds urgentFlushDelay { 2 };
 inline constexpr Milliseconds deferredFlushDelay { 120 };
 
+// A worker may execute a command up to this long after it was sent.
+inline constexpr Milliseconds longestCommandDelay { 12000 };
+
+// A worker's clock runs at no less than this rate relative to the owner's clock.
+inline constexpr double slowestClockRate = 0.98;
+
 using RunKey = std::pair<TaskKey, int>; // a task and the number of its run
 
 // A run that occupies resources of a worker, from its start command until its end is known.
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -20,9 +20,6 @@
     // Interval at which time limits are checked; the shortest of them is a few hundred milliseconds.
     constexpr Milliseconds tickInterval { 100 };
 
-    // A worker's clock runs at no less than this rate relative to the owner's clock.
-    constexpr double slowestClockRate = 0.98;
-
     // Added to the end of a lease to allow for a command that was in flight when the previous owner lost ownership.
     constexpr Milliseconds leaseMargin { 250 };
 
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -32,9 +32,6 @@
     // From this completed share on, a run's own pace predicts its end better than the run times of other tasks.
     constexpr int reliablePercent = 20;
 
-    // A worker may execute a command up to this long after it was sent.
-    constexpr Milliseconds longestCommandDelay { 12000 };
-
     // A worker on which this many jobs have failed without a success in between is avoided while others have capacity.
     constexpr std::size_t suspectAfterFailures = 2;
     constexpr Milliseconds suspectFor { 6000 };
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -23,9 +23,6 @@
     // Then it is left to expire, so that the runs can start elsewhere if the worker is cut off.
     constexpr Milliseconds silentRenewalLimit { 3000 };
 
-    // A worker may execute a command up to this long after it was sent.
-    constexpr Milliseconds longestCommandDelay { 12000 };
-
     // A restart of a worker takes longer than this.
     constexpr Milliseconds minimumRestartTime { 250 };
 
@@ -35,9 +32,6 @@
     // Added to the maximum stop time before a run that is missing from a report counts as ended.
     constexpr Milliseconds stopMargin { 60 };
 
-    // A worker's clock runs at no less than this rate relative to the owner's clock.
-    constexpr double slowestClockRate = 0.98;
-
     const Logger logger("workers");
 
     Milliseconds scaled(Milliseconds time, double factor)
