Keep queued starts on idle workers alive

Cause, found by reading the diff: a run whose start command waits in the window counts as occupying its worker, but no lease of an idle worker is valid, so that the next tick ended it as lost with its worker.

--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -304,6 +304,7 @@
         owner_.metrics_.firstStart.record(static_cast<double>((now() - job.arrivedAt).count()));
         markChanged(job, /*urgent=*/false);
     }
+    extendLease(worker, leaseEndFor(worker)); // the run must not count as lost while its command waits
     queuedStarts_.emplace_back(runKey, worker.entry.id);
 }
 
--- a/tests/jobs/CommandWindowTest.cpp
+++ b/tests/jobs/CommandWindowTest.cpp
@@ -59,4 +59,21 @@
     CHECK(cluster.fleet.violations().empty());
 }
 
+// Guards against giving up tasks that wait for their start command on workers that were idle: no lease of an idle worker
+// is valid, and the queued runs counted as lost with it.
+TEST_CASE("tasks on idle workers that wait for their start command are not lost")
+{
+    SimCluster cluster(1);
+    cluster.addWorkers(8, 8);
+    cluster.world.run(Milliseconds(10000));
+    cluster.fleet.lostCommandResponseShare = 1; // keeps the window full for the commands' time-out
+    cluster.submit("batch", "wide", oneStep(400, 1, Milliseconds(3000), /*gang=*/false));
+    cluster.world.run(Milliseconds(400));
+    cluster.fleet.lostCommandResponseShare = 0;
+    cluster.world.run(Milliseconds(15000));
+    CHECK(cluster.instances[0]->metrics.lostRuns.value() == 0);
+    CHECK(cluster.fleet.startsOf(JobId("wide")) == 400);
+    CHECK(cluster.storedState("wide") == JobState::Completed);
+}
+
 } // namespace rosemarylink::jobs
