--- a/tests/jobs/CommandWindowTest.cpp
+++ b/tests/jobs/CommandWindowTest.cpp
@@ -59,8 +59,8 @@
     CHECK(cluster.fleet.violations().empty());
 }
 
-// Guards against giving up tasks that wait for their start command on workers that were idle: no lease of an idle worker
-// is valid, and the queued runs counted as lost with it.
+// Guards against giving up tasks that wait for their start command on workers that were idle: no lease of an idle
+// worker is valid, and the queued runs counted as lost with it.
 TEST_CASE("tasks on idle workers that wait for their start command are not lost")
 {
     SimCluster cluster(1);
