Count idle resources and recent starts in the cost of a preemption

The cost of a preemption now contains the resources that idle while the work is stopped and started again, and the rest of its first 1.5 s.

The new test was not run on the old cost, under which the gang that was just started costs 9 against 42 core-seconds.

--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -283,7 +283,7 @@
             const double cores = static_cast<double>(spec.perTask.milliCores) / 1000.0
                 + coresPerAccelerator * static_cast<double>(spec.perTask.accelerators);
             PreemptibleWork gang { job.spec.id, occurrence, static_cast<int>(number), {}, {}, job.spec.policy.priority,
-                guaranteed, 0, Milliseconds(0), Milliseconds(0) };
+                guaranteed, 0, 0, Milliseconds(0), Milliseconds(0) };
             for (int index = 0; index < spec.taskCount; ++index) {
                 const TaskProgress& task = progress.tasks[index];
                 if (task.phase != TaskPhase::Running && task.phase != TaskPhase::Starting)
@@ -294,6 +294,7 @@
                 one.resources[task.worker] += spec.perTask;
                 one.ranFor = input.now - task.startedAt;
                 one.lostTime = spec.checkpointing ? resumeTime : one.ranFor;
+                one.cores = cores;
                 one.lostCoreSeconds = cores * static_cast<double>(one.lostTime.count()) / 1000.0;
                 if (!spec.gang) {
                     input.running.push_back(std::move(one));
@@ -301,6 +302,7 @@
                 }
                 gang.tasks.push_back(index);
                 gang.resources[task.worker] += spec.perTask;
+                gang.cores += cores;
                 gang.lostCoreSeconds += one.lostCoreSeconds;
                 gang.lostTime = std::max(gang.lostTime, one.lostTime);
                 gang.ranFor = std::max(gang.ranFor, one.ranFor);
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -57,6 +57,7 @@
     std::map<WorkerId, Resources> resources; // resources that stopping it would free
     int priority = 0;
     bool guaranteed = false; // within its client account's guarantee
+    double cores = 0; // that it uses, where an accelerator counts as several cores
     double lostCoreSeconds = 0; // work that would have to be repeated
     Milliseconds lostTime { 0 }; // the run time of that work
     Milliseconds ranFor { 0 }; // since it was started last
--- a/src/jobs/PreemptionChoice.cpp
+++ b/src/jobs/PreemptionChoice.cpp
@@ -10,9 +10,15 @@
 
 namespace {
 
-    // Added to the loss of each piece of work, for the time in which its resources are idle while it is stopped and
-    // started again.
-    constexpr double restartCoreSeconds = 2.0;
+    // The resources of work are idle for this long while it is stopped and started again elsewhere.
+    constexpr double restartSeconds = 0.6;
+
+    // Work that is stopped soon after its start has waited and been restored for nothing, so it counts as losing at
+    // least this much of its run time, less what it has run for.
+    constexpr double settlingSeconds = 1.5;
+
+    // Tells apart work that uses no resources on the candidates.
+    constexpr double leastCost = 0.01;
 
     // Work that is not urgent preempts only what loses at most this much of its run time.
     constexpr Milliseconds maximumLossForOthers { 500 };
@@ -29,7 +35,11 @@
         return sum;
     }
 
-    double costOf(const PreemptibleWork& work) { return work.lostCoreSeconds + restartCoreSeconds; }
+    double costOf(const PreemptibleWork& work)
+    {
+        const double settling = std::max(0.0, settlingSeconds - static_cast<double>(work.ranFor.count()) / 1000.0);
+        return work.lostCoreSeconds + work.cores * (restartSeconds + settling) + leastCost;
+    }
 
 } // namespace
 
--- a/tests/jobs/OverloadTest.cpp
+++ b/tests/jobs/OverloadTest.cpp
@@ -113,6 +113,26 @@
         CHECK(input.running[preemption.work].resources.begin()->first == *plan.reservations[0].workers.begin());
 }
 
+// Guards against stopping the same gang again and again: a checkpoint made it look free to stop, although it had only
+// just been started again (found with bench setup tidyroom-jo-large scale-2, a gang that was stopped 90 ms and 50 ms
+// after its starts).
+TEST_CASE("work that was just started is preempted after work that has run for a while")
+{
+    PlanInput input = makeRacks(1, 0);
+    for (PlanWorker& worker : input.workers) {
+        PreemptibleWork work = runningWork(worker.id.value(), 1, /*guaranteed=*/false);
+        work.cores = 72;
+        work.lostCoreSeconds = input.running.empty() ? 7 : 40;
+        work.ranFor = input.running.empty() ? Milliseconds(50) : Milliseconds(3000);
+        input.running.push_back(work);
+    }
+    const StepSpec urgent = rackLocalGang(1, 8);
+    input.steps = { stepOf(urgent, 0) };
+    const Plan plan = makePlan(input);
+    REQUIRE(plan.preemptions.size() == 1);
+    CHECK(plan.preemptions[0].work == 1);
+}
+
 // Guards against gangs that wait behind work of a lower priority that could resume later without loss, and against
 // throwing work away for a gang that is not urgent.
 TEST_CASE("a gang that is not urgent preempts only work of lower priorities that loses little")
