End the node's threads before a process destroys what its listeners use

Ruled out: the link's connections (the log's last lines are lost connections, which are what a stop looks like); the HTTP server and the platform stand-in clear their pointers only after their threads have ended. Conclusion: InstanceNode::stop ends threads and links; both processes call it first.

--- a/include/rosemarylink/node/InstanceNode.h
+++ b/include/rosemarylink/node/InstanceNode.h
@@ -52,6 +52,10 @@
     // Fails when the link port cannot be bound.
     Status start();
 
+    // Ends the node's threads and closes its links. No handler or listener runs after it. Whoever set them calls it
+    // before destroying what they use. A second call has no effect.
+    void stop();
+
     // Announces to the peers and the platform that this instance is leaving.
     void leave();
 
--- a/src/node/InstanceNode.cpp
+++ b/src/node/InstanceNode.cpp
@@ -148,7 +148,9 @@
     service_->registerHandlers();
 }
 
-InstanceNode::~InstanceNode()
+InstanceNode::~InstanceNode() { stop(); }
+
+void InstanceNode::stop()
 {
     {
         const std::lock_guard lock(mutex_);
--- a/src/process/GatewayProcess.cpp
+++ b/src/process/GatewayProcess.cpp
@@ -76,7 +76,9 @@
     }
     if (upstreamThread_.joinable())
         upstreamThread_.join();
+    // The routes, handlers and listeners use the node and the requests until these two calls return.
     server_.reset();
+    node_->stop();
 }
 
 void GatewayProcess::connectNode()
--- a/src/process/SchedulerProcess.cpp
+++ b/src/process/SchedulerProcess.cpp
@@ -64,9 +64,9 @@
 
 SchedulerProcess::~SchedulerProcess()
 {
-    // The node is destroyed first because its message handlers use the cells.
-    node_.reset();
-    cells_.reset();
+    // The routes, handlers and listeners use the node and the cells until these two calls return.
+    server_.reset();
+    node_->stop();
 }
 
 void SchedulerProcess::connectNode()
--- a/tests/process/EndToEndTest.cpp
+++ b/tests/process/EndToEndTest.cpp
@@ -121,6 +121,19 @@
         CHECK(cluster.get("g2", "/v1/audit")["entries"].size() == 2);
     }
 
+    // Guards against a crash at the end of a process: the node's thread may be in its listener while the scheduler is
+    // destroyed. Its first tick begins with the start, so that a scheduler destroyed at once meets it.
+    TEST_CASE("a scheduler is destroyed while its node's thread is in the listener")
+    {
+        Cluster cluster;
+        cluster.startGateway("g1");
+        for (int round = 0; round < 40; ++round) {
+            cluster.startScheduler("s1");
+            cluster.killScheduler("s1");
+        }
+        CHECK(cluster.send("g1", "GET", "/healthz").value().status == 200);
+    }
+
     // Guards against connections that close without a response when a gateway shuts down under load.
     TEST_CASE("a gateway that shuts down responds to every request in progress")
     {
