An instance that has lost the store answers its callers at once

Cause: each request at an instance without the store was kept for another failed call, 0.3 to 0.9 s, also seconds into an outage. Change: ConfigView reads every 200 ms after a failed call until a read succeeds, and after 600 ms Admission refuses at once. A refused question is to be repeated after 0.4 to 0.6 s, whatever the outage. Test: an instance that has lost the store answers its callers at once, until the store is back (failed before).

--- a/include/rosemarylink/jobs/ConfigView.h
+++ b/include/rosemarylink/jobs/ConfigView.h
@@ -27,6 +27,13 @@
     // Null until a configuration has been read.
     const Configuration* current() const { return configuration_ ? &*configuration_ : nullptr; }
 
+    // Tells that a call to the store was refused or not answered. The view then reads until a read succeeds.
+    void recordFailedCall();
+
+    // True while no read has succeeded for a fraction of a second after a failed call. The caller of a request need not
+    // wait for another failure then. The view notices by itself when the store is back.
+    bool storeOutOfReach() const;
+
     // Time since the store last confirmed the configuration; nullopt if it never has.
     std::optional<Milliseconds> age() const;
 
@@ -41,6 +48,8 @@
 private:
     void watchChanges(Revision after);
     void refresh();
+    void recordReach(const StoreResponse&, Milliseconds requestedAt);
+    void probe();
     void notifyWaiting(const Configuration*);
 
     RecordStore& store_;
@@ -50,8 +59,10 @@
     std::optional<Configuration> configuration_;
     Revision revision_ { 0 };
     std::optional<Milliseconds> confirmedAt_; // send time of the last call that confirmed it
+    std::optional<Milliseconds> failingSince_; // time of the first failed call since a read succeeded
     std::vector<std::function<void(const Configuration*)>> waitingHandlers_;
     bool refreshing_ = false;
+    bool probing_ = false; // the timer for the next probe is set
 };
 
 } // namespace rosemarylink::jobs
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -37,6 +37,7 @@
     Milliseconds startedAt { 0 };
     Timers::Id limitTimer = 0; // ends the call when its time limit is reached
     bool finished = false;
+    bool readOnly = false;
     bool writeInFlight = false;
     JobId job;
     JobSpec spec; // of a submission
@@ -86,6 +87,11 @@
 
 void Admission::authorize(const CallPointer& call, const std::function<void(const Queue&, const AccountId&)>& proceed)
 {
+    // Another instance may reach the store, so the caller is not kept while this one does not.
+    if (!call->mayHaveRun && config_.storeOutOfReach()) {
+        fail(call);
+        return;
+    }
     config_.whenConfirmed([this, call, proceed](const Configuration* configuration) {
         if (!configuration) {
             retryLater(call, /*mayHaveWritten=*/false, [this, call, proceed] { authorize(call, proceed); });
@@ -106,8 +112,10 @@
     });
 }
 
+// Called when the store gave no result.
 void Admission::retryLater(const CallPointer& call, bool mayHaveWritten, const std::function<void()>& retry)
 {
+    config_.recordFailedCall();
     const Milliseconds waited = clock_.monotonic() - call->startedAt;
     call->mayHaveRun = call->mayHaveRun || mayHaveWritten;
     const Milliseconds timeLimit
@@ -134,10 +142,13 @@
     if (call->mayHaveRun)
         finish(call,
             { AdmissionOutcome::MayHaveRun, "the store did not respond in time; the request may have taken effect" });
-    else
+    else {
+        // Asking again for a state costs little, and another instance may be able to answer.
+        const Milliseconds unavailableFor = call->readOnly ? Milliseconds(0) : age.value_or(waited);
         finish(call,
             { AdmissionOutcome::NotRun, "the store is unavailable; the request has had no effect",
-                internal::retryHint(age.value_or(waited), call->request.path) });
+                internal::retryHint(unavailableFor, call->request.path) });
+    }
 }
 
 Milliseconds Admission::resolutionLimit(const Call& call)
@@ -274,6 +285,7 @@
 void Admission::query(const CallerRequest& request, const AdmissionHandler& handler)
 {
     const CallPointer call = begin(request, handler);
+    call->readOnly = true;
     authorize(call, [this, call](const Queue& queue, const AccountId&) {
         if (call->job.empty())
             countWaiting(call, queue.policy.queue);
--- a/src/jobs/ConfigView.cpp
+++ b/src/jobs/ConfigView.cpp
@@ -2,6 +2,8 @@
 
 #include "rosemarylink/base/Log.h"
 
+#include <utility>
+
 namespace rosemarylink::jobs {
 
 namespace {
@@ -17,6 +19,14 @@
     constexpr Milliseconds watchWait { 5000 };
     constexpr Milliseconds retryDelay { 250 }; // after a failed watch or read
 
+    // The store counts as out of reach this long after a call to it failed, if no read has succeeded since. Short
+    // refusals of the store (rate limit, leader change) are over sooner.
+    constexpr Milliseconds outOfReachAfter { 600 };
+
+    // While reads fail, the next one is sent this long after the previous one, whether or not that has ended: a read
+    // sent to a silent store ends only at its time-out, also when the store is back by then.
+    constexpr Milliseconds probeInterval { 200 };
+
     const Logger logger("config");
 
 } // namespace
@@ -33,6 +43,7 @@
 {
     const Milliseconds requestedAt = clock_.monotonic();
     store_.read(catalog_.configurationKey(), readTimeout, [this, requestedAt](const StoreResponse& response) {
+        recordReach(response, requestedAt);
         if (response.done() && !response.records.empty()) {
             apply(response.records.front(), requestedAt);
             watchChanges(response.records.front().revision);
@@ -101,6 +112,7 @@
     const Milliseconds requestedAt = clock_.monotonic();
     store_.read(catalog_.configurationKey(), readTimeout, [this, requestedAt](const StoreResponse& response) {
         refreshing_ = false;
+        recordReach(response, requestedAt);
         if (response.done() && !response.records.empty())
             apply(response.records.front(), requestedAt);
         const bool confirmed = response.done() && configuration_;
@@ -108,6 +120,49 @@
     });
 }
 
+bool ConfigView::storeOutOfReach() const
+{
+    return failingSince_ && clock_.monotonic() - *failingSince_ >= outOfReachAfter;
+}
+
+void ConfigView::recordReach(const StoreResponse& response, Milliseconds requestedAt)
+{
+    if (!response.done() && response.outcome != StoreOutcome::NotFound) {
+        recordFailedCall();
+        return;
+    }
+    if (!failingSince_ || requestedAt < *failingSince_)
+        return;
+    if (storeOutOfReach())
+        logger.info("Store is in reach again", { { "unreachableMs", (clock_.monotonic() - *failingSince_).count() } });
+    failingSince_.reset();
+}
+
+void ConfigView::recordFailedCall()
+{
+    if (failingSince_)
+        return;
+    failingSince_ = clock_.monotonic();
+    if (!std::exchange(probing_, true))
+        probe();
+}
+
+void ConfigView::probe()
+{
+    timers_.after(probeInterval, [this] {
+        probing_ = failingSince_.has_value();
+        if (!probing_)
+            return;
+        const Milliseconds requestedAt = clock_.monotonic();
+        store_.read(catalog_.configurationKey(), readTimeout, [this, requestedAt](const StoreResponse& response) {
+            recordReach(response, requestedAt);
+            if (response.done() && !response.records.empty())
+                apply(response.records.front(), requestedAt);
+        });
+        probe();
+    });
+}
+
 void ConfigView::notifyWaiting(const Configuration* configuration)
 {
     const auto waiting = std::move(waitingHandlers_);
--- a/tests/jobs/AdmissionTest.cpp
+++ b/tests/jobs/AdmissionTest.cpp
@@ -141,6 +141,30 @@
     }
 }
 
+// Guards against keeping each caller for the time of another failed call at an instance that is known not to reach the
+// store, while other instances would answer (found with bench setup tidyroom-jo-large scale-2: the clients learned of
+// completed jobs 1 s later while the store turned a third of the instances away).
+TEST_CASE("an instance that has lost the store answers its callers at once, until the store is back")
+{
+    SimCluster cluster(1);
+    cluster.world.run(Milliseconds(1200));
+    REQUIRE(cluster.submit("batch", "a1", smallJob).outcome == AdmissionOutcome::Accepted);
+    cluster.store.mode = GENERATE(SimStore::Mode::Refusing, SimStore::Mode::Silent);
+    cluster.query("batch", "a1"); // the first caller meets the outage
+    cluster.world.run(Milliseconds(1500));
+    const Milliseconds before = cluster.world.now();
+    CHECK(cluster.submit("batch", "a2", smallJob).outcome == AdmissionOutcome::NotRun);
+    const AdmissionResponse query = cluster.query("batch", "a1");
+    CHECK(query.outcome == AdmissionOutcome::NotRun);
+    CHECK(query.retryAfter <= Milliseconds(600)); // asking again costs little, and another instance may answer
+    CHECK(cluster.cancel("batch", "a1").outcome == AdmissionOutcome::NotRun);
+    CHECK(cluster.world.now() - before <= Milliseconds(30)); // the simulation runs on for 10 ms for each call
+    cluster.store.mode = SimStore::Mode::Up;
+    cluster.world.run(Milliseconds(400));
+    CHECK(cluster.query("batch", "a1").outcome == AdmissionOutcome::Accepted);
+    CHECK(cluster.submit("batch", "a2", smallJob).outcome == AdmissionOutcome::Accepted);
+}
+
 // Guards against storing a submission after its caller was told that it had not run: the time limit was reached while
 // the configuration was being confirmed.
 TEST_CASE("a submission that was refused at its time limit is not stored afterwards")
