--- a/tests/jobs/SimStore.cpp
+++ b/tests/jobs/SimStore.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-    constexpr Milliseconds oneWayLatency { 3 };
-
     bool hasPrefix(const std::string& key, const std::string& prefix)
     {
         return key.compare(0, prefix.size(), prefix) == 0;
@@ -161,7 +159,7 @@
     }
     if (store_.mode == SimStore::Mode::Refusing) {
         failure.outcome = StoreOutcome::Refused;
-        respondLater(oneWayLatency * 2, handler, failure);
+        respondLater(store_.oneWayLatency * 2, handler, failure);
         return;
     }
     const bool lost
@@ -169,15 +167,15 @@
     if (lost) {
         failure.outcome = StoreOutcome::Unknown;
         respondLater(timeout, handler, failure);
-        world_.after(oneWayLatency + store_.lostResponseWriteDelay, [this, operation] {
+        world_.after(store_.oneWayLatency + store_.lostResponseWriteDelay, [this, operation] {
             store_.expireLeases();
             operation();
         });
         return;
     }
-    world_.after(oneWayLatency, [this, handler, operation] {
+    world_.after(store_.oneWayLatency, [this, handler, operation] {
         store_.expireLeases();
-        respondLater(oneWayLatency, handler, operation());
+        respondLater(store_.oneWayLatency, handler, operation());
     });
 }
 
@@ -221,7 +219,7 @@
     const auto responded = std::make_shared<bool>(false);
     const auto respondOnce = [this, responded, handler](const StoreResponse& response) {
         if (!std::exchange(*responded, true))
-            respondLater(oneWayLatency, handler, response);
+            respondLater(store_.oneWayLatency, handler, response);
     };
     world_.after(wait, [this, respondOnce] {
         StoreResponse response;
--- a/tests/jobs/SimStore.h
+++ b/tests/jobs/SimStore.h
@@ -28,6 +28,7 @@
     };
 
     Mode mode = Mode::Up;
+    Milliseconds oneWayLatency { 3 };
     double lostResponseShare = 0; // share of the commits that are executed but get no response
     Milliseconds lostResponseWriteDelay { 0 }; // additional delay until those commits are executed
     std::mt19937 random { 1 };
