Gangs and last attempts keep away from workers that fail runs

Such a worker is always free, so that in a full pool the next attempt went to it or to another one; 56 of 226 logged failures met a worker on which the same job had failed before. Change: one failure makes a worker suspect for 2 s; gangs and last attempts do not use suspect workers while they are at most a quarter of the pool. Tests failed first: a replay with faulty workers, two plans.

--- a/include/rosemarylink/jobs/JobProgress.h
+++ b/include/rosemarylink/jobs/JobProgress.h
@@ -36,6 +36,7 @@
     std::vector<TaskProgress> tasks;
     int done = 0; // number of tasks in phase Done
     std::optional<Milliseconds> readyAt; // monotonic time since which the steps that it depends on are complete
+    std::set<WorkerId> failedOn; // workers on which this owner has seen a run fail; not stored
     std::set<int> gangFailedRuns; // failed runs of a gang; a run counts once even if several members report a failure
 
     // Latest checkpoint reported by any member of a gang. All members of the next run start from it.
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -144,7 +144,7 @@
     void learnRunTime(Job&, const EndedRun&, const WorkerRun&);
     void endRun(Job&, const TaskKey&, int run, RunEnd, const std::string& checkpoint, const WorkerId&);
     void completeTask(Job&, const TaskKey&);
-    void failTask(Job&, const TaskKey&, int run);
+    void failTask(Job&, const TaskKey&, int run, const WorkerId&);
     void stopGang(Job&, const TaskKey& member);
     void stopTask(Job&, const TaskKey&);
     void stopJob(Job&);
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -50,6 +50,18 @@
         return "no-room";
     }
 
+    // Whether one more failed run of any waiting task makes the job fail.
+    bool isLastAttempt(const Job& job, const StepProgress& step, bool gang)
+    {
+        const auto isLast = [&job](const std::set<int>& failedRuns) {
+            return static_cast<int>(failedRuns.size()) + 1 >= job.spec.policy.maximumAttempts;
+        };
+        if (gang)
+            return isLast(step.gangFailedRuns);
+        return std::any_of(step.tasks.begin(), step.tasks.end(),
+            [&](const TaskProgress& task) { return task.phase == TaskPhase::Waiting && isLast(task.failedRuns); });
+    }
+
     std::int64_t peakAccelerators(const JobSpec& job)
     {
         std::int64_t most = 0;
@@ -252,6 +264,8 @@
             step.occurrence = occurrence;
             step.step = static_cast<int>(number);
             step.spec = &job.spec.steps[number];
+            step.failedOn = &progress.failedOn;
+            step.lastAttempt = isLastAttempt(job, progress, spec.gang);
             step.priority = job.spec.policy.priority;
             step.guaranteed = step.priority == 0 && remainingGuarantee >= 0;
             const auto reserved = reservedWorkers_.find({ job.spec.id, occurrence, static_cast<int>(number) });
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -33,8 +33,10 @@
     constexpr int reliablePercent = 20;
 
     // A worker on which this many jobs have failed without a success in between is avoided while others have capacity.
+    // One failure may be the job's own fault, so that it counts for a shorter time.
     constexpr std::size_t suspectAfterFailures = 2;
     constexpr Milliseconds suspectFor { 6000 };
+    constexpr Milliseconds suspectForOneFailure { 2000 };
 
     // A long-running task whose run was shorter than shortRunLimit is restarted only after a pause, to avoid a tight
     // restart loop. A task counts as missing after 3 s.
@@ -101,6 +103,7 @@
 void OwnerSession::recordFailure(Worker& worker, const JobId& job)
 {
     worker.recentFailures.insert(job);
+    worker.avoidUntil = std::max(worker.avoidUntil, now() + suspectForOneFailure);
     if (worker.recentFailures.size() < suspectAfterFailures)
         return;
     logger.warning("Worker is suspect; several jobs failed on it",
@@ -138,7 +141,7 @@
     if (spec.longRunning && current && now() - task.startedAt < shortRunLimit)
         task.notBefore = now() + restartPause;
     if (end == RunEnd::Failed && !spec.longRunning)
-        failTask(job, key, run);
+        failTask(job, key, run, worker);
     if (spec.gang && !isFinal(job.state))
         stopGang(job, key);
     markChanged(job, /*urgent=*/false);
@@ -201,8 +204,9 @@
     schedulePlan();
 }
 
-void OwnerSession::failTask(Job& job, const TaskKey& key, int run)
+void OwnerSession::failTask(Job& job, const TaskKey& key, int run, const WorkerId& worker)
 {
+    job.step(key).failedOn.insert(worker);
     std::set<int>& failedRuns = job.stepSpec(key).gang ? job.step(key).gangFailedRuns : job.task(key).failedRuns;
     failedRuns.insert(run);
     if (static_cast<int>(failedRuns.size()) >= job.spec.policy.maximumAttempts)
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -26,7 +26,7 @@
     Resources capacity;
     std::int64_t urgentAccelerators = 0; // allocated to work of priority 0, which is rarely preempted
     bool schedulable = true; // may be given new work
-    bool suspect = false; // tasks of several jobs have failed on it recently
+    bool suspect = false; // runs have failed or starts were refused on it recently
     std::vector<ExpectedEnd> expectedEnds; // of all runs on it, in the order of time
 };
 
@@ -40,6 +40,8 @@
     std::map<WorkerId, int> activeTasks; // number of the step's tasks that are already on a worker
     int priority = 0;
     bool guaranteed = false; // within its client account's guarantee
+    bool lastAttempt = false; // the job fails if a run of the step fails once more
+    const std::set<WorkerId>* failedOn = nullptr; // workers on which a run of the step has failed, used last
     std::set<WorkerId> reservedWorkers; // workers on which the previous plan reserved capacity for the step
     Milliseconds arrivedAt { 0 }; // arrival of the job, or due time of its occurrence
     Milliseconds readyAt { 0 }; // time since which the step has been ready to start
--- a/src/jobs/PlannerFleet.cpp
+++ b/src/jobs/PlannerFleet.cpp
@@ -13,6 +13,9 @@
     // longer than predicted.
     constexpr double runTimeMargin = 1.25;
 
+    // Suspect workers are few as long as they are at most this fraction (1/N) of the pool.
+    constexpr std::size_t suspectDivisor = 4;
+
     // Ranks racks other than the one with the step's data behind it.
     constexpr std::int64_t otherRackPenalty = 1000000;
 
@@ -45,6 +48,9 @@
             racks_.emplace_back();
         racks_[position->second].push_back(all_.back());
     }
+    const auto suspects = std::count_if(
+        input.workers.begin(), input.workers.end(), [](const PlanWorker& worker) { return worker.suspect; });
+    fewSuspects_ = static_cast<std::size_t>(suspects) * suspectDivisor <= input.workers.size();
 }
 
 int PlannerFleet::countFitting(const Resources& perTask, const Resources& available)
@@ -60,6 +66,11 @@
         && (step.spec->workerLabel.empty() || worker.row->labels->count(step.spec->workerLabel) > 0);
 }
 
+bool PlannerFleet::isTooRisky(const PlanStep& step, const FleetWorker& worker) const
+{
+    return fewSuspects_ && worker.row->suspect && (step.spec->gang || step.lastAttempt);
+}
+
 int PlannerFleet::applySpreadLimit(const PlanStep& step, const FleetWorker& worker, int count)
 {
     if (step.spec->maximumPerWorker == 0)
@@ -71,7 +82,7 @@
 
 int PlannerFleet::capacityOn(const PlanStep& step, const FleetWorker& worker, bool includeReleasing) const
 {
-    if (!worker.schedulable)
+    if (!worker.schedulable || isTooRisky(step, worker))
         return 0;
     Resources available = worker.free;
     if (includeReleasing)
@@ -92,7 +103,7 @@
     const PlanStep& step, const FleetWorkers& candidates, std::size_t count, bool includeReleasing) const
 {
     struct Candidate {
-        std::tuple<bool, bool, bool, std::int64_t, std::int64_t, std::int64_t> order;
+        std::tuple<bool, bool, bool, bool, std::int64_t, std::int64_t, std::int64_t> order;
         FleetWorker* worker;
         int capacity;
     };
@@ -107,11 +118,12 @@
         // Urgent work is packed onto few workers; spread over all of them, it would leave none that can be emptied for
         // a guaranteed task that needs a whole worker.
         const bool reserved = !step.reservedWorkers.empty() && step.reservedWorkers.count(worker->row->id) > 0;
+        const bool failedBefore = step.failedOn && step.failedOn->count(worker->row->id) > 0;
         const bool remote = !step.spec->dataRack.empty() && worker->row->rack != step.spec->dataRack;
         const std::int64_t urgent = step.priority == 0 ? -worker->row->urgentAccelerators : 0;
-        fitting.push_back(
-            { { !reserved, worker->row->suspect, remote, urgent, worker->free.accelerators, worker->free.milliCores },
-                worker, capacity });
+        fitting.push_back({ { failedBefore, !reserved, worker->row->suspect, remote, urgent, worker->free.accelerators,
+                                worker->free.milliCores },
+            worker, capacity });
     }
     if (available < count)
         return {};
--- a/src/jobs/PlannerFleet.h
+++ b/src/jobs/PlannerFleet.h
@@ -44,6 +44,11 @@
 
     static bool isEligible(const PlanStep&, const FleetWorker&);
 
+    // Whether the step must not use the worker because runs have failed there recently. A worker that fails its runs at
+    // once is always free, so it attracts work; it costs a gang all of its members, and a last attempt the whole job.
+    // Once many workers are suspect the cause is rather in the jobs, and all workers are used.
+    bool isTooRisky(const PlanStep&, const FleetWorker&) const;
+
     // Number of the step's tasks that fit on the worker beside what it may run already, optionally counting resources
     // that are being released. On a worker with a hold that binds the step, tasks that may still run when the hold
     // begins get only what is spare then.
@@ -70,6 +75,7 @@
     std::vector<FleetWorker> workers_;
     FleetWorkers all_;
     std::vector<FleetWorkers> racks_;
+    bool fewSuspects_ = false;
 };
 
 } // namespace rosemarylink::jobs::internal
--- a/tests/jobs/OverloadTest.cpp
+++ b/tests/jobs/OverloadTest.cpp
@@ -309,4 +309,23 @@
     CHECK(cluster.fleet.violations().empty());
 }
 
+// Guards against a job that fails because its attempts are all spent on the same faulty workers (found with bench setup
+// tidyroom-jo-large trouble-1 and trouble-3: urgent gangs failed within 0.6 s while 8% of the workers failed their
+// runs).
+TEST_CASE("the attempts of a job are not spent on faulty workers")
+{
+    const bool gang = GENERATE(true, false);
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 10);
+    cluster.fleet.faulty = { WorkerId("w0-0"), WorkerId("w0-1") };
+    cluster.world.run(Milliseconds(1500));
+    for (int number = 0; number < 8; ++number) {
+        const std::string id = "u" + std::to_string(number);
+        cluster.submit("urgent", id, oneStep(4, 4, Milliseconds(600), gang));
+        cluster.world.run(Milliseconds(2500));
+        CHECK(cluster.storedState(id) == JobState::Completed);
+    }
+    CHECK(cluster.fleet.violations().empty());
+}
+
 } // namespace rosemarylink::jobs
--- a/tests/jobs/PlannerTest.cpp
+++ b/tests/jobs/PlannerTest.cpp
@@ -225,4 +225,35 @@
     REQUIRE(makePlan(input).placements.empty());
 }
 
+// Guards against a faulty worker that attracts gangs and last attempts because it is always free (found with bench
+// setup tidyroom-jo-large trouble-1), and against a pool that stands still where the jobs are at fault.
+TEST_CASE("gangs and last attempts are not placed on suspect workers while these are few")
+{
+    PlanInput input = makeRacks(2, 0);
+    input.workers[1].free.accelerators = 8;
+    input.workers[1].suspect = true;
+    StepSpec spec = rackLocalGang(1, 8);
+    spec.gang = GENERATE(true, false);
+    spec.rackLocal = false;
+    input.steps = { stepOf(spec, 1) };
+    CHECK(makePlan(input).placements.size() == (spec.gang ? 0 : 1));
+    input.steps[0].lastAttempt = true;
+    CHECK(makePlan(input).placements.empty());
+    input.workers[0].suspect = true;
+    CHECK(makePlan(input).placements.size() == 1);
+}
+
+// Guards against a second attempt on the worker on which the first has failed, which best fit would choose again.
+TEST_CASE("a step is placed last on workers on which it has failed")
+{
+    PlanInput input = makeRacks(1, 8);
+    input.workers[0].free.accelerators = 1;
+    const StepSpec spec = rackLocalGang(1, 1);
+    input.steps = { stepOf(spec, 1) };
+    const std::set<WorkerId> failedOn { input.workers[0].id };
+    input.steps[0].failedOn = &failedOn;
+    REQUIRE(makePlan(input).placements.size() == 1);
+    CHECK(makePlan(input).placements[0].worker == input.workers[1].id);
+}
+
 } // namespace rosemarylink::jobs::internal
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -202,6 +202,21 @@
 void SimFleet::scheduleEnd(const WorkerId& id, const Run& run)
 {
     const StepSpec& spec = *specOf(run.task);
+    for (const WorkerId& suspect : faulty) {
+        for (const auto& [task, present] : workers_.at(suspect).runs) {
+            if (present.run != run.run || !(spec.gang ? sameStep(task, run.task) : suspect == id && task == run.task))
+                continue;
+            world_.after(Milliseconds(60), [this, suspect, task = task, number = run.run] {
+                WorkerState& incarnation = workers_.at(suspect);
+                const auto position = incarnation.runs.find(task);
+                if (position == incarnation.runs.end() || position->second.run != number || position->second.stopping)
+                    return;
+                end(incarnation, task, RunEnd::Failed, "");
+                endGang(task, number, RunEnd::GangBroken);
+            });
+            return;
+        }
+    }
     world_.after(spec.estimate, [this, id, run, gang = spec.gang] {
         WorkerState& incarnation = workers_.at(id);
         const auto present = incarnation.runs.find(run.task);
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -39,6 +39,7 @@
     Milliseconds commandDelay { 4000 }; // delay of those commands
     double lostCommandResponseShare = 0; // share of the commands that are executed at once but get no response
     std::set<WorkerId> silent; // workers that no instance can reach; their runs continue
+    std::set<WorkerId> faulty; // workers on which every run fails soon
     std::map<std::string, int> failuresLeft; // number of next runs that fail, by task name without index
 
     std::mt19937 random { 2 };
