Guaranteed work may use suspect workers in time to start

Change: the rule ends for it after a quarter of the time in which it must start. The new lines of the test failed before.

--- a/src/jobs/PlannerFleet.cpp
+++ b/src/jobs/PlannerFleet.cpp
@@ -16,6 +16,9 @@
     // Suspect workers are few as long as they are at most this fraction (1/N) of the pool.
     constexpr std::size_t suspectDivisor = 4;
 
+    // Guaranteed work keeps away from suspect workers for this fraction (1/N) of the time in which it must start.
+    constexpr int guaranteedDivisor = 4;
+
     // Ranks racks other than the one with the step's data behind it.
     constexpr std::int64_t otherRackPenalty = 1000000;
 
@@ -68,6 +71,9 @@
 
 bool PlannerFleet::isTooRisky(const PlanStep& step, const FleetWorker& worker) const
 {
+    // Guaranteed work must start in time, and there may be no other room for it.
+    if (step.guaranteed && input_.now - step.readyAt >= input_.urgentRackWait / guaranteedDivisor)
+        return false;
     return fewSuspects_ && worker.row->suspect && (step.spec->gang || step.lastAttempt);
 }
 
--- a/tests/jobs/PlannerTest.cpp
+++ b/tests/jobs/PlannerTest.cpp
@@ -239,6 +239,14 @@
     CHECK(makePlan(input).placements.size() == (spec.gang ? 0 : 1));
     input.steps[0].lastAttempt = true;
     CHECK(makePlan(input).placements.empty());
+    input.steps[0].guaranteed = true;
+    input.steps[0].priority = 0;
+    CHECK(makePlan(input).placements.empty());
+    input.now = input.urgentRackWait / 4;
+    CHECK(makePlan(input).placements.size() == 1); // it must start in time
+    input.now = Milliseconds(0);
+    input.steps[0].guaranteed = false;
+    input.steps[0].priority = 1;
     input.workers[0].suspect = true;
     CHECK(makePlan(input).placements.size() == 1);
 }
