--- a/src/jobs/ConfigView.cpp
+++ b/src/jobs/ConfigView.cpp
@@ -84,7 +84,7 @@
     configuration_ = std::move(parsed).value();
     logger.info("Configuration in force",
         { { "version", configuration_->version }, { "revision", revision_.value() },
-            { "queues", configuration_->queues.size() } });
+            { "queues", configuration_->queues.size() }, { "bytes", record.value.size() } });
 }
 
 void ConfigView::whenConfirmed(std::function<void(const Configuration*)> handler)
--- a/src/reactor/LoopHttpClient.cpp
+++ b/src/reactor/LoopHttpClient.cpp
@@ -112,7 +112,8 @@
     void expire()
     {
         client_.closeIdleConnections(address_);
-        fail("the request timed out");
+        fail("the request timed out with " + std::to_string(buffer_.received().size())
+            + " bytes of the response received");
     }
 
     void fail(const std::string& reason)
