--- /dev/null
+++ b/tests/jobs/LargeConfigurationTest.cpp
@@ -0,0 +1,121 @@
+#include "SimCluster.h"
+
+#include <catch2/catch.hpp>
+
+namespace rosemarylink::jobs {
+
+namespace {
+
+    constexpr double smallLink = 1250; // bytes per millisecond, 10 Mbit/s
+
+    // The store's limit on a value. Its transfer takes 1.1 s on the small link.
+    constexpr std::size_t largestConfiguration = 1048000;
+
+    // An instance that has not confirmed its configuration for this long reports that it is not ready.
+    constexpr Milliseconds longestReadyAge { 2500 };
+
+    // Within this time after its acknowledgment a configuration must be in force.
+    constexpr Milliseconds applyTime { 4000 };
+
+    constexpr Milliseconds callInterval { 200 };
+
+    JobSpec smallJob() { return oneStep(2, 1, Milliseconds(500), /*gang=*/false); }
+
+    // A cluster whose second instance has a small link and serves a stored job, "a1".
+    class SmallLinkCluster : public SimCluster {
+    public:
+        SmallLinkCluster()
+        {
+            world.run(Milliseconds(300));
+            submit("batch", "a1", smallJob());
+            small().store.link.bytesPerMillisecond = smallLink;
+        }
+
+        SimInstance& small() { return *instances.at(1); }
+
+        void growConfiguration(std::size_t bytes)
+        {
+            configurationPadding = bytes;
+            putConfiguration();
+        }
+
+        // Asks the instance with the small link for the job's state again and again.
+        void queryFor(Milliseconds duration)
+        {
+            for (const Milliseconds end = world.now() + duration; world.now() < end;) {
+                query("batch", "a1", 1);
+                world.run(callInterval);
+            }
+        }
+
+        // Hands in jobs at the same time to the instance with the small link.
+        void submitTogether(int count)
+        {
+            for (int number = 0; number < count; ++number) {
+                small().admission.submit(
+                    { "host", "/batch/together" + std::to_string(number), "key", Milliseconds(3000) },
+                    []() -> Result<JobSpec> { return smallJob(); }, [](const AdmissionResponse&) {});
+            }
+        }
+
+        bool servesQueries() { return query("batch", "a1", 1).outcome == AdmissionOutcome::Accepted; }
+    };
+
+} // namespace
+
+// Guards against instances that lose the store for good because a grown configuration does not reach them within the
+// time limit of a call (inc1).
+TEST_CASE("an instance on a small link stays in service while the configuration grows")
+{
+    const std::size_t bytes = GENERATE(std::size_t(600000), largestConfiguration);
+    SmallLinkCluster cluster;
+    cluster.growConfiguration(bytes);
+    cluster.queryFor(applyTime);
+    for (int turn = 0; turn < 20; ++turn) {
+        INFO("turn " << turn << ", " << bytes << " bytes");
+        REQUIRE(cluster.servesQueries());
+        REQUIRE(cluster.small().config.current()->version == 2);
+        REQUIRE(cluster.small().config.age().value() <= longestReadyAge);
+        cluster.queryFor(Milliseconds(1000));
+    }
+}
+
+// Guards against confirming an unchanged configuration by transferring it, which takes up a small link.
+TEST_CASE("an unchanged configuration is confirmed without transferring it")
+{
+    SmallLinkCluster cluster;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.queryFor(applyTime * 2);
+    const double carried = cluster.small().store.link.bytesCarried;
+    cluster.queryFor(Milliseconds(10000));
+    CHECK(cluster.small().store.link.bytesCarried - carried < largestConfiguration / 10);
+    CHECK(cluster.servesQueries());
+}
+
+// Guards against overlapping transfers of the configuration when the store returns after an outage in which the
+// configuration has grown.
+TEST_CASE("an instance on a small link is back in service soon after an outage in which the configuration grew")
+{
+    SmallLinkCluster cluster;
+    cluster.small().store.disconnected = true;
+    cluster.queryFor(Milliseconds(3000));
+    cluster.growConfiguration(largestConfiguration);
+    cluster.queryFor(Milliseconds(3000));
+    cluster.small().store.disconnected = false;
+    cluster.queryFor(applyTime);
+    CHECK(cluster.servesQueries());
+    CHECK(cluster.small().config.current()->version == 2);
+}
+
+// Guards against losing the store because each submission that names the replaced configuration receives the new one.
+TEST_CASE("an instance on a small link accepts submissions soon after the configuration has grown")
+{
+    SmallLinkCluster cluster;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.submitTogether(5);
+    cluster.world.run(applyTime);
+    CHECK(cluster.submit("batch", "c1", smallJob(), 1).outcome == AdmissionOutcome::Accepted);
+    CHECK(cluster.servesQueries());
+}
+
+} // namespace rosemarylink::jobs
--- a/tests/jobs/SimCluster.cpp
+++ b/tests/jobs/SimCluster.cpp
@@ -96,7 +96,8 @@
 
 Revision SimCluster::putConfiguration(const std::string& key, const std::string& onlyQueue)
 {
-    const nlohmann::json json = { { "version", ++version_ }, { "key", key }, { "only", onlyQueue } };
+    const nlohmann::json json = { { "version", ++version_ }, { "key", key }, { "only", onlyQueue },
+        { "padding", std::string(configurationPadding, 'x') } };
     return store.put("config", json.dump());
 }
 
--- a/tests/jobs/SimCluster.h
+++ b/tests/jobs/SimCluster.h
@@ -80,6 +80,9 @@
     // only the named one, and the client account "acme" with the key.
     Revision putConfiguration(const std::string& key = "key", const std::string& onlyQueue = "");
 
+    // Size of the part of each configuration written from now on that has no effect, such as routes of other systems.
+    std::size_t configurationPadding = 0;
+
     void addWorkers(int racks, int perRack);
     SimInstance& addInstance(const InstanceCapacity& = {});
 
--- a/tests/jobs/SimStore.cpp
+++ b/tests/jobs/SimStore.cpp
@@ -6,11 +6,24 @@
 
 namespace {
 
+    constexpr Milliseconds linkStep { 5 }; // resolution of transfers
+    constexpr Milliseconds watchMargin { 700 };
+    constexpr std::size_t messageOverhead = 200; // of a response, and of each record in it
+
     bool hasPrefix(const std::string& key, const std::string& prefix)
     {
         return key.compare(0, prefix.size(), prefix) == 0;
     }
 
+    // Size of a response in which values are encoded in base64.
+    std::size_t sizeOf(const StoreResponse& response)
+    {
+        std::size_t bytes = messageOverhead;
+        for (const Record& record : response.records)
+            bytes += messageOverhead + record.key.size() + record.value.size() * 4 / 3;
+        return bytes;
+    }
+
 } // namespace
 
 Revision SimStore::put(const std::string& key, const std::string& value)
@@ -136,6 +149,59 @@
     return response;
 }
 
+SimLink::TransferId SimLink::transfer(std::size_t bytes, std::function<void()> arrived)
+{
+    const TransferId id = ++lastId_;
+    transfers_[id] = { static_cast<double>(bytes), std::move(arrived) };
+    if (!std::exchange(advancing_, true))
+        advance();
+    return id;
+}
+
+void SimLink::advance()
+{
+    world_.after(linkStep, [this] {
+        const double share = bytesPerMillisecond * static_cast<double>(linkStep.count())
+            / static_cast<double>(std::max<std::size_t>(1, transfers_.size()));
+        std::vector<std::function<void()>> arrivals;
+        for (auto position = transfers_.begin(); position != transfers_.end();) {
+            Transfer& transfer = position->second;
+            bytesCarried += std::min(share, transfer.bytesLeft);
+            transfer.bytesLeft -= share;
+            if (transfer.bytesLeft > 0) {
+                ++position;
+                continue;
+            }
+            arrivals.push_back(std::move(transfer.arrived));
+            position = transfers_.erase(position);
+        }
+        advancing_ = !transfers_.empty();
+        if (advancing_)
+            advance();
+        for (const auto& arrived : arrivals)
+            arrived();
+    });
+}
+
+void SimStoreClient::deliver(Milliseconds deadline, const StoreHandler& handler, const StoreResponse& response)
+{
+    if (link.bytesPerMillisecond <= 0) {
+        respondLater(latency(), handler, response);
+        return;
+    }
+    const auto responded = std::make_shared<bool>(false);
+    const SimLink::TransferId transfer = link.transfer(sizeOf(response), [this, responded, handler, response] {
+        if (!std::exchange(*responded, true))
+            respondLater(latency(), handler, response);
+    });
+    world_.after(deadline - world_.now(), [this, responded, handler, transfer] {
+        if (std::exchange(*responded, true))
+            return;
+        link.abandon(transfer);
+        respondLater(Milliseconds(0), handler, StoreResponse {});
+    });
+}
+
 void SimStoreClient::respondLater(Milliseconds delay, const StoreHandler& handler, const StoreResponse& response)
 {
     world_.after(delay, [this, handler, response] {
@@ -173,9 +239,9 @@
         });
         return;
     }
-    world_.after(latency(), [this, handler, operation] {
+    world_.after(latency(), [this, handler, operation, deadline = world_.now() + timeout] {
         store_.expireLeases();
-        respondLater(latency(), handler, operation());
+        deliver(deadline, handler, operation());
     });
 }
 
@@ -217,10 +283,11 @@
 void SimStoreClient::watch(const std::string& prefix, Revision after, Milliseconds wait, StoreHandler handler)
 {
     const auto responded = std::make_shared<bool>(false);
-    const auto respondOnce = [this, responded, handler](const StoreResponse& response) {
-        if (!std::exchange(*responded, true))
-            respondLater(latency(), handler, response);
-    };
+    const auto respondOnce
+        = [this, responded, handler, deadline = world_.now() + wait + watchMargin](const StoreResponse& response) {
+              if (!std::exchange(*responded, true))
+                  deliver(deadline, handler, response);
+          };
     world_.after(wait, [this, respondOnce] {
         StoreResponse response;
         response.outcome
--- a/tests/jobs/SimStore.h
+++ b/tests/jobs/SimStore.h
@@ -71,11 +71,43 @@
     StoreLeaseId lastLease_ = 0;
 };
 
+// The direction of an instance's link in which the store's responses arrive. Transfers that overlap share its
+// bandwidth.
+class SimLink {
+public:
+    using TransferId = std::uint64_t;
+
+    explicit SimLink(SimWorld& world)
+        : world_(world)
+    {
+    }
+
+    double bytesPerMillisecond = 0; // 0 if the link is never a limit
+    double bytesCarried = 0;
+
+    TransferId transfer(std::size_t bytes, std::function<void()> arrived);
+    void abandon(TransferId id) { transfers_.erase(id); }
+
+private:
+    struct Transfer {
+        double bytesLeft = 0;
+        std::function<void()> arrived;
+    };
+
+    void advance();
+
+    SimWorld& world_;
+    std::map<TransferId, Transfer> transfers_;
+    TransferId lastId_ = 0;
+    bool advancing_ = false;
+};
+
 // An instance's client of the simulated store.
 class SimStoreClient final : public RecordStore {
 public:
     SimStoreClient(SimWorld& world, SimStore& store)
-        : world_(world)
+        : link(world)
+        , world_(world)
         , store_(store)
     {
     }
@@ -84,6 +116,7 @@
     bool killed = false; // the instance was killed; nothing is sent or delivered any more
     Milliseconds pausedUntil { 0 }; // nothing is delivered before
     Milliseconds distance { 0 }; // added to the store's latency in each direction
+    SimLink link;
 
     void commit(const Batch&, Milliseconds timeout, StoreHandler) override;
     void read(const std::string& key, Milliseconds timeout, StoreHandler) override;
@@ -99,6 +132,9 @@
         bool responseMayBeLost);
     void respondLater(Milliseconds delay, const StoreHandler&, const StoreResponse&);
 
+    // Delivers the response over the link. The call fails at `deadline` if the response has not arrived by then.
+    void deliver(Milliseconds deadline, const StoreHandler&, const StoreResponse&);
+
     SimWorld& world_;
     SimStore& store_;
 };
