An unchanged configuration is confirmed without transferring it

Cause: each confirmation read the whole record, and while reads failed another one was sent every 200 ms without waiting for the others. Ruled out: a store that does not respond (timed-out calls had received up to 524,288 bytes, instances with 200 Mbit/s had no failed call) and the processor (0 to 2%).

A configuration above 32 KB is now confirmed by a batch with its revision as the only precondition, which returns the record only if it has changed. Probes of a lost store read a small record. A failed watch resumes at its revision instead of reading the record again, and the first read is the confirmation, so that one transfer runs at a time besides the watch's. Reading stays the confirmation of a small record, because the store can lose responses to writes alone.

Considered: confirming by a watch that does not wait. It returns one copy of the record for each version since, which grows without limit while versions come faster than the link carries them.

--- a/include/rosemarylink/jobs/ConfigView.h
+++ b/include/rosemarylink/jobs/ConfigView.h
@@ -20,18 +20,18 @@
     void start();
 
     // Calls the handler once with a configuration that the store has confirmed as the newest within the last second:
-    // before returning if that is known already, otherwise after reading it again. Passes null when the store could
+    // before returning if that is known already, otherwise after a call to the store. Passes null when the store could
     // not confirm it.
     void whenConfirmed(std::function<void(const Configuration*)> handler);
 
     // Null until a configuration has been read.
     const Configuration* current() const { return configuration_ ? &*configuration_ : nullptr; }
 
-    // Tells that a call to the store was refused or not answered. The view then reads until a read succeeds.
+    // Tells that a call to the store was refused or not answered. The view then probes the store until it responds.
     void recordFailedCall();
 
-    // True while no read has succeeded for a fraction of a second after a failed call. The caller of a request need not
-    // wait for another failure then. The view notices by itself when the store is back.
+    // True while no call of the view has succeeded for a fraction of a second after a failed call. The caller of a
+    // request need not wait for another failure then. The view notices by itself when the store is back.
     bool storeOutOfReach() const;
 
     // Time since the store last confirmed the configuration; nullopt if it never has.
@@ -46,8 +46,9 @@
     void apply(const Record&, Milliseconds requestedAt);
 
 private:
-    void watchChanges(Revision after);
+    void watchChanges();
     void refresh();
+    void handleConfirmation(const StoreResponse&, Milliseconds requestedAt);
     void recordReach(const StoreResponse&, Milliseconds requestedAt);
     void probe();
     void notifyWaiting(const Configuration*);
@@ -58,8 +59,10 @@
     const Clock& clock_;
     std::optional<Configuration> configuration_;
     Revision revision_ { 0 };
+    std::size_t recordBytes_ = 0; // size of the current configuration's record
+    Revision watchedRevision_ { 0 }; // of the store; later changes are still to be watched for
     std::optional<Milliseconds> confirmedAt_; // send time of the last call that confirmed it
-    std::optional<Milliseconds> failingSince_; // time of the first failed call since a read succeeded
+    std::optional<Milliseconds> failingSince_; // time of the first failed call since one succeeded
     std::vector<std::function<void(const Configuration*)>> waitingHandlers_;
     bool refreshing_ = false;
     bool probing_ = false; // the timer for the next probe is set
--- a/include/rosemarylink/jobs/RecordStore.h
+++ b/include/rosemarylink/jobs/RecordStore.h
@@ -28,7 +28,8 @@
     StoreLeaseId lease = 0; // 0 if the record does not expire
 };
 
-// A set of changes that is applied atomically, and only if all preconditions hold.
+// A set of changes that is applied atomically, and only if all preconditions hold. A batch without changes tells whether
+// they hold.
 struct Batch {
     std::vector<Precondition> preconditions;
     std::vector<Put> puts;
--- a/src/jobs/ConfigView.cpp
+++ b/src/jobs/ConfigView.cpp
@@ -12,19 +12,23 @@
     // this age is still correct when it arrives.
     constexpr Milliseconds maximumConfirmationAge { 1000 };
 
-    // A read takes 30 ms across regions and 300 ms when the store is slow.
-    constexpr Milliseconds readTimeout { 800 };
+    // A call takes 30 ms across regions and 300 ms when the store is slow.
+    constexpr Milliseconds callTimeout { 800 };
+
+    // A configuration of up to this size is confirmed by reading it. The confirmation of a larger one transfers it only
+    // if it has changed, but counts as a write, and the store may lose responses to writes while it serves reads.
+    constexpr std::size_t largestReadToConfirm = 32 * 1024;
 
     // Requests confirm the configuration themselves; the watch keeps it current on instances without requests.
     constexpr Milliseconds watchWait { 5000 };
-    constexpr Milliseconds retryDelay { 250 }; // after a failed watch or read
+    constexpr Milliseconds retryDelay { 250 }; // after a failed watch or confirmation
 
     // The store counts as out of reach this long after a call to it failed, if no read has succeeded since. Short
     // refusals of the store (rate limit, leader change) are over sooner.
     constexpr Milliseconds outOfReachAfter { 600 };
 
-    // While reads fail, the next one is sent this long after the previous one, whether or not that has ended: a read
-    // sent to a silent store ends only at its time-out, also when the store is back by then.
+    // While the store is out of reach, the next probe is sent this long after the previous one, whether or not that has
+    // ended: a call to a silent store ends only at its time-out, also when the store is back by then.
     constexpr Milliseconds probeInterval { 200 };
 
     const Logger logger("config");
@@ -41,29 +45,31 @@
 
 void ConfigView::start()
 {
-    const Milliseconds requestedAt = clock_.monotonic();
-    store_.read(catalog_.configurationKey(), readTimeout, [this, requestedAt](const StoreResponse& response) {
-        recordReach(response, requestedAt);
-        if (response.done() && !response.records.empty()) {
-            apply(response.records.front(), requestedAt);
-            watchChanges(response.records.front().revision);
-            return;
-        }
-        timers_.after(retryDelay, [this] { start(); });
+    whenConfirmed([this](const Configuration* configuration) {
+        if (configuration)
+            watchChanges();
+        else
+            timers_.after(retryDelay, [this] { start(); });
     });
 }
 
-void ConfigView::watchChanges(Revision after)
+void ConfigView::watchChanges()
 {
-    store_.watch(catalog_.configurationKey(), after, watchWait, [this, after](const StoreResponse& response) {
-        if (!response.done()) {
+    store_.watch(catalog_.configurationKey(), watchedRevision_, watchWait, [this](const StoreResponse& response) {
+        if (response.outcome == StoreOutcome::HistoryGone) {
             timers_.after(retryDelay, [this] { start(); });
             return;
         }
-        // An event reports a change that may not be the newest, so it does not count as a confirmation.
-        for (const Record& record : response.records)
-            apply(record, Milliseconds(0));
-        watchChanges(std::max(after, response.revision));
+        if (!response.done()) {
+            timers_.after(retryDelay, [this] { watchChanges(); });
+            return;
+        }
+        // An event reports a change that may not be the newest, so it does not count as a confirmation. The newest
+        // event comes first, so that the others are ignored.
+        for (auto record = response.records.rbegin(); record != response.records.rend(); ++record)
+            apply(*record, Milliseconds(0));
+        watchedRevision_ = std::max({ watchedRevision_, response.revision, revision_ });
+        watchChanges();
     });
 }
 
@@ -81,6 +87,7 @@
         return;
     }
     revision_ = record.revision;
+    recordBytes_ = record.value.size();
     configuration_ = std::move(parsed).value();
     logger.info("Configuration in force",
         { { "version", configuration_->version }, { "revision", revision_.value() },
@@ -104,20 +111,38 @@
     return clock_.monotonic() - *confirmedAt_;
 }
 
+// Only one confirmation is in progress at a time, since its response may contain the configuration.
 void ConfigView::refresh()
 {
     if (refreshing_)
         return;
     refreshing_ = true;
     const Milliseconds requestedAt = clock_.monotonic();
-    store_.read(catalog_.configurationKey(), readTimeout, [this, requestedAt](const StoreResponse& response) {
+    const auto handler = [this, requestedAt](const StoreResponse& response) {
         refreshing_ = false;
-        recordReach(response, requestedAt);
-        if (response.done() && !response.records.empty())
-            apply(response.records.front(), requestedAt);
-        const bool confirmed = response.done() && configuration_;
-        notifyWaiting(confirmed ? &*configuration_ : nullptr);
-    });
+        handleConfirmation(response, requestedAt);
+    };
+    if (recordBytes_ <= largestReadToConfirm) {
+        store_.read(catalog_.configurationKey(), callTimeout, handler);
+        return;
+    }
+    // A batch without changes succeeds if the configuration is unchanged; otherwise the response contains the new one.
+    Batch unchanged;
+    unchanged.preconditions = { { catalog_.configurationKey(), revision_ } };
+    store_.commit(unchanged, callTimeout, handler);
+}
+
+void ConfigView::handleConfirmation(const StoreResponse& response, Milliseconds requestedAt)
+{
+    recordReach(response, requestedAt);
+    for (const Record& record : response.records)
+        apply(record, requestedAt);
+    const bool unchanged = response.done() && response.records.empty();
+    if (unchanged)
+        confirmedAt_ = std::max(confirmedAt_.value_or(requestedAt), requestedAt);
+    watchedRevision_ = std::max({ watchedRevision_, revision_, response.done() ? response.revision : Revision(0) });
+    const bool confirmed = (unchanged || !response.records.empty()) && configuration_;
+    notifyWaiting(confirmed ? &*configuration_ : nullptr);
 }
 
 bool ConfigView::storeOutOfReach() const
@@ -127,7 +152,7 @@
 
 void ConfigView::recordReach(const StoreResponse& response, Milliseconds requestedAt)
 {
-    if (!response.done() && response.outcome != StoreOutcome::NotFound) {
+    if (response.outcome == StoreOutcome::Refused || response.outcome == StoreOutcome::Unknown) {
         recordFailedCall();
         return;
     }
@@ -147,6 +172,7 @@
         probe();
 }
 
+// Reads a small record, because several probes may be on their way.
 void ConfigView::probe()
 {
     timers_.after(probeInterval, [this] {
@@ -154,10 +180,11 @@
         if (!probing_)
             return;
         const Milliseconds requestedAt = clock_.monotonic();
-        store_.read(catalog_.configurationKey(), readTimeout, [this, requestedAt](const StoreResponse& response) {
+        store_.read(keys::ownership, callTimeout, [this, requestedAt](const StoreResponse& response) {
+            const bool failing = failingSince_.has_value();
             recordReach(response, requestedAt);
-            if (response.done() && !response.records.empty())
-                apply(response.records.front(), requestedAt);
+            if (failing && !failingSince_)
+                refresh();
         });
         probe();
     });
