Time limits of calls count the time without progress

LoopHttpClient now restarts the time limit whenever bytes of the response arrive. A peer that stops responding, before or within a response, is still given up after the same time.

--- a/include/rosemarylink/jobs/RecordStore.h
+++ b/include/rosemarylink/jobs/RecordStore.h
@@ -61,7 +61,8 @@
 using StoreHandler = std::function<void(const StoreResponse&)>;
 
 // Interface to the platform's key-value store. Calls do not block; each calls its handler exactly once, after the call
-// has returned, on the event loop's thread. A timeout or failed connection is reported as an outcome.
+// has returned, on the event loop's thread. A timeout or failed connection is reported as an outcome. A timeout limits the
+// time without progress: until the response begins to arrive, and between its parts.
 class RecordStore {
 public:
     // Limit on Batch::entries().
--- a/include/rosemarylink/reactor/LoopHttpClient.h
+++ b/include/rosemarylink/reactor/LoopHttpClient.h
@@ -18,8 +18,9 @@
     std::string target; // path and query
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body; // application/json when not empty
-    // From the call of send() until the complete response is received. 0 does not mean unlimited: the request times out
-    // when the loop next runs its timers.
+    // Limits the time without progress: from the call of send() until bytes of the response arrive, and then from each
+    // arrival to the next. A large response may take longer on a slow link. 0 does not mean unlimited: the request times
+    // out when the loop next runs its timers.
     Milliseconds timeout { 0 };
 };
 
--- a/src/reactor/LoopHttpClient.cpp
+++ b/src/reactor/LoopHttpClient.cpp
@@ -29,6 +29,7 @@
     void start(const ClientRequest& request, ResponseHandler handler)
     {
         handler_ = std::move(handler);
+        timeout_ = request.timeout;
         Poco::Net::HTTPRequest head(request.method, request.target, Poco::Net::HTTPMessage::HTTP_1_1);
         head.setHost(address_);
         head.setKeepAlive(true);
@@ -43,7 +44,7 @@
         buffer_.appendUnsent(out.str());
         buffer_.appendUnsent(request.body);
         const auto self = shared_from_this();
-        timer_ = client_.loop_.after(request.timeout, [self] { self->expire(); });
+        restartTimeout();
         if (connected_ && buffer_.send() == SocketBuffer::ConnectionState::Closed) {
             client_.loop_.after(Milliseconds(0), [self] { self->fail("the connection is closed"); });
             return;
@@ -68,6 +69,7 @@
 
     void onReadable() override
     {
+        const std::size_t receivedBefore = buffer_.received().size();
         const bool closed = buffer_.receive() == SocketBuffer::ConnectionState::Closed;
         if (!handler_) { // an idle connection is readable only when the peer has closed it
             removeIdle();
@@ -81,6 +83,8 @@
         if (!extracted.value()) {
             if (closed)
                 fail("the connection was closed before the complete response");
+            else if (buffer_.received().size() > receivedBefore)
+                restartTimeout();
             return;
         }
         ClientResponse response { extracted.value()->head.getStatus(), std::move(extracted.value()->body) };
@@ -109,6 +113,12 @@
         close();
     }
 
+    void restartTimeout()
+    {
+        client_.loop_.cancel(timer_);
+        timer_ = client_.loop_.after(timeout_, [self = shared_from_this()] { self->expire(); });
+    }
+
     void expire()
     {
         client_.closeIdleConnections(address_);
@@ -131,6 +141,7 @@
     SocketBuffer buffer_;
     ResponseHandler handler_;
     EventLoop::TimerId timer_ = 0;
+    Milliseconds timeout_ { 0 };
     bool connected_ = false;
 };
 
--- a/tests/reactor/EventLoopTest.cpp
+++ b/tests/reactor/EventLoopTest.cpp
@@ -4,9 +4,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <Poco/Net/ServerSocket.h>
+
 #include <functional>
+#include <memory>
 #include <optional>
 #include <stdexcept>
+#include <vector>
 
 namespace rosemarylink::reactor {
 
@@ -116,4 +120,88 @@
     REQUIRE(verdict == Verdict::MayHaveRun);
 }
 
+namespace {
+
+    // Sends a response to the first connection in parts, at an interval of the loop's clock.
+    class SlowServer final : public SocketHandler, public std::enable_shared_from_this<SlowServer> {
+    public:
+        SlowServer(EventLoop& loop, std::vector<std::string> parts, Milliseconds interval)
+            : loop_(loop)
+            , parts_(std::move(parts))
+            , interval_(interval)
+        {
+        }
+
+        std::string listen()
+        {
+            listener_.bind(Poco::Net::SocketAddress("127.0.0.1:0"));
+            listener_.listen();
+            loop_.watch(listener_, false, shared_from_this());
+            return listener_.address().toString();
+        }
+
+        void onReadable() override
+        {
+            loop_.unwatch(listener_);
+            connection_ = listener_.acceptConnection();
+            sendNext();
+        }
+        void onWritable() override { }
+
+    private:
+        void sendNext()
+        {
+            if (sent_ == parts_.size())
+                return;
+            const std::string& part = parts_[sent_++];
+            connection_.sendBytes(part.data(), static_cast<int>(part.size()));
+            loop_.after(interval_, [self = shared_from_this()] { self->sendNext(); });
+        }
+
+        EventLoop& loop_;
+        std::vector<std::string> parts_;
+        Milliseconds interval_;
+        Poco::Net::ServerSocket listener_;
+        Poco::Net::StreamSocket connection_;
+        std::size_t sent_ = 0;
+    };
+
+    // Sends a request with a timeout of 400 ms to a server that sends the parts every 100 ms.
+    Result<ClientResponse> fetchFromSlowServer(const std::vector<std::string>& parts)
+    {
+        ManualClock clock;
+        EventLoop loop(clock);
+        LoopHttpClient client(loop);
+        const auto server = std::make_shared<SlowServer>(loop, parts, Milliseconds(100));
+        Result<ClientResponse> received = unavailable("no response", Verdict::NotRun);
+        client.send(
+            server->listen(), { "GET", "/", {}, "", Milliseconds(400) }, [&](const Result<ClientResponse>& response) {
+                received = response;
+                loop.stop();
+            });
+        loop.run([&clock] { clock.advance(Milliseconds(50)); });
+        return received;
+    }
+
+} // namespace
+
+// Guards against giving up a large response that a slow link carries in more than the timeout (inc1).
+TEST_CASE("a response that keeps arriving is received even if it takes longer than the timeout")
+{
+    const std::vector<std::string> parts { "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", "1", "2", "3", "4", "5", "6",
+        "7" };
+    const Result<ClientResponse> response = fetchFromSlowServer(parts);
+    REQUIRE(response.has_value());
+    REQUIRE(response.value().body == "1234567");
+}
+
+// Guards against waiting indefinitely for the rest of a response.
+TEST_CASE("a response that stops arriving times out")
+{
+    const Result<ClientResponse> response
+        = fetchFromSlowServer({ "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", "1", "2" });
+    REQUIRE(!response);
+    REQUIRE(response.error().verdict == Verdict::MayHaveRun);
+}
+
 } // namespace rosemarylink::reactor
