--- a/tests/jobs/SimStore.cpp
+++ b/tests/jobs/SimStore.cpp
@@ -6,11 +6,23 @@
 
 namespace {
 
+    constexpr Milliseconds linkStep { 5 }; // resolution of transfers
+    constexpr std::size_t messageOverhead = 200; // of a response, and of each record in it
+
     bool hasPrefix(const std::string& key, const std::string& prefix)
     {
         return key.compare(0, prefix.size(), prefix) == 0;
     }
 
+    // Size of a response in which values are encoded in base64.
+    std::size_t sizeOf(const StoreResponse& response)
+    {
+        std::size_t bytes = messageOverhead;
+        for (const Record& record : response.records)
+            bytes += messageOverhead + record.key.size() + record.value.size() * 4 / 3;
+        return bytes;
+    }
+
 } // namespace
 
 Revision SimStore::put(const std::string& key, const std::string& value)
@@ -136,6 +148,45 @@
     return response;
 }
 
+void SimLink::transfer(std::size_t bytes, std::function<void()> arrived)
+{
+    transfers_.push_back({ static_cast<double>(bytes), std::move(arrived) });
+    if (!std::exchange(advancing_, true))
+        advance();
+}
+
+void SimLink::advance()
+{
+    world_.after(linkStep, [this] {
+        const double share = bytesPerMillisecond * static_cast<double>(linkStep.count())
+            / static_cast<double>(std::max<std::size_t>(1, transfers_.size()));
+        std::vector<std::function<void()>> arrivals;
+        for (auto position = transfers_.begin(); position != transfers_.end();) {
+            bytesCarried += std::min(share, position->bytesLeft);
+            position->bytesLeft -= share;
+            if (position->bytesLeft > 0) {
+                ++position;
+                continue;
+            }
+            arrivals.push_back(std::move(position->arrived));
+            position = transfers_.erase(position);
+        }
+        advancing_ = !transfers_.empty();
+        if (advancing_)
+            advance();
+        for (const auto& arrived : arrivals)
+            arrived();
+    });
+}
+
+void SimStoreClient::deliver(const StoreHandler& handler, const StoreResponse& response)
+{
+    if (link.bytesPerMillisecond > 0)
+        link.transfer(sizeOf(response), [this, handler, response] { respondLater(latency(), handler, response); });
+    else
+        respondLater(latency(), handler, response);
+}
+
 void SimStoreClient::respondLater(Milliseconds delay, const StoreHandler& handler, const StoreResponse& response)
 {
     world_.after(delay, [this, handler, response] {
@@ -175,7 +226,7 @@
     }
     world_.after(latency(), [this, handler, operation] {
         store_.expireLeases();
-        respondLater(latency(), handler, operation());
+        deliver(handler, operation());
     });
 }
 
@@ -219,7 +270,7 @@
     const auto responded = std::make_shared<bool>(false);
     const auto respondOnce = [this, responded, handler](const StoreResponse& response) {
         if (!std::exchange(*responded, true))
-            respondLater(latency(), handler, response);
+            deliver(handler, response);
     };
     world_.after(wait, [this, respondOnce] {
         StoreResponse response;
