A repeated submission does not transfer a large configuration

Cause: a submission names the revisions of the configuration and of the job's records as preconditions, and the response to a failed precondition contains the current records of all of them, the configuration included: 0.9 s of a link of 10 Mbit/s for each repetition, more than the half of the caller's time that an instance uses when two overlap. The same class of fault as the confirmations, at another place.

Under a large configuration the job's progress record is read before the write, so that a repetition is accepted by a small response. This costs a new submission one more read there, and nothing under a configuration of up to 32 KB. A submission that names a replaced configuration still receives the new one, once: it is the newest and is applied.

--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -66,6 +66,8 @@
     void evaluateSubmission(const CallPointer&);
     void authorizeSubmission(const CallPointer&);
     void resolveAttempt(const CallPointer&);
+    void commitUnlessStored(const CallPointer&);
+    void acceptAgain(const CallPointer&, Revision);
     void commitSubmission(const CallPointer&);
     void resolveConflict(const CallPointer&, const StoreResponse&, Milliseconds requestedAt);
     // Schedules `retry` if the call's time allows, otherwise calls fail(). `mayHaveWritten` tells whether the last
--- a/include/rosemarylink/jobs/ConfigView.h
+++ b/include/rosemarylink/jobs/ConfigView.h
@@ -37,6 +37,10 @@
     // Time since the store last confirmed the configuration; nullopt if it never has.
     std::optional<Milliseconds> age() const;
 
+    // True if a transfer of the configuration's record takes a notable time on a small link, so that calls whose
+    // response may contain it are to be avoided.
+    bool isLarge() const;
+
     // Store revision of the current configuration's record.
     Revision revision() const { return revision_; }
 
--- a/include/rosemarylink/jobs/RecordStore.h
+++ b/include/rosemarylink/jobs/RecordStore.h
@@ -28,8 +28,8 @@
     StoreLeaseId lease = 0; // 0 if the record does not expire
 };
 
-// A set of changes that is applied atomically, and only if all preconditions hold. A batch without changes tells whether
-// they hold.
+// A set of changes that is applied atomically, and only if all preconditions hold. A batch without changes tells
+// whether they hold.
 struct Batch {
     std::vector<Precondition> preconditions;
     std::vector<Put> puts;
@@ -61,8 +61,8 @@
 using StoreHandler = std::function<void(const StoreResponse&)>;
 
 // Interface to the platform's key-value store. Calls do not block; each calls its handler exactly once, after the call
-// has returned, on the event loop's thread. A timeout or failed connection is reported as an outcome. A timeout limits the
-// time without progress: until the response begins to arrive, and between its parts.
+// has returned, on the event loop's thread. A timeout or failed connection is reported as an outcome. A timeout limits
+// the time without progress: until the response begins to arrive, and between its parts.
 class RecordStore {
 public:
     // Limit on Batch::entries().
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -217,13 +217,35 @@
             call->rejection = queue.unsupportedReason;
         else if (const auto checked = checkJobSpec(call->spec); !checked && call->rejection.empty())
             call->rejection = checked.error().message;
-        if (call->rejection.empty())
+        if (!call->rejection.empty())
+            finish(call, { AdmissionOutcome::Invalid, call->rejection });
+        else if (config_.isLarge())
+            commitUnlessStored(call);
+        else
+            commitSubmission(call);
+    });
+}
+
+// Reads whether the job is stored before it writes, because the response to a failed precondition contains the
+// configuration.
+void Admission::commitUnlessStored(const CallPointer& call)
+{
+    store_.read(keys::progress(call->job), storeTimeout, [this, call](const StoreResponse& response) {
+        if (response.done())
+            acceptAgain(call, response.records.front().revision);
+        else if (response.outcome == StoreOutcome::NotFound)
             commitSubmission(call);
         else
-            finish(call, { AdmissionOutcome::Invalid, call->rejection });
+            retryLater(call, /*mayHaveWritten=*/false, [this, call] { evaluateSubmission(call); });
     });
 }
 
+void Admission::acceptAgain(const CallPointer& call, Revision revision)
+{
+    logger.info("Job accepted again", { { "job", call->job }, { "revision", revision.value() } });
+    finish(call, { AdmissionOutcome::Accepted, "" });
+}
+
 void Admission::commitSubmission(const CallPointer& call)
 {
     if (call->finished)
@@ -265,8 +287,7 @@
     for (const Record& record : response.records) {
         if (record.revision != Revision(0)
             && (record.key == keys::progress(call->job) || record.key == keys::job(call->job))) {
-            logger.info("Job accepted again", { { "job", call->job }, { "revision", record.revision.value() } });
-            finish(call, { AdmissionOutcome::Accepted, "" });
+            acceptAgain(call, record.revision);
             return;
         }
     }
--- a/src/jobs/ConfigView.cpp
+++ b/src/jobs/ConfigView.cpp
@@ -17,7 +17,7 @@
 
     // A configuration of up to this size is confirmed by reading it. The confirmation of a larger one transfers it only
     // if it has changed, but counts as a write, and the store may lose responses to writes while it serves reads.
-    constexpr std::size_t largestReadToConfirm = 32 * 1024;
+    constexpr std::size_t largestSmallRecordBytes = 32 * 1024;
 
     // Requests confirm the configuration themselves; the watch keeps it current on instances without requests.
     constexpr Milliseconds watchWait { 5000 };
@@ -122,7 +122,7 @@
         refreshing_ = false;
         handleConfirmation(response, requestedAt);
     };
-    if (recordBytes_ <= largestReadToConfirm) {
+    if (!isLarge()) {
         store_.read(catalog_.configurationKey(), callTimeout, handler);
         return;
     }
@@ -145,6 +145,8 @@
     notifyWaiting(confirmed ? &*configuration_ : nullptr);
 }
 
+bool ConfigView::isLarge() const { return recordBytes_ > largestSmallRecordBytes; }
+
 bool ConfigView::storeOutOfReach() const
 {
     return failingSince_ && clock_.monotonic() - *failingSince_ >= outOfReachAfter;
--- a/tests/jobs/LargeConfigurationTest.cpp
+++ b/tests/jobs/LargeConfigurationTest.cpp
@@ -11,6 +11,8 @@
     // The store's limit on a value. Its transfer takes 1.1 s on the small link.
     constexpr std::size_t largestConfiguration = 1048000;
 
+    constexpr std::size_t largestTransfer = largestConfiguration * 4 / 3; // of the configuration, in base64
+
     // An instance that has not confirmed its configuration for this long reports that it is not ready.
     constexpr Milliseconds longestReadyAge { 2500 };
 
@@ -118,4 +120,16 @@
     CHECK(cluster.servesQueries());
 }
 
+// Guards against transferring the configuration for each repeated submission, as the record of a failed precondition.
+TEST_CASE("a repeated submission is accepted without transferring a large configuration")
+{
+    SmallLinkCluster cluster;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.queryFor(applyTime * 2);
+    const double carried = cluster.small().store.link.bytesCarried;
+    for (int turn = 0; turn < 5; ++turn)
+        CHECK(cluster.submit("batch", "a1", smallJob(), 1).outcome == AdmissionOutcome::Accepted);
+    CHECK(cluster.small().store.link.bytesCarried - carried < largestTransfer / 10);
+}
+
 } // namespace rosemarylink::jobs
