Each version of a large configuration is transferred at most once

After a change of a large configuration an instance on a small link received it twice at the same time, from its watch and from the next confirmation, and was out of service for twice as long. Changes faster than the link carries them piled up: the watch returns all versions since its revision, so each response took longer than the one before (after 12 versions within 4 s, the instance had applied the sixth 4 s later and refused queries).

A large configuration is no longer watched but confirmed every 500 ms, one confirmation at a time; its response contains the newest version only. A watch is kept for configurations of up to 32 KB, where its immediacy costs nothing.

--- a/src/jobs/ConfigView.cpp
+++ b/src/jobs/ConfigView.cpp
@@ -19,8 +19,10 @@
     // if it has changed, but counts as a write, and the store may lose responses to writes while it serves reads.
     constexpr std::size_t largestSmallRecordBytes = 32 * 1024;
 
-    // Requests confirm the configuration themselves; the watch keeps it current on instances without requests.
+    // Requests confirm the configuration themselves; the watch keeps it current on instances without requests. A large
+    // configuration is confirmed at an interval instead, because a watch transfers each version of it.
     constexpr Milliseconds watchWait { 5000 };
+    constexpr Milliseconds largeConfirmationInterval { 500 };
     constexpr Milliseconds retryDelay { 250 }; // after a failed watch or confirmation
 
     // The store counts as out of reach this long after a call to it failed, if no read has succeeded since. Short
@@ -55,6 +57,11 @@
 
 void ConfigView::watchChanges()
 {
+    if (isLarge()) {
+        refresh();
+        timers_.after(largeConfirmationInterval, [this] { watchChanges(); });
+        return;
+    }
     store_.watch(catalog_.configurationKey(), watchedRevision_, watchWait, [this](const StoreResponse& response) {
         if (response.outcome == StoreOutcome::HistoryGone) {
             timers_.after(retryDelay, [this] { start(); });
--- a/tests/jobs/LargeConfigurationTest.cpp
+++ b/tests/jobs/LargeConfigurationTest.cpp
@@ -132,4 +132,33 @@
     CHECK(cluster.small().store.link.bytesCarried - carried < largestTransfer / 10);
 }
 
+// Guards against slowing the transfer of a new version by further transfers of it.
+TEST_CASE("a new version of a large configuration is transferred once")
+{
+    SmallLinkCluster cluster;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.queryFor(applyTime * 2);
+    const double carried = cluster.small().store.link.bytesCarried;
+    cluster.putConfiguration();
+    cluster.queryFor(applyTime);
+    CHECK(cluster.small().config.current()->version == 3);
+    CHECK(cluster.small().store.link.bytesCarried - carried < largestTransfer * 3 / 2);
+}
+
+// Guards against transferring versions that have been replaced meanwhile.
+TEST_CASE("versions of a large configuration that come faster than the link carries them do not accumulate")
+{
+    constexpr int versions = 12;
+    SmallLinkCluster cluster;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.queryFor(applyTime * 2);
+    for (int number = 0; number < versions; ++number) {
+        cluster.putConfiguration();
+        cluster.world.run(Milliseconds(330));
+    }
+    cluster.world.run(applyTime);
+    CHECK(cluster.small().config.current()->version == 2 + versions);
+    CHECK(cluster.servesQueries());
+}
+
 } // namespace rosemarylink::jobs
