The owner lists the workers once a second, however often the store forgets its history

After each loss of the store's history the owner listed the workers once more a second, for as long as it owned the pools: 10 lists in 10 s before and 60 after five losses. With 350 workers each list is some 100 KB or more, so a small link fills up after a few losses; callers then see late starts. Cause: listing the submissions again also started another loop that lists the workers.

The loop is started once for each ownership, and the submissions are listed again after a delay.

--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -117,8 +117,9 @@
                 handleIncoming(record);
         }
         // Cancellations are handled before the first response to this call, hence before any worker is polled, so that
-        // no run is stopped before it has been seen.
-        loadWorkers();
+        // no run is stopped before it has been seen. The list of workers is repeated by itself from then on.
+        if (!incomingLoaded_)
+            loadWorkers();
         for (const Record& record : response.records) {
             if (record.key.compare(0, keys::cancellations.size(), keys::cancellations) == 0)
                 handleIncoming(record);
@@ -132,7 +133,7 @@
 {
     owner_.store_.watch(keys::incoming, after, watchWait, guarded([this, after](const StoreResponse& response) {
         if (response.outcome == StoreOutcome::HistoryGone) {
-            loadIncoming();
+            runAfter(retryDelay, [this] { loadIncoming(); });
             return;
         }
         if (!response.done()) {
--- a/tests/jobs/SimStore.cpp
+++ b/tests/jobs/SimStore.cpp
@@ -252,6 +252,7 @@
 
 void SimStoreClient::list(const std::string& prefix, Milliseconds timeout, StoreHandler handler)
 {
+    ++lists[prefix];
     const auto operation = [this, prefix] {
         StoreResponse response;
         response.outcome = StoreOutcome::Done;
--- a/tests/jobs/SimStore.h
+++ b/tests/jobs/SimStore.h
@@ -113,6 +113,7 @@
     Milliseconds pausedUntil { 0 }; // nothing is delivered before
     Milliseconds distance { 0 }; // added to the store's latency in each direction
     SimLink link;
+    std::map<std::string, int> lists; // number of list() calls by prefix
 
     void commit(const Batch&, Milliseconds timeout, StoreHandler) override;
     void read(const std::string& key, Milliseconds timeout, StoreHandler) override;
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -233,4 +233,23 @@
     CHECK(cluster.currentOwner() != first);
 }
 
+// Guards against an owner that lists the workers more often after each loss of the store's history, until the lists
+// fill its link.
+TEST_CASE("the owner lists the workers once a second however often the store forgets its history")
+{
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 4);
+    cluster.world.run(Milliseconds(3000));
+    const int& lists = cluster.currentOwner()->store.lists["workers/"];
+    for (int loss = 0; loss < 5; ++loss) {
+        cluster.store.put("unrelated", "x");
+        cluster.store.forgetHistory();
+        cluster.world.run(Milliseconds(3000));
+    }
+    const int before = lists;
+    cluster.world.run(Milliseconds(10000));
+    CHECK(lists - before <= 11);
+    CHECK(lists - before >= 9);
+}
+
 } // namespace rosemarylink::jobs
