A write that was given up no longer occupies the link

The time limit of a write covers the whole call again; its response is small unless it failed. Calls whose response grows with the system, reads, lists, watches, reports and preconditions without changes, keep the limit on the time without progress. `a request whose whole call is limited times out although its response keeps arriving` is new (tests/reactor). SimStore no longer counts a precondition without changes as a change of the store.

--- a/include/rosemarylink/jobs/RecordStore.h
+++ b/include/rosemarylink/jobs/RecordStore.h
@@ -35,6 +35,7 @@
     std::vector<Put> puts;
     std::vector<std::string> removals;
 
+    bool hasChanges() const { return !puts.empty() || !removals.empty(); }
     std::size_t entries() const { return preconditions.size() + puts.size() + removals.size(); }
 };
 
@@ -61,8 +62,10 @@
 using StoreHandler = std::function<void(const StoreResponse&)>;
 
 // Interface to the platform's key-value store. Calls do not block; each calls its handler exactly once, after the call
-// has returned, on the event loop's thread. A timeout or failed connection is reported as an outcome. A timeout limits
-// the time without progress: until the response begins to arrive, and between its parts.
+// has returned, on the event loop's thread. A timeout or failed connection is reported as an outcome. The timeout of a
+// batch with changes limits the whole call, so that the records of a failed precondition do not occupy the link for a
+// call that has been given up. The timeouts of all other calls limit the time without progress: until the response
+// begins to arrive, and between its parts.
 class RecordStore {
 public:
     // Limit on Batch::entries().
--- a/include/rosemarylink/reactor/LoopHttpClient.h
+++ b/include/rosemarylink/reactor/LoopHttpClient.h
@@ -13,15 +13,22 @@
 
 namespace rosemarylink::reactor {
 
+// What the timeout of a request limits.
+enum class TimeoutScope {
+    // The time without progress: from the call of send() until bytes of the response arrive, and then from each arrival
+    // to the next. A large response may take longer on a slow link.
+    Progress,
+    WholeCall, // the time from the call of send() until the complete response is received
+};
+
 struct ClientRequest {
     std::string method;
     std::string target; // path and query
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body; // application/json when not empty
-    // Limits the time without progress: from the call of send() until bytes of the response arrive, and then from each
-    // arrival to the next. A large response may take longer on a slow link. 0 does not mean unlimited: the request times
-    // out when the loop next runs its timers.
+    // 0 does not mean unlimited: the request times out when the loop next runs its timers.
     Milliseconds timeout { 0 };
+    TimeoutScope timeoutScope = TimeoutScope::Progress;
 };
 
 struct ClientResponse {
--- a/src/reactor/LoopHttpClient.cpp
+++ b/src/reactor/LoopHttpClient.cpp
@@ -30,6 +30,7 @@
     {
         handler_ = std::move(handler);
         timeout_ = request.timeout;
+        timeoutScope_ = request.timeoutScope;
         Poco::Net::HTTPRequest head(request.method, request.target, Poco::Net::HTTPMessage::HTTP_1_1);
         head.setHost(address_);
         head.setKeepAlive(true);
@@ -83,7 +84,7 @@
         if (!extracted.value()) {
             if (closed)
                 fail("the connection was closed before the complete response");
-            else if (buffer_.received().size() > receivedBefore)
+            else if (timeoutScope_ == TimeoutScope::Progress && buffer_.received().size() > receivedBefore)
                 restartTimeout();
             return;
         }
@@ -142,6 +143,7 @@
     ResponseHandler handler_;
     EventLoop::TimerId timer_ = 0;
     Milliseconds timeout_ { 0 };
+    TimeoutScope timeoutScope_ = TimeoutScope::Progress;
     bool connected_ = false;
 };
 
--- a/tests/jobs/SimStore.cpp
+++ b/tests/jobs/SimStore.cpp
@@ -129,6 +129,9 @@
     if (!response.done())
         return response;
     response.records.clear();
+    response.revision = revision_;
+    if (!batch.hasChanges())
+        return response;
     for (const Put& put : batch.puts) {
         if (put.lease != 0 && leases_.count(put.lease) == 0) {
             response.outcome = StoreOutcome::NotFound;
@@ -148,11 +151,12 @@
     return response;
 }
 
-void SimLink::transfer(std::size_t bytes, std::function<void()> arrived)
+SimLink::TransferId SimLink::transfer(std::size_t bytes, std::function<void()> arrived)
 {
-    transfers_.push_back({ static_cast<double>(bytes), std::move(arrived) });
+    transfers_[++lastId_] = { static_cast<double>(bytes), std::move(arrived) };
     if (!std::exchange(advancing_, true))
         advance();
+    return lastId_;
 }
 
 void SimLink::advance()
@@ -162,13 +166,14 @@
             / static_cast<double>(std::max<std::size_t>(1, transfers_.size()));
         std::vector<std::function<void()>> arrivals;
         for (auto position = transfers_.begin(); position != transfers_.end();) {
-            bytesCarried += std::min(share, position->bytesLeft);
-            position->bytesLeft -= share;
-            if (position->bytesLeft > 0) {
+            Transfer& transfer = position->second;
+            bytesCarried += std::min(share, transfer.bytesLeft);
+            transfer.bytesLeft -= share;
+            if (transfer.bytesLeft > 0) {
                 ++position;
                 continue;
             }
-            arrivals.push_back(std::move(position->arrived));
+            arrivals.push_back(std::move(transfer.arrived));
             position = transfers_.erase(position);
         }
         advancing_ = !transfers_.empty();
@@ -179,12 +184,26 @@
     });
 }
 
-void SimStoreClient::deliver(const StoreHandler& handler, const StoreResponse& response)
+void SimStoreClient::deliver(
+    std::optional<Milliseconds> deadline, const StoreHandler& handler, const StoreResponse& response)
 {
-    if (link.bytesPerMillisecond > 0)
-        link.transfer(sizeOf(response), [this, handler, response] { respondLater(latency(), handler, response); });
-    else
+    if (link.bytesPerMillisecond <= 0) {
         respondLater(latency(), handler, response);
+        return;
+    }
+    const auto responded = std::make_shared<bool>(false);
+    const SimLink::TransferId transfer = link.transfer(sizeOf(response), [this, responded, handler, response] {
+        if (!std::exchange(*responded, true))
+            respondLater(latency(), handler, response);
+    });
+    if (!deadline)
+        return;
+    world_.after(*deadline - world_.now(), [this, responded, handler, transfer] {
+        if (std::exchange(*responded, true))
+            return;
+        link.abandon(transfer);
+        respondLater(Milliseconds(0), handler, StoreResponse {});
+    });
 }
 
 void SimStoreClient::respondLater(Milliseconds delay, const StoreHandler& handler, const StoreResponse& response)
@@ -197,8 +216,8 @@
     });
 }
 
-void SimStoreClient::call(Milliseconds timeout, const StoreHandler& handler,
-    const std::function<StoreResponse()>& operation, bool responseMayBeLost)
+void SimStoreClient::call(
+    Milliseconds timeout, const StoreHandler& handler, const std::function<StoreResponse()>& operation, CallKind kind)
 {
     if (killed)
         return;
@@ -208,13 +227,13 @@
         respondLater(timeout, handler, failure);
         return;
     }
-    if (store_.mode == SimStore::Mode::Refusing) {
+    if (store_.mode == SimStore::Mode::Refusing || (store_.refusesWrites && kind != CallKind::Other)) {
         failure.outcome = StoreOutcome::Refused;
         respondLater(latency() * 2, handler, failure);
         return;
     }
     const bool lost
-        = responseMayBeLost && std::uniform_real_distribution<>(0, 1)(store_.random) < store_.lostResponseShare;
+        = kind != CallKind::Other && std::uniform_real_distribution<>(0, 1)(store_.random) < store_.lostResponseShare;
     if (lost) {
         failure.outcome = StoreOutcome::Unknown;
         respondLater(timeout, handler, failure);
@@ -224,16 +243,20 @@
         });
         return;
     }
-    world_.after(latency(), [this, handler, operation] {
+    std::optional<Milliseconds> deadline;
+    if (kind == CallKind::Write)
+        deadline = world_.now() + timeout;
+    world_.after(latency(), [this, handler, operation, deadline] {
         store_.expireLeases();
-        deliver(handler, operation());
+        deliver(deadline, handler, operation());
     });
 }
 
 void SimStoreClient::commit(const Batch& batch, Milliseconds timeout, StoreHandler handler)
 {
     call(
-        timeout, handler, [this, batch] { return store_.apply(batch); }, /*responseMayBeLost=*/true);
+        timeout, handler, [this, batch] { return store_.apply(batch); },
+        batch.hasChanges() ? CallKind::Write : CallKind::Precondition);
 }
 
 void SimStoreClient::read(const std::string& key, Milliseconds timeout, StoreHandler handler)
@@ -247,7 +270,7 @@
             response.records.push_back(*record);
         return response;
     };
-    call(timeout, handler, operation, /*responseMayBeLost=*/false);
+    call(timeout, handler, operation, CallKind::Other);
 }
 
 void SimStoreClient::list(const std::string& prefix, Milliseconds timeout, StoreHandler handler)
@@ -263,7 +286,7 @@
         }
         return response;
     };
-    call(timeout, handler, operation, /*responseMayBeLost=*/false);
+    call(timeout, handler, operation, CallKind::Other);
 }
 
 void SimStoreClient::watch(const std::string& prefix, Revision after, Milliseconds wait, StoreHandler handler)
@@ -271,7 +294,7 @@
     const auto responded = std::make_shared<bool>(false);
     const auto respondOnce = [this, responded, handler](const StoreResponse& response) {
         if (!std::exchange(*responded, true))
-            deliver(handler, response);
+            deliver(std::nullopt, handler, response);
     };
     world_.after(wait, [this, respondOnce] {
         StoreResponse response;
@@ -302,7 +325,7 @@
         world_.after(ttl + Milliseconds(1), [this] { store_.expireLeases(); });
         return response;
     };
-    call(timeout, handler, operation, /*responseMayBeLost=*/false);
+    call(timeout, handler, operation, CallKind::Other);
 }
 
 void SimStoreClient::keepLease(StoreLeaseId lease, Milliseconds timeout, StoreHandler handler)
@@ -318,7 +341,7 @@
         }
         return response;
     };
-    call(timeout, handler, operation, /*responseMayBeLost=*/false);
+    call(timeout, handler, operation, CallKind::Other);
 }
 
 void SimStoreClient::endLease(StoreLeaseId lease, Milliseconds timeout, StoreHandler handler)
@@ -332,7 +355,7 @@
         store_.expireLeases();
         return response;
     };
-    call(timeout, handler, operation, /*responseMayBeLost=*/false);
+    call(timeout, handler, operation, CallKind::Other);
 }
 
 } // namespace rosemarylink::jobs
--- a/tests/jobs/SimStore.h
+++ b/tests/jobs/SimStore.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -29,6 +30,7 @@
 
     Mode mode = Mode::Up;
     Milliseconds oneWayLatency { 3 };
+    bool refusesWrites = false; // refuses commits and serves all other calls
     double lostResponseShare = 0; // share of the commits that are executed but get no response
     Milliseconds lostResponseWriteDelay { 0 }; // additional delay until those commits are executed
     std::mt19937 random { 1 };
@@ -83,7 +85,10 @@
     double bytesPerMillisecond = 0; // 0 if the link is never a limit
     double bytesCarried = 0;
 
-    void transfer(std::size_t bytes, std::function<void()> arrived);
+    using TransferId = std::uint64_t;
+
+    TransferId transfer(std::size_t bytes, std::function<void()> arrived);
+    void abandon(TransferId id) { transfers_.erase(id); }
 
 private:
     struct Transfer {
@@ -94,7 +99,8 @@
     void advance();
 
     SimWorld& world_;
-    std::list<Transfer> transfers_;
+    std::map<TransferId, Transfer> transfers_;
+    TransferId lastId_ = 0;
     bool advancing_ = false;
 };
 
@@ -124,13 +130,15 @@
     void endLease(StoreLeaseId, Milliseconds timeout, StoreHandler) override;
 
 private:
+    enum class CallKind { Write, Precondition, Other };
+
     Milliseconds latency() const { return store_.oneWayLatency + distance; }
-    void call(Milliseconds timeout, const StoreHandler&, const std::function<StoreResponse()>& operation,
-        bool responseMayBeLost);
+    void call(Milliseconds timeout, const StoreHandler&, const std::function<StoreResponse()>& operation, CallKind);
     void respondLater(Milliseconds delay, const StoreHandler&, const StoreResponse&);
 
-    // Delivers the response over the link. It makes progress all the time, so that the call does not time out.
-    void deliver(const StoreHandler&, const StoreResponse&);
+    // Delivers the response over the link. It makes progress all the time, so that the call fails only if the response
+    // has not arrived by the deadline, if there is one.
+    void deliver(std::optional<Milliseconds> deadline, const StoreHandler&, const StoreResponse&);
 
     SimWorld& world_;
     SimStore& store_;
--- a/tests/reactor/EventLoopTest.cpp
+++ b/tests/reactor/EventLoopTest.cpp
@@ -167,15 +167,16 @@
     };
 
     // Sends a request with a timeout of 400 ms to a server that sends the parts every 100 ms.
-    Result<ClientResponse> fetchFromSlowServer(const std::vector<std::string>& parts)
+    Result<ClientResponse> fetchFromSlowServer(
+        const std::vector<std::string>& parts, TimeoutScope scope = TimeoutScope::Progress)
     {
         ManualClock clock;
         EventLoop loop(clock);
         LoopHttpClient client(loop);
         const auto server = std::make_shared<SlowServer>(loop, parts, Milliseconds(100));
         Result<ClientResponse> received = unavailable("no response", Verdict::NotRun);
-        client.send(
-            server->listen(), { "GET", "/", {}, "", Milliseconds(400) }, [&](const Result<ClientResponse>& response) {
+        client.send(server->listen(), { "GET", "/", {}, "", Milliseconds(400), scope },
+            [&](const Result<ClientResponse>& response) {
                 received = response;
                 loop.stop();
             });
@@ -195,6 +196,16 @@
     REQUIRE(response.value().body == "1234567");
 }
 
+// Guards against calls that occupy a slow link after their caller has given up.
+TEST_CASE("a request whose whole call is limited times out although its response keeps arriving")
+{
+    std::vector<std::string> parts(8, "1");
+    parts.front() = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n";
+    const Result<ClientResponse> response = fetchFromSlowServer(parts, TimeoutScope::WholeCall);
+    REQUIRE(!response);
+    REQUIRE(response.error().verdict == Verdict::MayHaveRun);
+}
+
 // Guards against waiting indefinitely for the rest of a response.
 TEST_CASE("a response that stops arriving times out")
 {
