A version that was replaced during its transfer is not handed out as confirmed

A confirmation that transfers a new version can take longer than a second on a small link, since however long, and its result was used as if it had just been confirmed: on 2 Mbit/s requests were decided under a version that had been replaced 5 s before, where at most 1 s, and 2.5 s by the platform's rules, is allowed (keys that had been withdrawn were still accepted).

A confirmation that took more than 2 s is repeated before it is used; the repetition transfers nothing unless there is a newer version. The test was handed version 3 instead of 4 before.

--- a/src/jobs/ConfigView.cpp
+++ b/src/jobs/ConfigView.cpp
@@ -15,6 +15,9 @@
     // The shorter it is, the fewer writes name a configuration that has just been replaced.
     constexpr Milliseconds maximumJustConfirmedAge { 100 };
 
+    // A confirmation that took longer, because it transferred a new version, is repeated before it is used.
+    constexpr Milliseconds longestConfirmation { 2000 };
+
     // A call takes 30 ms across regions and 300 ms when the store is slow.
     constexpr Milliseconds callTimeout { 800 };
 
@@ -161,8 +164,11 @@
     if (unchanged)
         confirmedAt_ = std::max(confirmedAt_.value_or(requestedAt), requestedAt);
     watchedRevision_ = std::max({ watchedRevision_, revision_, response.done() ? response.revision : Revision(0) });
-    const bool confirmed = (unchanged || !response.records.empty()) && configuration_;
-    notifyWaiting(confirmed ? &*configuration_ : nullptr);
+    const bool confirmed = configuration_ && confirmedAt_ && *confirmedAt_ >= requestedAt;
+    if (confirmed && clock_.monotonic() - *confirmedAt_ > longestConfirmation)
+        refresh();
+    else
+        notifyWaiting(confirmed ? &*configuration_ : nullptr);
 }
 
 bool ConfigView::isLarge() const { return recordBytes_ > largestSmallRecordBytes; }
--- a/tests/jobs/LargeConfigurationTest.cpp
+++ b/tests/jobs/LargeConfigurationTest.cpp
@@ -195,4 +195,22 @@
     CHECK(cluster.small().config.age().value().count() <= longestReadyAge.count());
 }
 
+// Guards against decisions under a version that was replaced while it was being transferred.
+TEST_CASE("a version that was replaced during its transfer is not handed out as confirmed")
+{
+    SmallLinkCluster cluster;
+    cluster.small().store.link.bytesPerMillisecond = smallLink / 5;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.world.run(Milliseconds(20000));
+    cluster.putConfiguration();
+    cluster.world.run(Milliseconds(1500));
+    cluster.putConfiguration();
+    std::optional<std::int64_t> version;
+    cluster.small().config.whenConfirmed(
+        [&version](const Configuration* configuration) { version = configuration ? configuration->version : 0; });
+    cluster.world.run(Milliseconds(20000));
+    REQUIRE(version.has_value());
+    CHECK(*version == 4);
+}
+
 } // namespace rosemarylink::jobs
