A large configuration is confirmed while the store serves reads only

The confirmation of a large configuration is a precondition, which counts as a write. While the store lost all responses to writes or refused writes (its write limit), the configuration was not confirmed: callers got 503 for questions, too, and the instance left the rotation after 2.5 s, where instances with a small configuration served all questions.

After two preconditions in a row without a result the record is read; the time limit of a precondition is 0.5 s instead of 0.8 s, so that both and the read fit into the time for which an instance stays ready.

--- a/include/rosemarylink/jobs/ConfigView.h
+++ b/include/rosemarylink/jobs/ConfigView.h
@@ -74,6 +74,7 @@
     std::optional<Milliseconds> failingSince_; // time of the first failed call since one succeeded
     std::vector<std::function<void(const Configuration*)>> waitingHandlers_;
     bool refreshing_ = false;
+    int failedPreconditions_ = 0; // confirmations of a large configuration without a result since the last one with one
     bool probing_ = false; // the timer for the next probe is set
 };
 
--- a/src/jobs/ConfigView.cpp
+++ b/src/jobs/ConfigView.cpp
@@ -25,6 +25,12 @@
     // if it has changed, but counts as a write, and the store may lose responses to writes while it serves reads.
     constexpr std::size_t largestSmallRecordBytes = 32 * 1024;
 
+    // After this many such confirmations in a row without a result, the record is read: the store may serve reads only.
+    constexpr int maximumFailedPreconditions = 2;
+
+    // For a precondition; it is shorter because a read follows.
+    constexpr Milliseconds preconditionTimeout { 500 };
+
     // Requests confirm the configuration themselves; the watch keeps it current on instances without requests. A large
     // configuration is confirmed at an interval instead, because a watch transfers each version of it.
     constexpr Milliseconds watchWait { 5000 };
@@ -41,6 +47,11 @@
 
     const Logger logger("config");
 
+    bool hasResult(const StoreResponse& response)
+    {
+        return response.outcome != StoreOutcome::Refused && response.outcome != StoreOutcome::Unknown;
+    }
+
 } // namespace
 
 ConfigView::ConfigView(RecordStore& store, const Catalog& catalog, Timers& timers, const Clock& clock)
@@ -145,14 +156,18 @@
         refreshing_ = false;
         handleConfirmation(response, requestedAt);
     };
-    if (!isLarge()) {
+    if (!isLarge() || failedPreconditions_ >= maximumFailedPreconditions) {
+        failedPreconditions_ = 0;
         store_.read(catalog_.configurationKey(), callTimeout, handler);
         return;
     }
     // A batch without changes succeeds if the configuration is unchanged; otherwise the response contains the new one.
     Batch unchanged;
     unchanged.preconditions = { { catalog_.configurationKey(), revision_ } };
-    store_.commit(unchanged, callTimeout, handler);
+    store_.commit(unchanged, preconditionTimeout, [this, handler](const StoreResponse& response) {
+        failedPreconditions_ = hasResult(response) ? 0 : failedPreconditions_ + 1;
+        handler(response);
+    });
 }
 
 void ConfigView::handleConfirmation(const StoreResponse& response, Milliseconds requestedAt)
@@ -180,7 +195,7 @@
 
 void ConfigView::recordReach(const StoreResponse& response, Milliseconds requestedAt)
 {
-    if (response.outcome == StoreOutcome::Refused || response.outcome == StoreOutcome::Unknown) {
+    if (!hasResult(response)) {
         recordFailedCall();
         return;
     }
--- a/tests/jobs/LargeConfigurationTest.cpp
+++ b/tests/jobs/LargeConfigurationTest.cpp
@@ -213,4 +213,23 @@
     CHECK(*version == 4);
 }
 
+// Guards against losing the configuration with the store's writes, on which its confirmation depends when it is large.
+TEST_CASE("an instance with a large configuration stays in service while the store serves reads only")
+{
+    const bool lost = GENERATE(true, false);
+    SmallLinkCluster cluster;
+    cluster.small().store.link.bytesPerMillisecond = 0;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.queryFor(applyTime * 2);
+    cluster.store.lostResponseShare = lost ? 1 : 0;
+    cluster.store.refusesWrites = !lost;
+    int served = 0;
+    for (int turn = 0; turn < 40; ++turn) {
+        served += cluster.servesQueries() ? 1 : 0;
+        REQUIRE(cluster.small().config.age().value().count() <= longestReadyAge.count());
+        cluster.world.run(callInterval);
+    }
+    CHECK(served >= (lost ? 20 : 39));
+}
+
 } // namespace rosemarylink::jobs
