A stored submission is not refused under a version that took long to arrive

A caller was told 404, that its job was refused, although its own write had stored the job: the write's response was lost, and the queue was removed while the attempt was unresolved. The attempt was resolved only if the configuration had changed by one confirmation, but the decision was made under the next one, which may bring the change when the first is more than 1 s old on arrival.

The attempt is now resolved in the place that decides, under the configuration that decides; the check before it is gone.

--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -64,7 +64,6 @@
     CallPointer begin(const CallerRequest&, const AdmissionHandler&);
     void authorize(const CallPointer&, const std::function<void(const Queue&, const AccountId&)>& proceed);
     void evaluateSubmission(const CallPointer&);
-    void authorizeSubmission(const CallPointer&);
     void resolveAttempt(const CallPointer&);
     void commitUnlessStored(const CallPointer&);
     void commitUnlessReplaced(const CallPointer&, Revision decidedUnder);
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -97,6 +97,11 @@
             retryLater(call, /*mayHaveWritten=*/false, [this, call, proceed] { authorize(call, proceed); });
             return;
         }
+        if (call->mayHaveRun && config_.revision() != call->configRevision) {
+            // A newer configuration may refuse what an unresolved attempt has stored.
+            resolveAttempt(call);
+            return;
+        }
         const Queue* queue = configuration->findQueue(call->request.host, call->request.path);
         if (!queue) {
             finish(call, { AdmissionOutcome::NoQueue, "no queue matches this host and path" });
@@ -168,21 +173,26 @@
 }
 
 // Evaluates the submission anew for each attempt, since the write's precondition names the configuration that decided.
-// A newer configuration may refuse what an unresolved earlier attempt has stored, so that attempt is resolved first.
 void Admission::evaluateSubmission(const CallPointer& call)
 {
-    if (call->mayHaveRun) {
-        config_.whenConfirmed([this, call](const Configuration* configuration) {
-            if (!configuration)
-                retryLater(call, /*mayHaveWritten=*/false, [this, call] { evaluateSubmission(call); });
-            else if (config_.revision() != call->configRevision)
-                resolveAttempt(call);
-            else
-                authorizeSubmission(call);
-        });
-        return;
-    }
-    authorizeSubmission(call);
+    authorize(call, [this, call](const Queue& queue, const AccountId& account) {
+        call->spec.id = call->job;
+        call->spec.account = account;
+        call->spec.policy = queue.policy;
+        call->spec.acceptedAt = clock_.now();
+        if (!isValidJobId(call->job))
+            call->rejection = "the path does not contain a valid job id";
+        else if (!queue.unsupportedReason.empty())
+            call->rejection = queue.unsupportedReason;
+        else if (const auto checked = checkJobSpec(call->spec); !checked && call->rejection.empty())
+            call->rejection = checked.error().message;
+        if (!call->rejection.empty())
+            finish(call, { AdmissionOutcome::Invalid, call->rejection });
+        else if (config_.isLarge())
+            commitUnlessStored(call);
+        else
+            commitSubmission(call);
+    });
 }
 
 // Reads whether an unresolved attempt has stored its job. The configuration in its precondition has been replaced, so
@@ -204,28 +214,6 @@
     });
 }
 
-void Admission::authorizeSubmission(const CallPointer& call)
-{
-    authorize(call, [this, call](const Queue& queue, const AccountId& account) {
-        call->spec.id = call->job;
-        call->spec.account = account;
-        call->spec.policy = queue.policy;
-        call->spec.acceptedAt = clock_.now();
-        if (!isValidJobId(call->job))
-            call->rejection = "the path does not contain a valid job id";
-        else if (!queue.unsupportedReason.empty())
-            call->rejection = queue.unsupportedReason;
-        else if (const auto checked = checkJobSpec(call->spec); !checked && call->rejection.empty())
-            call->rejection = checked.error().message;
-        if (!call->rejection.empty())
-            finish(call, { AdmissionOutcome::Invalid, call->rejection });
-        else if (config_.isLarge())
-            commitUnlessStored(call);
-        else
-            commitSubmission(call);
-    });
-}
-
 // Reads whether the job is stored before it writes, because the response to a failed precondition contains the
 // configuration.
 void Admission::commitUnlessStored(const CallPointer& call)
--- a/tests/jobs/LargeConfigurationTest.cpp
+++ b/tests/jobs/LargeConfigurationTest.cpp
@@ -232,4 +232,30 @@
     CHECK(served >= (lost ? 20 : 39));
 }
 
+// Guards against refusing a stored job: the configuration that removes its queue arrives while the write of the
+// submission is unresolved, between two confirmations.
+TEST_CASE("a stored submission is not refused under a version that took long to arrive")
+{
+    for (Milliseconds delay(0); delay <= Milliseconds(6000); delay += Milliseconds(200)) {
+        SmallLinkCluster cluster;
+        cluster.growConfiguration(largestConfiguration);
+        cluster.queryFor(applyTime * 2);
+        cluster.small().config.whenJustConfirmed([](const Configuration*) {});
+        cluster.world.run(Milliseconds(30));
+        std::optional<AdmissionOutcome> outcome;
+        cluster.small().admission.submit(
+            { "host", "/batch/s1", "key", Milliseconds(12000) }, []() -> Result<JobSpec> { return smallJob(); },
+            [&outcome](const AdmissionResponse& response) { outcome = response.outcome; });
+        cluster.world.run(Milliseconds(1));
+        cluster.store.lostResponseShare = 1;
+        cluster.world.after(delay, [&cluster] { cluster.putConfiguration("key", "urgent"); });
+        cluster.world.after(delay + Milliseconds(300), [&cluster] { cluster.store.lostResponseShare = 0; });
+        cluster.world.run(Milliseconds(20000));
+        INFO("queue removed after " << delay.count() << " ms");
+        REQUIRE(outcome.has_value());
+        const bool stored = cluster.storedState("s1").has_value();
+        CHECK(stored == (*outcome == AdmissionOutcome::Accepted || *outcome == AdmissionOutcome::MayHaveRun));
+    }
+}
+
 } // namespace rosemarylink::jobs
