While preconditions fail, a large configuration is confirmed by a watch that does not wait

The fallback is now a watch from the last confirmed revision that does not wait: it is not a write and transfers nothing unless there is a new version; the record is read only if the store has forgotten the changes since. The test runs on links of 10 and 5 Mbit/s and limits what is transferred; a second test has a slow store, for which the simulated store now lets a call time out that takes too long. Both failed before and pass.

--- a/src/jobs/ConfigView.cpp
+++ b/src/jobs/ConfigView.cpp
@@ -25,10 +25,12 @@
     // if it has changed, but counts as a write, and the store may lose responses to writes while it serves reads.
     constexpr std::size_t largestSmallRecordBytes = 32 * 1024;
 
-    // After this many such confirmations in a row without a result, the record is read: the store may serve reads only.
+    // After this many such confirmations in a row without a result, a watch that does not wait takes their place once,
+    // because the store may serve reads only. It transfers all versions since the last confirmation.
     constexpr int maximumFailedPreconditions = 2;
+    constexpr Milliseconds immediateWatchWait { 1 };
 
-    // For a precondition; it is shorter because a read follows.
+    // For a precondition; it is shorter because another call follows.
     constexpr Milliseconds preconditionTimeout { 500 };
 
     // Requests confirm the configuration themselves; the watch keeps it current on instances without requests. A large
@@ -156,11 +158,21 @@
         refreshing_ = false;
         handleConfirmation(response, requestedAt);
     };
-    if (!isLarge() || failedPreconditions_ >= maximumFailedPreconditions) {
-        failedPreconditions_ = 0;
+    if (!isLarge()) {
         store_.read(catalog_.configurationKey(), callTimeout, handler);
         return;
     }
+    if (failedPreconditions_ >= maximumFailedPreconditions) {
+        failedPreconditions_ = 0;
+        store_.watch(catalog_.configurationKey(), watchedRevision_, immediateWatchWait,
+            [this, handler](const StoreResponse& response) {
+                if (response.outcome == StoreOutcome::HistoryGone)
+                    store_.read(catalog_.configurationKey(), callTimeout, handler);
+                else
+                    handler(response);
+            });
+        return;
+    }
     // A batch without changes succeeds if the configuration is unchanged; otherwise the response contains the new one.
     Batch unchanged;
     unchanged.preconditions = { { catalog_.configurationKey(), revision_ } };
@@ -173,8 +185,9 @@
 void ConfigView::handleConfirmation(const StoreResponse& response, Milliseconds requestedAt)
 {
     recordReach(response, requestedAt);
-    for (const Record& record : response.records)
-        apply(record, requestedAt);
+    // The newest version comes first, so that the others are ignored.
+    for (auto record = response.records.rbegin(); record != response.records.rend(); ++record)
+        apply(*record, requestedAt);
     const bool unchanged = response.done() && response.records.empty();
     if (unchanged)
         confirmedAt_ = std::max(confirmedAt_.value_or(requestedAt), requestedAt);
--- a/tests/jobs/LargeConfigurationTest.cpp
+++ b/tests/jobs/LargeConfigurationTest.cpp
@@ -213,16 +213,19 @@
     CHECK(*version == 4);
 }
 
-// Guards against losing the configuration with the store's writes, on which its confirmation depends when it is large.
+// Guards against losing the configuration with the store's writes, on which its confirmation depends when it is large,
+// and against transferring it again and again meanwhile.
 TEST_CASE("an instance with a large configuration stays in service while the store serves reads only")
 {
     const bool lost = GENERATE(true, false);
+    const int shareOfLink = GENERATE(1, 2);
     SmallLinkCluster cluster;
-    cluster.small().store.link.bytesPerMillisecond = 0;
+    cluster.small().store.link.bytesPerMillisecond = smallLink / shareOfLink;
     cluster.growConfiguration(largestConfiguration);
-    cluster.queryFor(applyTime * 2);
+    cluster.queryFor(applyTime * 3);
     cluster.store.lostResponseShare = lost ? 1 : 0;
     cluster.store.refusesWrites = !lost;
+    const double carried = cluster.small().store.link.bytesCarried;
     int served = 0;
     for (int turn = 0; turn < 40; ++turn) {
         served += cluster.servesQueries() ? 1 : 0;
@@ -230,6 +233,23 @@
         cluster.world.run(callInterval);
     }
     CHECK(served >= (lost ? 20 : 39));
+    CHECK(cluster.small().store.link.bytesCarried - carried < largestTransfer / 10);
+}
+
+// Guards against transferring a large configuration again and again because its confirmations time out.
+TEST_CASE("a large configuration is confirmed without transferring it while the store is slow")
+{
+    SmallLinkCluster cluster;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.queryFor(applyTime * 2);
+    cluster.store.oneWayLatency = Milliseconds(260);
+    cluster.world.run(Milliseconds(3000));
+    const double carried = cluster.small().store.link.bytesCarried;
+    for (int turn = 0; turn < 40; ++turn) {
+        REQUIRE(cluster.small().config.age().value().count() <= longestReadyAge.count());
+        cluster.world.run(Milliseconds(500));
+    }
+    CHECK(cluster.small().store.link.bytesCarried - carried < largestTransfer / 10);
 }
 
 // Guards against refusing a stored job: the configuration that removes its queue arrives while the write of the
--- a/tests/jobs/SimStore.cpp
+++ b/tests/jobs/SimStore.cpp
@@ -243,6 +243,15 @@
         });
         return;
     }
+    if (latency() * 2 > timeout) {
+        failure.outcome = StoreOutcome::Unknown;
+        respondLater(timeout, handler, failure);
+        world_.after(latency(), [this, operation] {
+            store_.expireLeases();
+            operation();
+        });
+        return;
+    }
     std::optional<Milliseconds> deadline;
     if (kind == CallKind::Write)
         deadline = world_.now() + timeout;
