Each caller gets a confirmation of the age that it asked for, or hears that there is none

And while each transfer of a changing version took more than 2 s, the confirmation was repeated without an end: no handler was called in the test, where 10 were registered within 30 s, and all of them were kept.

A caller now names the time since which it needs a confirmation; the ones for which a confirmation is too old wait for one more and are told null if that is too old as well, so that they can retry or refuse. A request that has been answered is no longer reported as failed a second time.

--- a/include/rosemarylink/jobs/ConfigView.h
+++ b/include/rosemarylink/jobs/ConfigView.h
@@ -10,8 +10,9 @@
 
 namespace rosemarylink::jobs {
 
-// Holds the newest configuration that this process has read from the store; an older one never replaces it. Must be
-// used on the event loop's thread.
+// Holds the newest configuration that this process has read from the store; an older one never replaces it. A small
+// configuration is watched for changes and confirmed by reading it. A large one is confirmed by a precondition on its
+// revision, so that it is transferred only when it has changed. Must be used on the event loop's thread.
 class ConfigView {
 public:
     ConfigView(RecordStore&, const Catalog&, Timers&, const Clock&);
@@ -19,13 +20,13 @@
     // Reads the configuration and starts watching it for changes. Must be called once.
     void start();
 
-    // Calls the handler once with a configuration that the store has confirmed as the newest within the last second:
-    // before returning if that is known already, otherwise after a call to the store. Passes null when the store could
-    // not confirm it.
+    // Calls the handler once with a configuration that the store has confirmed as the newest since at most 1 s before
+    // the call: before returning if there is such a confirmation, otherwise after a call to the store. A confirmation
+    // may be up to 2 s old when it arrives. Passes null when the store could not confirm the configuration in time.
     void whenConfirmed(std::function<void(const Configuration*)> handler);
 
-    // Like whenConfirmed(), but within the last fraction of a second. For writes that name the configuration's
-    // revision, whose response contains the configuration if it has been replaced.
+    // Like whenConfirmed(), but since at most 100 ms before the call. For writes that name the configuration's
+    // revision: the response to such a write contains the configuration if it has been replaced.
     void whenJustConfirmed(std::function<void(const Configuration*)> handler);
 
     // Null until a configuration has been read.
@@ -60,7 +61,7 @@
     void handleConfirmation(const StoreResponse&, Milliseconds requestedAt);
     void recordReach(const StoreResponse&, Milliseconds requestedAt);
     void probe();
-    void notifyWaiting(const Configuration*);
+    void notifyWaiting(bool confirmed);
 
     RecordStore& store_;
     const Catalog& catalog_;
@@ -72,9 +73,14 @@
     Revision watchedRevision_ { 0 }; // of the store; later changes are still to be watched for
     std::optional<Milliseconds> confirmedAt_; // send time of the last call that confirmed it
     std::optional<Milliseconds> failingSince_; // time of the first failed call since one succeeded
-    std::vector<std::function<void(const Configuration*)>> waitingHandlers_;
+    struct Waiting {
+        std::function<void(const Configuration*)> handler;
+        Milliseconds confirmedSince { 0 }; // the handler needs a confirmation that was requested then or later
+        bool repeated = false; // one confirmation has been too old for it
+    };
+    std::vector<Waiting> waiting_;
     bool refreshing_ = false;
-    int failedPreconditions_ = 0; // confirmations of a large configuration without a result since the last one with one
+    int failedPreconditions_ = 0; // number of consecutive preconditions that were refused or got no response
     bool probing_ = false; // the timer for the next probe is set
 };
 
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -137,6 +137,8 @@
 
 void Admission::fail(const CallPointer& call)
 {
+    if (call->finished)
+        return;
     const Milliseconds waited = clock_.monotonic() - call->startedAt;
     // Logs the path because the job id can be extracted from it only with a confirmed configuration.
     const auto age = config_.age();
--- a/src/jobs/ConfigView.cpp
+++ b/src/jobs/ConfigView.cpp
@@ -15,8 +15,8 @@
     // The shorter it is, the fewer writes name a configuration that has just been replaced.
     constexpr Milliseconds maximumJustConfirmedAge { 100 };
 
-    // A confirmation that took longer, because it transferred a new version, is repeated before it is used.
-    constexpr Milliseconds longestConfirmation { 2000 };
+    // A confirmation that is older when it arrives, because it transferred a new version, is repeated once.
+    constexpr Milliseconds maximumAgeOnArrival { 2000 };
 
     // A call takes 30 ms across regions and 300 ms when the store is slow.
     constexpr Milliseconds callTimeout { 800 };
@@ -136,7 +136,7 @@
         handler(&*configuration_);
         return;
     }
-    waitingHandlers_.push_back(std::move(handler));
+    waiting_.push_back({ std::move(handler), clock_.monotonic() - maximumAge, /*repeated=*/false });
     refresh();
 }
 
@@ -192,11 +192,7 @@
     if (unchanged)
         confirmedAt_ = std::max(confirmedAt_.value_or(requestedAt), requestedAt);
     watchedRevision_ = std::max({ watchedRevision_, revision_, response.done() ? response.revision : Revision(0) });
-    const bool confirmed = configuration_ && confirmedAt_ && *confirmedAt_ >= requestedAt;
-    if (confirmed && clock_.monotonic() - *confirmedAt_ > longestConfirmation)
-        refresh();
-    else
-        notifyWaiting(confirmed ? &*configuration_ : nullptr);
+    notifyWaiting(configuration_ && confirmedAt_ && *confirmedAt_ >= requestedAt);
 }
 
 bool ConfigView::isLarge() const { return recordBytes_ > largestSmallRecordBytes; }
@@ -246,12 +242,21 @@
     });
 }
 
-void ConfigView::notifyWaiting(const Configuration* configuration)
+// Keeps the handlers for which the confirmation is too old and repeats it for them, once for each handler.
+void ConfigView::notifyWaiting(bool confirmed)
 {
-    const auto waiting = std::move(waitingHandlers_);
-    waitingHandlers_.clear();
-    for (const auto& handler : waiting)
-        handler(configuration);
+    std::vector<Waiting> waiting = std::move(waiting_);
+    waiting_.clear();
+    for (Waiting& one : waiting) {
+        const bool inTime = confirmed && *confirmedAt_ >= one.confirmedSince
+            && clock_.monotonic() - *confirmedAt_ <= maximumAgeOnArrival;
+        if (!inTime && confirmed && !std::exchange(one.repeated, true))
+            waiting_.push_back(std::move(one));
+        else
+            one.handler(inTime ? &*configuration_ : nullptr);
+    }
+    if (!waiting_.empty())
+        refresh();
 }
 
 } // namespace rosemarylink::jobs
--- a/tests/jobs/LargeConfigurationTest.cpp
+++ b/tests/jobs/LargeConfigurationTest.cpp
@@ -210,6 +210,12 @@
         [&version](const Configuration* configuration) { version = configuration ? configuration->version : 0; });
     cluster.world.run(Milliseconds(20000));
     REQUIRE(version.has_value());
+    CHECK(*version != 3);
+    cluster.small().config.whenConfirmed([&version](const Configuration* configuration) {
+        REQUIRE(configuration != nullptr);
+        version = configuration->version;
+    });
+    cluster.world.run(Milliseconds(1000));
     CHECK(*version == 4);
 }
 
@@ -252,6 +258,23 @@
     CHECK(cluster.small().store.link.bytesCarried - carried < largestTransfer / 10);
 }
 
+// Guards against handlers that are kept for as long as the configuration changes faster than the link carries it.
+TEST_CASE("a confirmation that cannot be had in time is reported")
+{
+    SmallLinkCluster cluster;
+    cluster.small().store.link.bytesPerMillisecond = smallLink / 5;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.world.run(Milliseconds(20000));
+    int called = 0;
+    for (int change = 0; change < 10; ++change) {
+        cluster.putConfiguration();
+        cluster.world.run(Milliseconds(1100));
+        cluster.small().config.whenConfirmed([&called](const Configuration*) { ++called; });
+        cluster.world.run(Milliseconds(1900));
+    }
+    CHECK(called >= 5);
+}
+
 // Guards against refusing a stored job: the configuration that removes its queue arrives while the write of the
 // submission is unresolved, between two confirmations.
 TEST_CASE("a stored submission is not refused under a version that took long to arrive")
