Failing tests: a stop of work whose guaranteed shape was removed

Trace of the shrunk counterexample: job-2 of account quotes (4 tasks, checkpointable, not idempotent) starts in a guaranteed slot of its account. A configuration removes the account's shape, and DefaultPolicy::configurationChanged turns the job into borrowed work. An hour later it is stopped, after a checkpoint and with reason Defragmented, for a job that can be neither stopped nor repeated. FakeCluster goes by the flag of the start decision and counts that as a violation.

The new case replays this without random events and fails in the same way. FakeCluster passes configurations on, without a change of its checks.

--- a/tests/policy/FakeCluster.h
+++ b/tests/policy/FakeCluster.h
@@ -49,6 +49,8 @@
         policy_.setWorkerState(id, state, now);
     }
 
+    Status configure(const PolicyConfig& config, Timestamp now) { return policy_.configure(config, now); }
+
     void decide(Timestamp now)
     {
         const Decisions decisions = policy_.decide(now);
--- a/tests/policy/GuaranteeTest.cpp
+++ b/tests/policy/GuaranteeTest.cpp
@@ -65,6 +65,34 @@
         CHECK(cluster.stoppingJobs().front() != JobId("borrower-0"));
     }
 
+    // From RC_PARAMS="seed=20261204" on aarch64: work became borrowed after its start, and its stop was a violation.
+    TEST_CASE("guaranteed work is stopped for others only after its shape was removed")
+    {
+        const auto workers = makeWorkers(1, 3);
+        auto policy = makeGuaranteedPolicy(workers);
+        FakeCluster cluster(*policy, workers);
+        model::JobSpec guaranteed = makeQuote("guaranteed", 4);
+        guaranteed.idempotent = false;
+        REQUIRE(cluster.submit(guaranteed, at(0)));
+        cluster.decide(at(0));
+        REQUIRE(cluster.isRunning(guaranteed.id));
+        REQUIRE(!cluster.running().at(guaranteed.id).borrowed);
+        PolicyConfig config = makeGuaranteedConfig(2);
+        config.declarations.guarantees.pop_back();
+        REQUIRE(cluster.configure(config, at(60)).has_value());
+        model::JobSpec dedicated = makeQuote("dedicated", 8);
+        dedicated.idempotent = false;
+        dedicated.checkpointable = false;
+        REQUIRE(cluster.submit(dedicated, at(60)));
+        cluster.decide(at(60));
+        REQUIRE(cluster.stoppingJobs().empty());
+        cluster.decide(at(3600));
+        CHECK(cluster.stoppingJobs() == std::vector<JobId> { guaranteed.id });
+        CHECK(cluster.violations() == std::vector<std::string> {});
+        cluster.settle(at(3610));
+        CHECK(cluster.isRunning(dedicated.id));
+    }
+
     TEST_CASE("non-restartable work is refused if only guaranteed capacity fits it")
     {
         const auto workers = makeWorkers(1, 2);
--- a/tests/policy/PolicyPropertyTest.cpp
+++ b/tests/policy/PolicyPropertyTest.cpp
@@ -96,7 +96,7 @@
                 = *rc::gen::element(model::Preset::Ordinary, model::Preset::Peak, model::Preset::Maintenance);
             if (*rc::gen::inRange(0, 4) == 0)
                 config.declarations.guarantees.pop_back();
-            RC_ASSERT(policy->configure(config, now).has_value());
+            RC_ASSERT(cluster.configure(config, now).has_value());
         }
 
         void fail(const JobId& id)
