Failing test: a gang is started and stopped by the same decisions

Stops are applied before starts, by FakeCluster and by CellCore::applyStop, which returns if the gang is unknown. So the stop is lost, the gang is launched, and the policy takes it for stopping from then on.

The new case replays this without random events: the borrower runs on and the owner of the guarantee keeps waiting.

--- a/tests/policy/GuaranteeTest.cpp
+++ b/tests/policy/GuaranteeTest.cpp
@@ -93,6 +93,25 @@
         CHECK(cluster.isRunning(dedicated.id));
     }
 
+    // From RC_PARAMS="seed=86" on aarch64: the cluster ignored the stop, as the gang did not run yet, and started it.
+    TEST_CASE("a gang is not started and stopped by the same decisions")
+    {
+        const auto workers = makeWorkers(1, 3);
+        auto policy = makeGuaranteedPolicy(workers);
+        FakeCluster cluster(*policy, workers);
+        for (int number = 0; number < 2; ++number) {
+            REQUIRE(cluster.submit(makeQuote("guaranteed-" + std::to_string(number), 4), at(0)));
+            cluster.decide(at(0));
+        }
+        REQUIRE(cluster.submit(makeQuote("borrower", 8), at(1)));
+        REQUIRE(cluster.submit(makeJob("owner", 16, model::Adjacency::Rack), at(1)));
+        cluster.settle(at(1));
+        CHECK(cluster.violations() == std::vector<std::string> {});
+        CHECK(cluster.isRunning(JobId("owner")));
+        CHECK(!cluster.isRunning(JobId("borrower")));
+        CHECK(cluster.waiting() == std::set<JobId> { JobId("borrower") });
+    }
+
     TEST_CASE("non-restartable work is refused if only guaranteed capacity fits it")
     {
         const auto workers = makeWorkers(1, 2);
