The policy simulation drops a stop of a gang that was not started, as a cell does

rosemarylink-bench policy carried out a stop of a waiting job 2 s later, after the start of the same decisions. A cell cannot: CellCore applies stops first, and applyStop returns if the gang is unknown. So the simulation hid that the policy's decisions start and stop the same gang.

The fix follows.

--- a/apps/rosemarylink-bench/PolicySimulation.cpp
+++ b/apps/rosemarylink-bench/PolicySimulation.cpp
@@ -367,6 +367,9 @@
         {
             const std::size_t index = indices_.at(stop.job.value());
             SimulatedJob& job = jobs_[index];
+            // A cell does not know a gang before its start, and a stop of it has no effect.
+            if (job.state == JobState::Waiting)
+                return;
             ++measures_.stops;
             measures_.reclaims += stop.reason == policy::StopReason::Reclaimed ? 1 : 0;
             measures_.moves += stop.reason == policy::StopReason::Defragmented ? 1 : 0;
