A gang is not started and stopped by the same decisions

Work that is to give way to a guarantee runs on, and the owner of the guarantee waits until it ends by itself.

Cause: within one decision a gang that can be stopped was started on borrowed capacity, and a job later in the order then reclaimed that capacity. The gang was in both lists. Stops are applied first, so this one had no effect; the policy waited for an end of the gang that nobody had ordered.

DefaultPolicy now withdraws the start instead: the gang goes back to its place in the queue, nothing needs to be stopped, and the job that needs the capacity can start at once. The failed searches of the decision are discarded, since capacity was freed, and the next call of decide does not wait for the periodic decision. SchedulingPolicy.h states that no job is in both lists.

--- a/include/rosemarylink/policy/SchedulingPolicy.h
+++ b/include/rosemarylink/policy/SchedulingPolicy.h
@@ -51,7 +51,7 @@
 };
 
 // A start is included only once its capacity is free: the stops that it needs were part of earlier decisions and have
-// ended.
+// ended. No job is in both lists.
 struct Decisions {
     std::vector<StopDecision> stops;
     std::vector<StartDecision> starts;
--- a/src/policy/DefaultPolicy.cpp
+++ b/src/policy/DefaultPolicy.cpp
@@ -451,8 +451,10 @@
 void DefaultPolicy::commitPlan(Job& job, ReclaimPlan plan, CapacityClass capacityClass, int slot, StopReason reason,
     bool checkpointFirst, Decisions& decisions, Timestamp now)
 {
-    for (Job* stopped : plan.stops)
-        stop(*stopped, reason, checkpointFirst, decisions);
+    for (Job* stopped : plan.stops) {
+        if (!withdrawStart(*stopped, decisions))
+            stop(*stopped, reason, checkpointFirst, decisions);
+    }
     allocate(job, std::move(plan.workers), capacityClass, Phase::AwaitingCapacity);
     job.slot = slot;
     if (capacityClass == CapacityClass::Guaranteed)
@@ -463,6 +465,24 @@
     startIfFree(job, decisions, now);
 }
 
+// Callers apply stops before starts, so a stop of a gang that the same decisions start would have no effect.
+bool DefaultPolicy::withdrawStart(Job& job, Decisions& decisions)
+{
+    const auto found = std::find_if(decisions.starts.begin(), decisions.starts.end(),
+        [&job](const StartDecision& start) { return start.job == job.spec.id; });
+    if (found == decisions.starts.end())
+        return false;
+    decisions.starts.erase(found);
+    if (job.probedWorker != none)
+        quarantine_.probeEnded(job.probedWorker);
+    job.probedWorker = none;
+    release(job);
+    jobs_.enqueue(job);
+    failedSearches_.clear();
+    changed_ = true;
+    return true;
+}
+
 bool DefaultPolicy::startIfFree(Job& job, Decisions& decisions, Timestamp now)
 {
     for (const auto& [worker, count] : job.tasksByWorker) {
--- a/src/policy/DefaultPolicy.h
+++ b/src/policy/DefaultPolicy.h
@@ -37,7 +37,7 @@
 
 private:
     // A search without a result. The same search fails again within the same decision, because capacity is only
-    // allocated, not freed, while it is made.
+    // allocated, not freed, while it is made. A withdrawn start frees capacity and discards the failed searches.
     struct FailedSearch {
         GangShape shape;
         unsigned blockingReservations;
@@ -69,6 +69,8 @@
     // already free.
     void commitPlan(
         Job&, ReclaimPlan, CapacityClass, int slot, StopReason, bool checkpointFirst, Decisions&, Timestamp);
+    // Puts a job that these decisions start back into the queue. Gives false if they do not start it.
+    bool withdrawStart(Job&, Decisions&);
     bool startIfFree(Job&, Decisions&, Timestamp);
     Timestamp expectedEnd(const Job&, Timestamp now) const;
     void excludeDrainingRacks();
