Failing tests: guarantees that cannot be reclaimed after a shape was declared again, or after a takeover

GuaranteedSlots plans the gang of 16 first and gives it both empty workers; one gang of 4 gets no placement. 1 + 7 + 8 and 4 + 4 would fit.

The record of a gang keeps the flag of its start decision, so that restore is told "not borrowed" of work whose shape was removed meanwhile. Without a slot it is restored as dedicated, which nothing may stop; a guarantee that could be reclaimed before the takeover cannot be afterwards. To restore it as borrowed needs a decision first: assignRestored gives a slot to one gang only, so a second gang that shares a slot would become borrowed too.

--- a/tests/policy/GuaranteeTest.cpp
+++ b/tests/policy/GuaranteeTest.cpp
@@ -112,6 +112,65 @@
         CHECK(cluster.waiting() == std::set<JobId> { JobId("borrower") });
     }
 
+    // From RC_PARAMS="seed=4" on aarch64: the gang of 16 takes both empty workers, so that one gang of 4 has no
+    // placement.
+    TEST_CASE("guaranteed gangs that fit beside running work all get a placement when their shape is declared again")
+    {
+        const auto workers = makeWorkers(1, 4);
+        auto made = makePolicy("default");
+        std::unique_ptr<SchedulingPolicy> policy = std::move(made).value();
+        for (const model::WorkerSpec& worker : workers)
+            policy->addWorker(worker, at(0)).value();
+        PolicyConfig config = makeGuaranteedConfig(1);
+        config.declarations.guarantees.clear();
+        policy->configure(config, at(0)).value();
+        FakeCluster cluster(*policy, workers);
+        // Leaves 8, 1, 7 and 8 accelerators on the four workers: 4 + 4 on the first, 1 + 7 + 8 on the others.
+        for (const int tasks : { 7, 1 }) {
+            model::JobSpec job = makeQuote("dedicated-" + std::to_string(tasks), tasks);
+            job.idempotent = false;
+            job.checkpointable = false;
+            const Placement placement { std::vector<WorkerId>(
+                static_cast<std::size_t>(tasks), workers[tasks == 7 ? 1 : 2].id) };
+            REQUIRE(policy->restore(job, placement, false, at(0)).has_value());
+        }
+        REQUIRE(cluster.configure(makeGuaranteedConfig(2), at(1)).has_value());
+        cluster.decide(at(1));
+        for (const GuaranteeStatus& status : policy->snapshot(at(1)).guarantees)
+            CHECK(status.reclaimable);
+        REQUIRE(cluster.submit(makeJob("owner", 16, model::Adjacency::Rack), at(2)));
+        for (int number = 0; number < 2; ++number)
+            REQUIRE(cluster.submit(makeQuote("owner-" + std::to_string(number), 4), at(2)));
+        cluster.settle(at(2));
+        CHECK(cluster.running().size() == 3);
+    }
+
+    // The record of a gang keeps the flag of its start, so a takeover restores work that is borrowed by now as
+    // dedicated.
+    TEST_CASE("work whose guaranteed shape was removed does not keep capacity from guarantees after a takeover")
+    {
+        const auto workers = makeWorkers(1, 3);
+        auto policy = makeGuaranteedPolicy(workers);
+        FakeCluster cluster(*policy, workers);
+        const model::JobSpec job = makeQuote("guaranteed", 4);
+        REQUIRE(cluster.submit(job, at(0)));
+        cluster.decide(at(0));
+        REQUIRE(!cluster.running().at(job.id).borrowed);
+        const bool startedBorrowed = cluster.running().at(job.id).borrowed;
+        PolicyConfig config = makeGuaranteedConfig(2);
+        config.declarations.guarantees.back() = makeShape("moves", 1, 8, model::Adjacency::Worker);
+        REQUIRE(cluster.configure(config, at(1)).has_value());
+        cluster.decide(at(1));
+        for (const GuaranteeStatus& status : policy->snapshot(at(1)).guarantees)
+            REQUIRE(status.reclaimable);
+        auto rebuilt = makeGuaranteedPolicy(workers);
+        REQUIRE(rebuilt->configure(config, at(2)).has_value());
+        REQUIRE(rebuilt->restore(job, cluster.running().at(job.id).placement, startedBorrowed, at(0)).has_value());
+        (void)rebuilt->decide(at(2));
+        for (const GuaranteeStatus& status : rebuilt->snapshot(at(2)).guarantees)
+            CHECK(status.reclaimable);
+    }
+
     TEST_CASE("non-restartable work is refused if only guaranteed capacity fits it")
     {
         const auto workers = makeWorkers(1, 2);
