--- a/tests/policy/FakeCluster.h
+++ b/tests/policy/FakeCluster.h
@@ -63,7 +63,7 @@
             if (shape.gangs > 0)
                 removed.push_back(shape);
         }
-        const Status status = policy_.configure(config, now);
+        Status status = policy_.configure(config, now);
         if (status)
             acceptBorrowed(removed, now);
         checkBorrowed(now);
