Callers who ask for the number of waiting jobs share one list a second

Questions about a queue listed all of its waiting jobs for each caller, and the list went on when its caller had been answered. With 3,000 waiting jobs and five such questions a second on 10 Mbit/s one of 100 was answered in the test, and everything else on the link waited behind the lists.

One list of a queue is on its way at a time, for all who ask meanwhile, and its result is used for 1 s; the platform allows a count that is 2 s old. 100 of 100 are answered, with at most 20 lists in 23 s.

--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -4,8 +4,11 @@
 #include "rosemarylink/jobs/JobMetrics.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace rosemarylink::jobs {
 
@@ -78,6 +81,7 @@
     static Milliseconds resolutionLimit(const Call&);
     void readState(const CallPointer&);
     void countWaiting(const CallPointer&, const QueueId&);
+    void finishCount(const CallPointer&, std::size_t jobs);
     void readForCancel(const CallPointer&);
     void commitCancel(const CallPointer&, Revision jobRevision);
     void resolveCancellation(const CallPointer&);
@@ -90,6 +94,13 @@
     const Clock& clock_;
     JobMetrics& metrics_;
     std::size_t inProgress_ = 0;
+
+    struct WaitingCount {
+        std::vector<CallPointer> callers; // of the list that is on its way, if not empty
+        std::optional<Milliseconds> requestedAt; // of the last complete list
+        std::size_t jobs = 0; // in that list
+    };
+    std::map<QueueId, WaitingCount> waitingCounts_;
 };
 
 } // namespace rosemarylink::jobs
--- a/tests/jobs/AdmissionTest.cpp
+++ b/tests/jobs/AdmissionTest.cpp
@@ -270,4 +270,28 @@
     CHECK(text.find("rosemarylink_ownerships_total 1") != std::string::npos);
 }
 
+// Guards against a list of all waiting jobs for each caller who asks how many there are, until the lists fill the link.
+TEST_CASE("callers who ask for the number of waiting jobs share one list a second")
+{
+    constexpr int waitingJobs = 3000;
+    SimCluster cluster;
+    cluster.world.run(Milliseconds(300));
+    for (int number = 0; number < waitingJobs; ++number)
+        cluster.store.put(keys::waitingJob(QueueId("batch"), JobId("w" + std::to_string(number))), "-");
+    SimInstance& instance = *cluster.instances.at(1);
+    instance.store.link.bytesPerMillisecond = 1250; // 10 Mbit/s
+    std::vector<std::size_t> counts;
+    for (int call = 0; call < 100; ++call) {
+        instance.admission.query(
+            { "host", "/batch/", "key", Milliseconds(3000) }, [&counts](const AdmissionResponse& response) {
+                if (response.pending)
+                    counts.push_back(*response.pending);
+            });
+        cluster.world.run(Milliseconds(200));
+    }
+    cluster.world.run(Milliseconds(3000));
+    CHECK(counts == std::vector<std::size_t>(100, waitingJobs));
+    CHECK(instance.store.lists[keys::waitingPrefix(QueueId("batch"))] <= 20);
+}
+
 } // namespace rosemarylink::jobs
