Failing tests: a task that crashes its workers is started without limit

SimFleet gets tasks whose start crashes the worker, which comes back under its id or as another worker at its address, and a closed port meanwhile.

--- /dev/null
+++ b/tests/jobs/CrashingTasksTest.cpp
@@ -0,0 +1,186 @@
+#include "SimCluster.h"
+
+#include <catch2/catch.hpp>
+
+namespace rosemarylink::jobs {
+
+namespace {
+
+    // Crashes of workers after which a task may be given up, and starts that the platform allows after them.
+    constexpr int crashesToProve = 3;
+    constexpr int startsAfterwards = 2;
+
+    void checkGivenUp(SimCluster& cluster, const std::string& job, const std::string& task)
+    {
+        CHECK(cluster.fleet.startsOfTask(task) <= crashesToProve + startsAfterwards);
+        CHECK(cluster.storedState(job) == JobState::Failed);
+        const std::size_t instance = cluster.instances.size() - 1;
+        const AdmissionResponse response = cluster.query("batch", job, instance);
+        CHECK(response.state == JobState::Failed);
+        CHECK(cluster.fleet.violations().empty());
+    }
+
+    void killOwner(SimCluster& cluster)
+    {
+        SimInstance* const owner = cluster.currentOwner();
+        REQUIRE(owner != nullptr);
+        owner->kill();
+    }
+
+    // Lets each worker in turn crash by itself, one each `interval`.
+    void flap(SimCluster& cluster, Milliseconds interval, Milliseconds downTime, int crashes)
+    {
+        for (int crash = 0; crash < crashes; ++crash) {
+            const std::vector<WorkerId> workers = cluster.fleet.ids();
+            if (!workers.empty())
+                cluster.fleet.crashFor(workers[static_cast<std::size_t>(crash) % workers.size()], downTime);
+            cluster.world.run(interval);
+        }
+    }
+
+} // namespace
+
+// Guards against a task that is started without limit although each worker crashes under it.
+TEST_CASE("a task under which workers crash is given up")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    cluster.fleet.crashDelay = GENERATE(Milliseconds(10), Milliseconds(0));
+    CAPTURE(cluster.fleet.returnWithNewId, cluster.fleet.crashDelay.count());
+    cluster.addWorkers(2, 4);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0" };
+    cluster.submit("batch", "a1", oneStep(1, 8, Milliseconds(3000), /*gang=*/false));
+    cluster.world.run(Milliseconds(90000));
+    checkGivenUp(cluster, "a1", "a1.0.0.0");
+}
+
+// Guards against a task that is started without limit because its workers stay down for longer than their leases.
+TEST_CASE("a task under which workers crash is given up although they return after their leases")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    cluster.fleet.crashDownTime = Milliseconds(9000);
+    CAPTURE(cluster.fleet.returnWithNewId);
+    cluster.addWorkers(2, 4);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0" };
+    cluster.submit("batch", "a1", oneStep(1, 8, Milliseconds(3000), /*gang=*/false));
+    cluster.world.run(Milliseconds(120000));
+    checkGivenUp(cluster, "a1", "a1.0.0.0");
+}
+
+// Guards against a gang that is started without limit although the workers of a member crash.
+TEST_CASE("a gang is given up if workers crash under one of its members")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    cluster.addWorkers(2, 6);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.2" };
+    cluster.submit("batch", "a1", oneStep(4, 8, Milliseconds(3000), /*gang=*/true));
+    cluster.world.run(Milliseconds(90000));
+    checkGivenUp(cluster, "a1", "a1.0.0.2");
+}
+
+// Guards against a long-running task that crashes its workers for ever.
+TEST_CASE("a long-running task under which workers crash is given up")
+{
+    SimCluster cluster(2);
+    cluster.addWorkers(2, 4);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0" };
+    JobSpec job = oneStep(2, 8, Milliseconds(600000), /*gang=*/false);
+    job.steps[0].longRunning = true;
+    cluster.submit("batch", "a1", job);
+    cluster.world.run(Milliseconds(90000));
+    checkGivenUp(cluster, "a1", "a1.0.0.0");
+}
+
+// Guards against a count that starts anew with each owner.
+TEST_CASE("crashes under a task are counted across takeovers")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    const Milliseconds between = GENERATE(Milliseconds(3500), Milliseconds(5000), Milliseconds(7000));
+    CAPTURE(cluster.fleet.returnWithNewId, between.count());
+    cluster.addWorkers(2, 4);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0" };
+    cluster.submit("batch", "a1", oneStep(1, 8, Milliseconds(3000), /*gang=*/false));
+    for (int takeover = 0; takeover < 2; ++takeover) {
+        cluster.world.run(between);
+        killOwner(cluster);
+        cluster.addInstance();
+        cluster.world.run(Milliseconds(4000));
+    }
+    cluster.world.run(Milliseconds(90000));
+    checkGivenUp(cluster, "a1", "a1.0.0.0");
+}
+
+// Guards against work that fails because it shared workers with a task that crashes them.
+TEST_CASE("tasks beside one that crashes its workers complete")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    cluster.addWorkers(1, 3);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0", "a2.0.0.0" };
+    // All of them start at the same time, lose their workers together and wait together.
+    cluster.submit("batch", "a1", oneStep(1, 1, Milliseconds(3000), /*gang=*/false));
+    cluster.submit("batch", "b1", oneStep(6, 1, Milliseconds(4000), /*gang=*/false));
+    cluster.submit("batch", "a2", oneStep(1, 1, Milliseconds(3000), /*gang=*/false));
+    cluster.submit("batch", "b2", oneStep(3, 2, Milliseconds(4000), /*gang=*/true));
+    cluster.submit("batch", "b3", oneStep(4, 1, Milliseconds(6000), /*gang=*/false));
+    cluster.world.run(Milliseconds(120000));
+    for (const std::string job : { "b1", "b2", "b3" }) {
+        CAPTURE(job);
+        CHECK(cluster.storedState(job) == JobState::Completed);
+    }
+    checkGivenUp(cluster, "a1", "a1.0.0.0");
+    checkGivenUp(cluster, "a2", "a2.0.0.0");
+}
+
+// Guards against jobs that fail because their workers crash by themselves.
+TEST_CASE("jobs complete although workers go down and up by themselves")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    cluster.addWorkers(2, 6);
+    cluster.world.run(Milliseconds(300));
+    cluster.submit("batch", "g1", oneStep(10, 2, Milliseconds(2500), /*gang=*/true));
+    cluster.submit("batch", "s1", oneStep(40, 4, Milliseconds(1500), /*gang=*/false));
+    JobSpec lasting = oneStep(4, 2, Milliseconds(600000), /*gang=*/false);
+    lasting.steps[0].longRunning = true;
+    cluster.submit("batch", "l1", lasting);
+    flap(cluster, Milliseconds(400), Milliseconds(2000), 100);
+    cluster.world.run(Milliseconds(60000));
+    CHECK(cluster.storedState("g1") == JobState::Completed);
+    CHECK(cluster.storedState("s1") == JobState::Completed);
+    CHECK(cluster.storedState("l1") == JobState::Active);
+    CHECK(cluster.fleet.violations().empty());
+}
+
+// Guards against jobs that fail because the network cuts their workers off.
+TEST_CASE("jobs complete although their workers are cut off again and again")
+{
+    SimCluster cluster(2);
+    cluster.addWorkers(1, 4);
+    cluster.world.run(Milliseconds(300));
+    for (int cut = 0; cut < 6; ++cut) {
+        // Right after a start, for longer than the lease.
+        cluster.submit("batch", "c" + std::to_string(cut), oneStep(4, 8, Milliseconds(2000), /*gang=*/cut % 2 == 0));
+        cluster.world.run(Milliseconds(60));
+        for (const WorkerId& id : cluster.fleet.ids())
+            cluster.fleet.silent.insert(id);
+        cluster.world.run(Milliseconds(8000));
+        cluster.fleet.silent.clear();
+        cluster.world.run(Milliseconds(1000));
+    }
+    cluster.world.run(Milliseconds(60000));
+    for (int cut = 0; cut < 6; ++cut)
+        CHECK(cluster.storedState("c" + std::to_string(cut)) == JobState::Completed);
+    CHECK(cluster.fleet.violations().empty());
+}
+
+} // namespace rosemarylink::jobs
--- a/tests/jobs/SimCluster.cpp
+++ b/tests/jobs/SimCluster.cpp
@@ -28,7 +28,7 @@
         return invalidArgument("the worker's registration is malformed");
     WorkerEntry entry;
     entry.id = WorkerId(record.key.substr(workerPrefix().size()));
-    entry.address = entry.id.value();
+    entry.address = json.value("address", entry.id.value());
     entry.pool = ServiceId("pool");
     entry.rack = json.at("rack").get<std::string>();
     entry.labels = { entry.rack };
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -11,6 +11,9 @@
     constexpr Milliseconds commandTimeout { 500 };
     constexpr Milliseconds pollMargin { 700 };
 
+    // The entry of a crashed worker is still registered for this long after its successor's.
+    constexpr Milliseconds formerEntryLifetime { 700 };
+
     std::string gangName(const TaskKey& key)
     {
         return key.job.value() + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step);
@@ -61,8 +64,8 @@
         return;
     }
     const nlohmann::json json = { { "rack", incarnation.entry.rack }, { "born", incarnation.entry.startTimeMs },
-        { "draining", draining }, { "milliCores", incarnation.entry.capacity.milliCores },
-        { "megabytes", incarnation.entry.capacity.megabytes },
+        { "address", incarnation.entry.address }, { "draining", draining },
+        { "milliCores", incarnation.entry.capacity.milliCores }, { "megabytes", incarnation.entry.capacity.megabytes },
         { "accelerators", incarnation.entry.capacity.accelerators } };
     store_.put("workers/" + id.value(), json.dump());
 }
@@ -92,6 +95,30 @@
     setEntry(id, true);
 }
 
+void SimFleet::crashFor(const WorkerId& id, Milliseconds downTime)
+{
+    if (!workers_.at(id).up)
+        return;
+    crash(id);
+    workers_.at(id).closed = true;
+    world_.after(downTime, [this, id, number = workers_.at(id).number] {
+        WorkerState& former = workers_.at(id);
+        if (former.number != number)
+            return;
+        if (!returnWithNewId) {
+            restart(id);
+            return;
+        }
+        former.replaced = true;
+        const WorkerEntry entry = former.entry;
+        const WorkerId successor(entry.address + "-" + std::to_string(++returned_));
+        add(successor, entry.rack, entry.capacity);
+        workers_.at(successor).entry.address = entry.address;
+        setEntry(successor, true);
+        world_.after(formerEntryLifetime, [this, id] { setEntry(id, false); });
+    });
+}
+
 Milliseconds SimFleet::clockOf(const WorkerState& incarnation) const
 {
     const double elapsed = static_cast<double>((world_.now() - incarnation.startedAt).count());
@@ -166,10 +193,20 @@
     Run run { order.task, order.run, world_.now(), !spec->gang, false, order.checkpoint };
     incarnation.runs[order.task] = run;
     ++starts_[order.task.job];
+    ++taskStarts_[taskName(order.task)];
     if (spec->gang)
         joinGang(order.task, order.run);
     else
         scheduleEnd(incarnation.entry.id, run);
+    if (crashingTasks.count(taskName(order.task)) > 0) {
+        if (crashDelay == Milliseconds(0))
+            crashFor(incarnation.entry.id, crashDownTime);
+        else
+            world_.after(crashDelay, [this, id = incarnation.entry.id, number = incarnation.number] {
+                if (workers_.at(id).number == number)
+                    crashFor(id, crashDownTime);
+            });
+    }
     response.outcome = CommandOutcome::Accepted;
     return response;
 }
@@ -326,6 +363,22 @@
     return position == starts_.end() ? 0 : position->second;
 }
 
+int SimFleet::startsOfTask(const std::string& name) const
+{
+    const auto position = taskStarts_.find(name);
+    return position == taskStarts_.end() ? 0 : position->second;
+}
+
+std::vector<WorkerId> SimFleet::ids() const
+{
+    std::vector<WorkerId> up;
+    for (const auto& [id, incarnation] : workers_) {
+        if (incarnation.up)
+            up.push_back(id);
+    }
+    return up;
+}
+
 int SimFleet::running() const
 {
     int count = 0;
@@ -349,7 +402,14 @@
         world_.after(delay, [this, handler, result] { deliver([handler, result] { handler(result); }); });
     };
     if (!findReachable(id)) {
-        respond(commandTimeout, {});
+        const auto position = fleet_.workers_.find(id);
+        CommandResponse refusal;
+        if (position == fleet_.workers_.end() || !position->second.closed || fleet_.silent.count(id) > 0) {
+            respond(commandTimeout, {});
+            return;
+        }
+        refusal.outcome = position->second.replaced ? CommandOutcome::WrongIncarnation : CommandOutcome::Unreachable;
+        respond(oneWay, refusal);
         return;
     }
     if (std::uniform_real_distribution<>(0, 1)(fleet_.random) < fleet_.delayedCommandShare) {
@@ -366,7 +426,7 @@
     world_.after(oneWay, [this, id, work, respond, lost] {
         SimFleet::WorkerState* const incarnation = findReachable(id);
         const CommandResponse response = incarnation ? work(*incarnation) : CommandResponse {};
-        if (incarnation && !lost)
+        if (incarnation && incarnation->up && !lost)
             respond(oneWay, response);
         else
             respond(commandTimeout, {});
@@ -413,8 +473,13 @@
     world_.after(wait + pollMargin, [once] { once(unavailable("no response", Verdict::MayHaveRun)); });
     world_.after(oneWay, [this, id = worker.id, leaseEnd, token, acknowledged, wait, once] {
         SimFleet::WorkerState* const incarnation = findReachable(id);
-        if (!incarnation)
+        if (!incarnation) {
+            const auto position = fleet_.workers_.find(id);
+            if (position != fleet_.workers_.end() && position->second.closed && fleet_.silent.count(id) == 0)
+                once(position->second.replaced ? makeError(ErrorCode::NotFound, "another process is at this address")
+                                               : unavailable("connection refused", Verdict::NotRun));
             return;
+        }
         if (token.value() < incarnation->fence) {
             ++fleet_.staleCommands;
             once(makeError(ErrorCode::Fenced, "a later owner has called the worker"));
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -33,6 +33,9 @@
 
     void crash(const WorkerId&); // unreachable until restart(); its runs are lost
     void restart(const WorkerId&); // as a new incarnation with the same id and no runs
+    // Ends the worker's process, whose port is closed until it comes back: as a new incarnation, or, if
+    // `returnWithNewId`, as another worker at the same address.
+    void crashFor(const WorkerId&, Milliseconds downTime);
     void setEntry(const WorkerId&, bool listed, bool draining = false);
 
     double delayedCommandShare = 0; // share of the commands that get no response and are executed later
@@ -42,6 +45,11 @@
     std::set<WorkerId> faulty; // workers on which every run fails soon
     std::map<std::string, int> failuresLeft; // number of next runs that fail, by task name without index
 
+    std::set<std::string> crashingTasks; // names of tasks whose start crashes the worker
+    Milliseconds crashDelay { 10 }; // from the start of such a task; if 0, the start gets no response
+    Milliseconds crashDownTime { 3000 };
+    bool returnWithNewId = false;
+
     std::mt19937 random { 2 };
 
     const WorkerEntry& entry(const WorkerId& id) const { return workers_.at(id).entry; }
@@ -50,6 +58,8 @@
     // Descriptions of the violated invariants.
     const std::vector<std::string>& violations() const { return violations_; }
     int startsOf(const JobId&) const;
+    int startsOfTask(const std::string& name) const;
+    std::vector<WorkerId> ids() const; // of the workers that are up
     int staleCommands = 0; // commands and polls with a lower token than the worker has seen
     int running() const;
     int runningOn(const WorkerId& id) const { return static_cast<int>(workers_.at(id).runs.size()); }
@@ -69,6 +79,8 @@
     struct WorkerState {
         WorkerEntry entry;
         bool up = true;
+        bool closed = false; // the process has ended; its address refuses connections or belongs to another worker
+        bool replaced = false; // another worker is at its address
         std::uint64_t number = 0;
         Milliseconds startedAt { 0 };
         std::int64_t fence = 0;
@@ -102,6 +114,8 @@
     std::map<WorkerId, WorkerState> workers_;
     std::set<TaskKey> acknowledgedDone_; // tasks whose completion has been acknowledged
     std::map<JobId, int> starts_;
+    std::map<std::string, int> taskStarts_;
+    int returned_ = 0; // workers that have come back with a new id
     std::vector<std::string> violations_;
 };
 
