A job fails after three workers in a row have crashed under one of its tasks

Cause: a run that is lost with its worker ended as `lapsed`, which counts for nothing, so that the task was started again without limit. Ruled out by the logs: a count that is lost with a change of owner (one owner started all runs) and runs that never started (eight of nine were confirmed).

A crash is certain if the worker has restarted, if another process is at its address, or if its port is closed and it is gone from the registry without draining. It is counted against the runs whose start the worker is not known to have outlived by 300 ms, on its own clock, or for a gang, since its last member was confirmed. A run that the worker outlived clears its task, so only crashes in a row count. The runs are stored as a set of run numbers with the task's progress, at once, so that a new owner goes on with the count and no run counts twice. A worker that is silent or cut off has not crashed; runs that end with its lease are counted once its restart is seen. Suspect tasks of different jobs do not start on one worker at the same time, and gangs and last attempts avoid workers that have just crashed. While workers crash, each start is polled after 320 ms; without crashes no poll is added.

Records: a sixth element of a task's row, present only if it is not empty.

--- a/include/rosemarylink/jobs/JobProgress.h
+++ b/include/rosemarylink/jobs/JobProgress.h
@@ -25,6 +25,9 @@
     // Failed runs of a task that is not in a gang. A set, because a worker may report an end repeatedly and ends may be
     // reported in any order.
     std::set<int> failedRuns;
+    // Runs under which a worker crashed, since the last run that a worker was seen to survive; see
+    // OwnerSessionCrashes.cpp.
+    std::set<int> crashedRuns;
     std::string checkpoint; // of a task that is not in a gang
     WorkerId worker; // while Starting, Running or Stopping
     Milliseconds startedAt { 0 }; // monotonic time at which the start command was sent
--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -10,14 +10,18 @@
             || task.phase == TaskPhase::Stopping;
     }
 
-    // Encodes each task that has started or is done as a row [index, done, run, failed runs, checkpoint].
+    // Encodes each task that has started or is done as a row [index, done, run, failed runs, checkpoint], followed by
+    // its crashed runs if there are any.
     nlohmann::json stepToJson(const StepProgress& step)
     {
         nlohmann::json rows = nlohmann::json::array();
         for (std::size_t index = 0; index < step.tasks.size(); ++index) {
             const TaskProgress& task = step.tasks[index];
-            if (task.run > 0 || task.phase == TaskPhase::Done)
-                rows.push_back({ index, task.phase == TaskPhase::Done, task.run, task.failedRuns, task.checkpoint });
+            if (task.run == 0 && task.phase != TaskPhase::Done)
+                continue;
+            rows.push_back({ index, task.phase == TaskPhase::Done, task.run, task.failedRuns, task.checkpoint });
+            if (!task.crashedRuns.empty())
+                rows.back().push_back(task.crashedRuns);
         }
         return { { "failedRuns", step.gangFailedRuns }, { "checkpoint", step.gangCheckpoint }, { "tasks", rows } };
     }
@@ -35,6 +39,8 @@
             task.run = row.at(2).get<int>();
             task.failedRuns = row.at(3).get<std::set<int>>();
             task.checkpoint = row.at(4).get<std::string>();
+            if (row.size() > 5) // absent from records written by earlier versions
+                task.crashedRuns = row.at(5).get<std::set<int>>();
         }
     }
 
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -29,6 +29,13 @@
 // A worker's clock runs at no less than this rate relative to the owner's clock.
 inline constexpr double slowestClockRate = 0.98;
 
+// A job is given up once this many workers in a row have crashed under one of its tasks. The platform allows two more
+// starts, which covers crashes that no owner saw.
+inline constexpr std::size_t maximumCrashes = 3;
+
+// A task that crashes its workers does so at once, so that a run is not to blame if its worker lived on for this long.
+inline constexpr Milliseconds survivalTime { 300 };
+
 using RunKey = std::pair<TaskKey, int>; // a task and the number of its run
 
 // A run that occupies resources of a worker, from its start command until its end is known.
@@ -44,6 +51,7 @@
     // Until then, an unanswered start command for this run may still be executed; absent if none is unanswered.
     std::optional<Milliseconds> strayStartUntil;
     std::optional<Milliseconds> confirmedAt; // when the worker first confirmed the run
+    std::optional<Milliseconds> confirmedClock; // reading of the worker's clock when it first confirmed the run
     std::optional<Milliseconds> stopAcceptedAt; // when the worker accepted the stop; the run cannot start afterwards
     Milliseconds stopSentAt { 0 };
 
@@ -67,8 +75,11 @@
     std::optional<Milliseconds> clock; // last reading of the worker's clock
     Milliseconds clockReadAt { 0 }; // when that reading was received
     Milliseconds reportedAt { 0 }; // when the last report was received
+    Milliseconds aliveAt { 0 }; // when the newest poll that got a report was sent
     Milliseconds leaseExpiresAt { 0 }; // all runs on the worker, known or not, have ended by then
     std::map<RunKey, WorkerRun> runs;
+    // Runs that ended with the lease of an unresponsive worker, which may have crashed under them or been cut off.
+    std::vector<RunKey> undecidedRuns;
     std::int64_t lastSeenEnd = 0; // number of the last end that was handled
     std::int64_t acknowledged = 0; // number up to which the worker has received acknowledgments
     std::deque<PendingEnd> pendingEnds;
@@ -137,8 +148,19 @@
     void adoptRun(Worker&, Job&, const RunningRun&);
     void handleRestart(Worker&);
     void endLostRuns(Worker&, const std::string& reason);
+    void endCrashedRuns(Worker&, const std::string& reason);
     std::int64_t acknowledgeableEnd(Worker&);
 
+    // OwnerSessionCrashes.cpp: tasks under which workers crash.
+    Milliseconds knownSurvival(const Worker&, const RunKey&, const WorkerRun&);
+    std::vector<RunKey> possibleCauses(const Worker&);
+    void handleCrash(Worker&, const std::string& reason);
+    void recordCrash(const Worker&, const RunKey&, const std::string& reason);
+    void recordSurvival(Job&, const Worker&, const RunKey&, const WorkerRun&);
+    bool isRecentlyCrashed(const Worker&) const;
+    void checkSurvivalSoon(const Job&, const TaskKey&, const WorkerId&);
+    std::vector<Placement> withoutSharedBlame(const std::vector<Placement>&);
+
     // OwnerSessionTasks.cpp: commands to workers and ends of runs.
     void handleEnd(Worker&, const EndedRun&);
     void learnRunTime(Job&, const EndedRun&, const WorkerRun&);
@@ -221,6 +243,8 @@
     std::map<ServiceId, ReleaseRate> releaseRates_;
     std::map<ServiceId, Milliseconds> preemptedForOthersAt_; // last plan that could preempt for work that is not urgent
     RunTimePredictor runTimes_; // by queue
+    std::optional<Milliseconds> lastCrashAt_; // of any worker
+    std::map<std::string, Milliseconds> crashedAt_; // by the worker's address, which a successor with a new id shares
     bool recovered_ = false;
     // Starts and ends of a step's tasks that are logged together, because their number grows with the fleet.
     struct StepActivity {
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -50,16 +50,18 @@
         return "no-room";
     }
 
-    // Whether one more failed run of any waiting task makes the job fail.
+    // Whether one more failed or crashed run of any waiting task makes the job fail.
     bool isLastAttempt(const Job& job, const StepProgress& step, bool gang)
     {
         const auto isLast = [&job](const std::set<int>& failedRuns) {
             return static_cast<int>(failedRuns.size()) + 1 >= job.spec.policy.maximumAttempts;
         };
-        if (gang)
-            return isLast(step.gangFailedRuns);
-        return std::any_of(step.tasks.begin(), step.tasks.end(),
-            [&](const TaskProgress& task) { return task.phase == TaskPhase::Waiting && isLast(task.failedRuns); });
+        if (gang && isLast(step.gangFailedRuns))
+            return true;
+        return std::any_of(step.tasks.begin(), step.tasks.end(), [&](const TaskProgress& task) {
+            return task.phase == TaskPhase::Waiting
+                && (isLast(task.failedRuns) || task.crashedRuns.size() + 1 >= maximumCrashes);
+        });
     }
 
     std::int64_t peakAccelerators(const JobSpec& job)
@@ -174,7 +176,7 @@
         [](const ExpectedEnd& a, const ExpectedEnd& b) { return a.at < b.at; });
     row.schedulable = worker.reconciled && recordedWorkers_.count(worker.entry.id) > 0 && worker.clock
         && !worker.entry.draining && !worker.unresponsiveSince;
-    row.suspect = worker.avoidUntil > now();
+    row.suspect = worker.avoidUntil > now() || isRecentlyCrashed(worker);
     return row;
 }
 
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -262,7 +262,7 @@
 
 void OwnerSession::startTasks(const std::vector<Placement>& placements)
 {
-    for (const Placement& placement : placements) {
+    for (const Placement& placement : withoutSharedBlame(placements)) {
         Job* const job = find(placement.task.job);
         Worker* const worker = find(placement.worker);
         if (!job || !worker)
@@ -413,6 +413,10 @@
     case CommandOutcome::Accepted:
         if (!run.confirmedAt)
             run.confirmedAt = now();
+        if (!run.confirmedClock)
+            run.confirmedClock = worker->clock;
+        if (job && job->contains(key.first))
+            checkSurvivalSoon(*job, key.first, id);
         if (run.phase == TaskPhase::Starting) {
             run.phase = TaskPhase::Running;
             if (job && job->task(key.first).phase == TaskPhase::Starting && job->task(key.first).run == key.second)
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -146,7 +146,9 @@
     // Another process is at the address, or the port is closed and the registration is gone: the worker process has
     // ended, and all of its runs with it.
     if (error.verdict == Verdict::NotRun && error.code == ErrorCode::NotFound)
-        endLostRuns(worker, "another process is at its address");
+        endCrashedRuns(worker, "another process is at its address");
+    else if (error.verdict == Verdict::NotRun && !worker.listed && !worker.entry.draining)
+        endCrashedRuns(worker, "its port is closed and it is no longer registered");
     else if (error.verdict == Verdict::NotRun && !worker.listed)
         endLostRuns(worker, "the worker has left");
     if (worker.listed || !worker.runs.empty())
@@ -169,6 +171,8 @@
         worker.unresponsiveSince.reset();
     }
     worker.reportedAt = now();
+    worker.aliveAt = std::max(worker.aliveAt, sentAt);
+    worker.undecidedRuns.clear(); // the worker was only cut off
     updateClock(worker, report.workerClock);
     // Runs on the worker may have a lease from a previous owner, of the longest duration that the worker grants.
     if (!worker.firstReportAt)
@@ -220,6 +224,8 @@
         WorkerRun& run = position->second;
         if (!run.confirmedAt)
             run.confirmedAt = sentAt;
+        if (!run.confirmedClock)
+            run.confirmedClock = worker.clock;
         if (run.phase == TaskPhase::Starting)
             run.phase = TaskPhase::Running;
         if (!job || !job->contains(running.task))
@@ -231,6 +237,7 @@
             task.phase = TaskPhase::Running;
         else if (task.phase == TaskPhase::Stopping && run.phase != TaskPhase::Stopping)
             stopRun(worker, key);
+        recordSurvival(*job, worker, key, run);
         task.percent = running.percent;
         if (running.percent > 0)
             expectEnd(*job, running.task, run, running.percent);
@@ -261,6 +268,7 @@
     run.resources = job.stepSpec(running.task).perTask;
     run.phase = TaskPhase::Running;
     run.confirmedAt = now();
+    run.confirmedClock = worker.clock;
     run.startedAt = now();
     run.adopted = true;
     expectEnd(job, running.task, run, running.percent);
@@ -314,6 +322,7 @@
 void OwnerSession::handleRestart(Worker& worker)
 {
     logger.info("Worker has restarted", { { "worker", worker.entry.id }, { "runs", worker.runs.size() } });
+    handleCrash(worker, "the worker has restarted");
     ++worker.incarnation;
     worker.pollInFlight = false;
     worker.reconciled = false;
@@ -346,6 +355,12 @@
     schedulePoll(worker.entry.id, Milliseconds(0));
 }
 
+void OwnerSession::endCrashedRuns(Worker& worker, const std::string& reason)
+{
+    handleCrash(worker, reason);
+    endLostRuns(worker, reason);
+}
+
 void OwnerSession::endLostRuns(Worker& worker, const std::string& reason)
 {
     if (worker.runs.empty())
