Failing test: two runs of a task after an unnoticed restart of a worker

The owner does not poll idle workers, so that a start may reach a worker that has restarted under its id. If the owner stops that run, because another member was refused, and then notices the restart, it takes the stop for one to the earlier incarnation and the run for lost (`Run is missing from its worker's report`, `lapsed` after 44 ms), and starts the task elsewhere while the new incarnation still stops it.

--- a/tests/jobs/CrashingTasksTest.cpp
+++ b/tests/jobs/CrashingTasksTest.cpp
@@ -217,4 +217,23 @@
     CHECK(joined(cluster.fleet.violations()) == "");
 }
 
+// Guards against two simultaneous runs of a task: a stop sent to a worker whose restart was not noticed yet was taken
+// as one to its earlier incarnation, and the task was started elsewhere before the run had ended.
+TEST_CASE("a run that is being stopped when its worker's restart is noticed still counts until it has ended")
+{
+    const int delay = GENERATE(range(0, 16));
+    CAPTURE(delay);
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 4);
+    cluster.world.run(Milliseconds(2000 + 50 * delay));
+    // The owner knows nothing of the restarts until it calls these workers or lists the registrations.
+    cluster.fleet.restart(WorkerId("w0-0"));
+    cluster.fleet.restart(WorkerId("w0-1"));
+    cluster.fleet.crashFor(WorkerId("w0-2"), Milliseconds(20000));
+    cluster.submit("batch", "a1", oneStep(3, 8, Milliseconds(1500), /*gang=*/true));
+    cluster.world.run(Milliseconds(40000));
+    CHECK(joined(cluster.fleet.violations()) == "");
+    CHECK(cluster.storedState("a1") == JobState::Completed);
+}
+
 } // namespace rosemarylink::jobs
