A stop that a restarted worker may have accepted is repeated and waited for

Cause: handleRestart() took each confirmed run for one of the earlier incarnation, also one that is being stopped. A report does not list such a run, so that the next report ended it as lost although the new incarnation still worked on its stop. The stop is now sent again and the run counts until the longest stop has passed, as for a start whose response is missing.

--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -336,7 +336,8 @@
     for (auto& [key, run] : worker.runs) {
         run.stopAcceptedAt.reset(); // by the earlier incarnation
         const bool stray = run.strayStartUntil && now() < *run.strayStartUntil;
-        if (run.confirmedAt && !stray)
+        // The new incarnation may have accepted the start and the stop; a run that is being stopped is not reported.
+        if (run.confirmedAt && !stray && run.phase != TaskPhase::Stopping)
             run.phase = TaskPhase::Running;
         else
             unconfirmed.push_back(key);
