Tests: changing capacities of workers that start whatever they are told, crashing tasks in the invariants

The platform lets a worker's capacity shrink and grow while it runs (LIMIT, a smaller one counts 5.5 s later). Not covered: a store that answers renewals and no lists, and another capacity after a restart under the same id.

The first one draws the same sequences as before.

--- a/tests/jobs/PoolPropertyTest.cpp
+++ b/tests/jobs/PoolPropertyTest.cpp
@@ -22,11 +22,13 @@
         return out << "{" << fault.kind << ", " << fault.choice << ", Milliseconds(" << fault.pause.count() << ")}";
     }
 
+    // The last kind submits a job with a task that crashes its workers.
     constexpr int faultKinds = 12;
+    constexpr int faultKindsWithCrashes = 13;
 
-    rc::Gen<Fault> genFault()
+    rc::Gen<Fault> genFault(int kinds)
     {
-        return rc::gen::build<Fault>(rc::gen::set(&Fault::kind, rc::gen::inRange(0, faultKinds)),
+        return rc::gen::build<Fault>(rc::gen::set(&Fault::kind, rc::gen::inRange(0, kinds)),
             rc::gen::set(&Fault::choice, rc::gen::inRange(0, 4)),
             rc::gen::set(
                 &Fault::pause, rc::gen::map(rc::gen::inRange(1, 2500), [](int ms) { return Milliseconds(ms); })));
@@ -88,6 +90,9 @@
             case 10:
                 cluster_.store.forgetHistory();
                 break;
+            case 12:
+                submitCrashing(fault.choice);
+                break;
             default:
                 clearFaults();
             }
@@ -115,7 +120,9 @@
             for (const std::string& id : accepted_) {
                 const auto state = cluster_.storedState(id);
                 RC_ASSERT(state.has_value());
-                if (cancelled_.count(id) == 0 && *state != JobState::Completed)
+                if (crashing_.count(id) > 0)
+                    RC_ASSERT(*state != JobState::Completed);
+                else if (cancelled_.count(id) == 0 && *state != JobState::Completed)
                     RC_FAIL("job " + id + " is " + std::string(jobStateName(*state)));
                 RC_ASSERT(isFinal(*state));
             }
@@ -144,6 +151,16 @@
                 accepted_.push_back(id);
         }
 
+        // Submits a job with a task that crashes each worker that starts it.
+        void submitCrashing(int choice)
+        {
+            const std::string id = "j" + std::to_string(submitted_ + 1);
+            cluster_.fleet.crashingTasks.insert(id + ".0.0.0");
+            cluster_.fleet.crashDelay = Milliseconds(choice * 10);
+            crashing_.insert(id);
+            submit(choice);
+        }
+
         void cancelAccepted(int choice)
         {
             if (accepted_.empty())
@@ -159,6 +176,7 @@
         int submitted_ = 0;
         std::vector<std::string> accepted_;
         std::set<std::string> cancelled_;
+        std::set<std::string> crashing_;
     };
 
 } // namespace
@@ -168,7 +186,20 @@
 TEST_CASE("the scheduler's invariants hold under any sequence of faults")
 {
     rc::prop("invariants hold", [] {
-        const auto faults = *rc::gen::container<std::vector<Fault>>(genFault());
+        const auto faults = *rc::gen::container<std::vector<Fault>>(genFault(faultKinds));
+        Scenario scenario;
+        for (const Fault& fault : faults)
+            scenario.inject(fault);
+        scenario.finish();
+    });
+}
+
+// Guards the same invariants while tasks crash their workers; their jobs must end without having completed, and no
+// other job may fail.
+TEST_CASE("the scheduler's invariants hold while tasks crash their workers")
+{
+    rc::prop("invariants hold", [] {
+        const auto faults = *rc::gen::container<std::vector<Fault>>(genFault(faultKindsWithCrashes));
         Scenario scenario;
         for (const Fault& fault : faults)
             scenario.inject(fault);
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -70,6 +70,25 @@
     store_.put("workers/" + id.value(), json.dump());
 }
 
+void SimFleet::setCapacity(const WorkerId& id, const Resources& capacity)
+{
+    WorkerState& incarnation = workers_.at(id);
+    incarnation.formerCapacities.emplace_back(world_.now(), incarnation.entry.capacity);
+    incarnation.entry.capacity = capacity;
+    setEntry(id, true);
+}
+
+bool SimFleet::fits(const WorkerState& incarnation, const Resources& used) const
+{
+    if (used.fitsIn(incarnation.entry.capacity))
+        return true;
+    for (const auto& [until, capacity] : incarnation.formerCapacities) {
+        if (world_.now() - until <= shrinkGrace && used.fitsIn(capacity))
+            return true;
+    }
+    return false;
+}
+
 void SimFleet::crash(const WorkerId& id)
 {
     WorkerState& incarnation = workers_.at(id);
@@ -178,7 +197,14 @@
     Resources free = incarnation.entry.capacity;
     for (const auto& [key, run] : incarnation.runs)
         free -= specOf(key)->perTask;
-    if (!spec || !spec->perTask.fitsIn(free)) {
+    if (admitsAnything && spec) {
+        Resources used = spec->perTask;
+        for (const auto& [key, run] : incarnation.runs)
+            used += specOf(key)->perTask;
+        if (!fits(incarnation, used))
+            addViolation(taskName(order.task) + " exceeds the capacity of " + incarnation.entry.id.value());
+    }
+    if (!spec || (!admitsAnything && !spec->perTask.fitsIn(free))) {
         response.outcome = CommandOutcome::NoCapacity;
         return response;
     }
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -37,6 +37,8 @@
     // `returnWithNewId`, as another worker at the same address.
     void crashFor(const WorkerId&, Milliseconds downTime);
     void setEntry(const WorkerId&, bool listed, bool draining = false);
+    // Changes the capacity while the worker runs. Starts are held to a smaller one after `shrinkGrace`.
+    void setCapacity(const WorkerId&, const Resources&);
 
     double delayedCommandShare = 0; // share of the commands that get no response and are executed later
     Milliseconds commandDelay { 4000 }; // delay of those commands
@@ -45,6 +47,10 @@
     std::set<WorkerId> faulty; // workers on which every run fails soon
     std::map<std::string, int> failuresLeft; // number of next runs that fail, by task name without index
 
+    // Workers start whatever they are told; a start that exceeds the capacity is a violation.
+    bool admitsAnything = false;
+    Milliseconds shrinkGrace { 5500 };
+
     std::set<std::string> crashingTasks; // names of tasks whose start crashes the worker
     Milliseconds crashDelay { 10 }; // from the start of such a task; if 0, the start gets no response
     Milliseconds crashDownTime { 3000 };
@@ -86,6 +92,7 @@
         std::int64_t fence = 0;
         Milliseconds leaseEnd { 0 }; // on the worker's clock
         std::map<TaskKey, Run> runs;
+        std::vector<std::pair<Milliseconds, Resources>> formerCapacities; // each with the time until which it held
         std::map<TaskKey, int> highestRefusedRuns; // runs up to this number cannot start any more
         std::vector<EndedRun> ended;
         std::int64_t lastEnd = 0;
@@ -94,6 +101,7 @@
     };
 
     Milliseconds clockOf(const WorkerState&) const;
+    bool fits(const WorkerState&, const Resources& used) const;
     CommandResponse start(WorkerState&, const StartCommand&, Milliseconds leaseEnd, std::int64_t fence);
     CommandResponse stop(WorkerState&, const TaskKey&, int run, std::int64_t fence);
     WorkerReport report(const WorkerState&) const;
