Runs of a suspect task that are lost in a takeover count towards giving it up

A task that crashes its workers was started six times, one more than allowed (BUDGET), if the owner was killed before it learned of the crash after each of three starts.

From a task's first crashed run on, each start is stored with the task, at once, until its end is known (unresolvedRuns). What is left after a takeover counts beside the crashes that were seen, once two were, which is when the platform allows a task to be given up; a job of which only one crash was seen is not failed by lost runs, however many. Writes are added only for suspect tasks.

Test: six starts in all six cases before, at most five now. The opposite case, a task that is cut off through four takeovers after a single crash, completes before and after. Remaining: crashes before the first one that any owner has seen are not stored; each costs a takeover, which waits up to 6.4 s for a crashed worker.

--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -11,7 +11,7 @@
     }
 
     // Encodes each task that has started or is done as a row [index, done, run, failed runs, checkpoint], followed by
-    // its crashed runs if there are any.
+    // its crashed and unresolved runs if there are crashed ones.
     nlohmann::json stepToJson(const StepProgress& step)
     {
         nlohmann::json rows = nlohmann::json::array();
@@ -20,8 +20,10 @@
             if (task.run == 0 && task.phase != TaskPhase::Done)
                 continue;
             rows.push_back({ index, task.phase == TaskPhase::Done, task.run, task.failedRuns, task.checkpoint });
-            if (!task.crashedRuns.empty())
+            if (!task.crashedRuns.empty()) {
                 rows.back().push_back(task.crashedRuns);
+                rows.back().push_back(task.unresolvedRuns);
+            }
         }
         return { { "failedRuns", step.gangFailedRuns }, { "checkpoint", step.gangCheckpoint }, { "tasks", rows } };
     }
@@ -39,8 +41,10 @@
             task.run = row.at(2).get<int>();
             task.failedRuns = row.at(3).get<std::set<int>>();
             task.checkpoint = row.at(4).get<std::string>();
-            if (row.size() > 5) // absent from records written by earlier versions
+            if (row.size() > 6) { // absent from records written by earlier versions
                 task.crashedRuns = row.at(5).get<std::set<int>>();
+                task.unresolvedRuns = row.at(6).get<std::set<int>>();
+            }
         }
     }
 
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -29,9 +29,11 @@
 // A worker's clock runs at no less than this rate relative to the owner's clock.
 inline constexpr double slowestClockRate = 0.98;
 
-// A job is given up once this many workers in a row have crashed under one of its tasks. The platform allows two more
-// starts, which covers crashes that no owner saw.
+// A job is given up once this many workers in a row have crashed under one of its tasks. Runs that were lost in a
+// takeover count as well once minimumSeenCrashes have been seen. The platform allows two more starts after the third
+// crash, which covers other crashes that no owner saw.
 inline constexpr std::size_t maximumCrashes = 3;
+inline constexpr std::size_t minimumSeenCrashes = 2;
 
 // A task that crashes its workers does so at once, so that a run is not to blame if its worker lived on for this long.
 inline constexpr Milliseconds survivalTime { 300 };
--- a/src/jobs/OwnerSessionCrashes.cpp
+++ b/src/jobs/OwnerSessionCrashes.cpp
@@ -1,9 +1,10 @@
 // Tasks under which workers crash. A crash is certain if the worker has restarted, if another process is at its
 // address, or if its port is closed and it is gone from the registry without draining; a worker that is only cut off or
 // silent has not crashed. The runs whose start the worker is not known to have survived may have caused the crash; each
-// is added to its task's crashed runs. A run that a worker survives clears its task, so that a job fails only after
-// several crashes in a row, and tasks under suspicion are started on different workers, so that none is blamed for what
-// another one causes.
+// is added to its task's crashed runs. From the first one on, each start is stored with the task until its end is
+// known, so that a crash that no owner saw is not forgotten. A run that a worker survives clears its task, so that a
+// job fails only after several crashes in a row, and suspect tasks of different jobs do not start on one worker
+// together, so that none is blamed for what another one causes.
 
 #include "OwnerSession.h"
 
@@ -92,18 +93,22 @@
     TaskProgress& task = job->task(key.first);
     if (!task.crashedRuns.insert(key.second).second)
         return;
+    task.unresolvedRuns.erase(key.second);
     const auto run = worker.runs.find(key);
     logger.warning("Worker crashed under a run",
         { { "task", taskName(key.first) }, { "run", key.second }, { "worker", worker.entry.id },
-            { "crashes", task.crashedRuns.size() }, { "limit", maximumCrashes },
+            { "crashes", task.crashedRuns.size() }, { "unresolved", task.unresolvedRuns.size() },
+            { "limit", maximumCrashes },
             { "survivedMs", run == worker.runs.end() ? 0 : knownSurvival(worker, key, run->second).count() },
             { "reason", reason } });
-    if (task.crashedRuns.size() < maximumCrashes) {
+    if (task.crashedRuns.size() < minimumSeenCrashes
+        || task.crashedRuns.size() + task.unresolvedRuns.size() < maximumCrashes) {
         markChanged(*job, /*urgent=*/true);
         return;
     }
     logger.warning("Job is given up because workers crash under its task",
-        { { "job", job->spec.id }, { "task", taskName(key.first) }, { "crashes", task.crashedRuns.size() } });
+        { { "job", job->spec.id }, { "task", taskName(key.first) }, { "crashes", task.crashedRuns.size() },
+            { "unresolved", task.unresolvedRuns.size() } });
     finishJob(*job, JobState::Failed);
 }
 
@@ -117,6 +122,7 @@
         { { "task", taskName(key.first) }, { "run", key.second }, { "worker", worker.entry.id },
             { "crashes", task.crashedRuns.size() } });
     task.crashedRuns.clear();
+    task.unresolvedRuns.clear();
     markChanged(job, /*urgent=*/false);
 }
 
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -119,6 +119,8 @@
         return;
     const bool current = task.run == run && task.worker == worker && task.phase != TaskPhase::Waiting;
     owner_.metrics_.countEnd(end);
+    if (end != RunEnd::LeaseExpired)
+        task.unresolvedRuns.erase(run);
     const StepSpec& spec = job.stepSpec(key);
     logEnd(spec, key, run, end, worker, current ? now() - task.startedAt : Milliseconds(0), current);
     if (end == RunEnd::Done && !spec.longRunning) {
@@ -229,6 +231,7 @@
     const RunKey runKey { key, task.run };
     if (worker && worker->runs.count(runKey) > 0 && worker->runs.at(runKey).isQueued()) {
         worker->runs.erase(runKey);
+        task.unresolvedRuns.erase(task.run);
         task.phase = TaskPhase::Waiting;
         task.worker = WorkerId();
         return;
@@ -298,6 +301,10 @@
     task.phase = TaskPhase::Starting;
     task.worker = worker.entry.id;
     task.startedAt = now();
+    if (!task.crashedRuns.empty()) {
+        task.unresolvedRuns.insert(task.run);
+        markChanged(job, /*urgent=*/true);
+    }
     const RunKey runKey { key, task.run };
     WorkerRun run;
     run.resources = job.stepSpec(key).perTask;
@@ -459,6 +466,7 @@
     if (!job)
         return;
     TaskProgress& task = job->task(key.first);
+    task.unresolvedRuns.erase(key.second);
     if (task.run == key.second && task.worker == id && task.phase != TaskPhase::Done) {
         task.phase = TaskPhase::Waiting;
         task.worker = WorkerId();
--- a/tests/jobs/CrashingTasksTest.cpp
+++ b/tests/jobs/CrashingTasksTest.cpp
@@ -130,6 +130,60 @@
     checkGivenUp(cluster, "a1", "a1.0.0.0");
 }
 
+// Guards against a task that is started once more for each owner that is killed before it learns of the crash.
+TEST_CASE("crashes under a suspect task that no owner saw stay within the limit")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    const Milliseconds untilKill = GENERATE(Milliseconds(100), Milliseconds(1000), Milliseconds(2500));
+    CAPTURE(cluster.fleet.returnWithNewId, untilKill.count());
+    cluster.addWorkers(3, 4);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0" };
+    cluster.submit("batch", "a1", oneStep(1, 8, Milliseconds(3000), /*gang=*/false));
+    int starts = 1;
+    for (int kills = 0; kills < 3;) {
+        for (int turn = 0; turn < 2000 && cluster.fleet.startsOfTask("a1.0.0.0") == starts; ++turn)
+            cluster.world.run(Milliseconds(10));
+        if (cluster.fleet.startsOfTask("a1.0.0.0") == starts)
+            break;
+        starts = cluster.fleet.startsOfTask("a1.0.0.0");
+        cluster.world.run(untilKill);
+        killOwner(cluster);
+        cluster.addInstance();
+        ++kills;
+    }
+    cluster.world.run(Milliseconds(90000));
+    checkGivenUp(cluster, "a1", "a1.0.0.0");
+}
+
+// Guards against a job that fails although only one worker is known to have crashed under its task.
+TEST_CASE("runs of a suspect task that are lost in takeovers do not fail its job by themselves")
+{
+    SimCluster cluster(2);
+    cluster.addWorkers(3, 4);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0" };
+    cluster.submit("batch", "a1", oneStep(1, 8, Milliseconds(3000), /*gang=*/false));
+    cluster.world.run(Milliseconds(100));
+    cluster.fleet.crashingTasks.clear();
+    for (int takeover = 0; takeover < 4; ++takeover) {
+        const int starts = cluster.fleet.startsOfTask("a1.0.0.0");
+        for (int turn = 0; turn < 2000 && cluster.fleet.startsOfTask("a1.0.0.0") == starts; ++turn)
+            cluster.world.run(Milliseconds(10));
+        // Every worker is cut off until the leases have expired, while the owner is replaced.
+        for (const WorkerId& id : cluster.fleet.ids())
+            cluster.fleet.silent.insert(id);
+        killOwner(cluster);
+        cluster.addInstance();
+        cluster.world.run(Milliseconds(9000));
+        cluster.fleet.silent.clear();
+    }
+    cluster.world.run(Milliseconds(60000));
+    CHECK(cluster.storedState("a1") == JobState::Completed);
+    CHECK(joined(cluster.fleet.violations()) == "");
+}
+
 // Guards against work that fails because it shared workers with a task that crashes them.
 TEST_CASE("tasks beside one that crashes its workers complete")
 {
@@ -163,9 +217,11 @@
     job.occurrences[0][0].tasks[1].run = 1;
     const std::string earlier = progressRecord(job);
     job.occurrences[0][0].tasks[0].crashedRuns = { 1, 3 };
+    job.occurrences[0][0].tasks[0].unresolvedRuns = { 4 };
     Job loaded = makeJob(spec, Revision(1));
     REQUIRE(applyProgressRecord(progressRecord(job), loaded));
     CHECK(loaded.occurrences[0][0].tasks[0].crashedRuns == std::set<int> { 1, 3 });
+    CHECK(loaded.occurrences[0][0].tasks[0].unresolvedRuns == std::set<int> { 4 });
     CHECK(loaded.occurrences[0][0].tasks[1].crashedRuns.empty());
     Job old = makeJob(spec, Revision(1));
     REQUIRE(applyProgressRecord(earlier, old));
