--- /dev/null
+++ b/tests/jobs/CrashingTasksTest.cpp
@@ -0,0 +1,295 @@
+#include "SimCluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <set>
+
+namespace rosemarylink::jobs {
+
+namespace {
+
+    // Crashes of workers after which a task may be given up, and starts that the platform allows after them.
+    constexpr int crashesToProve = 3;
+    constexpr int startsAfterwards = 2;
+
+    std::string joined(const std::vector<std::string>& lines)
+    {
+        std::string text;
+        for (const std::string& line : lines)
+            text += line + "\n";
+        return text;
+    }
+
+    void checkGivenUp(SimCluster& cluster, const std::string& job, const std::string& task)
+    {
+        CHECK(cluster.fleet.startsOfTask(task) <= crashesToProve + startsAfterwards);
+        CHECK(cluster.storedState(job) == JobState::Failed);
+        const std::size_t instance = cluster.instances.size() - 1;
+        const AdmissionResponse response = cluster.query("batch", job, instance);
+        CHECK(response.state == JobState::Failed);
+        CHECK(joined(cluster.fleet.violations()) == "");
+    }
+
+    void killOwner(SimCluster& cluster)
+    {
+        SimInstance* const owner = cluster.currentOwner();
+        REQUIRE(owner != nullptr);
+        owner->kill();
+    }
+
+    // Lets workers, chosen at random, crash by themselves, one each `interval`.
+    void flap(SimCluster& cluster, unsigned seed, Milliseconds interval, Milliseconds downTime, int crashes)
+    {
+        std::mt19937 random(seed);
+        for (int crash = 0; crash < crashes; ++crash) {
+            const std::vector<WorkerId> up = cluster.fleet.ids();
+            if (!up.empty())
+                cluster.fleet.crashFor(up[random() % up.size()], downTime);
+            cluster.world.run(interval);
+        }
+    }
+
+} // namespace
+
+// Guards against a task that is started without limit although each worker crashes under it.
+TEST_CASE("a task under which workers crash is given up")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    cluster.fleet.crashDelay = GENERATE(Milliseconds(10), Milliseconds(0));
+    CAPTURE(cluster.fleet.returnWithNewId, cluster.fleet.crashDelay.count());
+    cluster.addWorkers(2, 4);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0" };
+    cluster.submit("batch", "a1", oneStep(1, 8, Milliseconds(3000), /*gang=*/false));
+    cluster.world.run(Milliseconds(90000));
+    checkGivenUp(cluster, "a1", "a1.0.0.0");
+}
+
+// Guards against a task that is started without limit because its workers stay down for longer than their leases.
+TEST_CASE("a task under which workers crash is given up although they return after their leases")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    cluster.fleet.crashDownTime = Milliseconds(9000);
+    CAPTURE(cluster.fleet.returnWithNewId);
+    cluster.addWorkers(2, 4);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0" };
+    cluster.submit("batch", "a1", oneStep(1, 8, Milliseconds(3000), /*gang=*/false));
+    cluster.world.run(Milliseconds(120000));
+    checkGivenUp(cluster, "a1", "a1.0.0.0");
+}
+
+// Guards against a gang that is started without limit although the workers of a member crash.
+TEST_CASE("a gang is given up if workers crash under one of its members")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    cluster.addWorkers(2, 6);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.2" };
+    cluster.submit("batch", "a1", oneStep(4, 8, Milliseconds(3000), /*gang=*/true));
+    cluster.world.run(Milliseconds(90000));
+    checkGivenUp(cluster, "a1", "a1.0.0.2");
+}
+
+// Guards against a long-running task that crashes its workers for ever.
+TEST_CASE("a long-running task under which workers crash is given up")
+{
+    SimCluster cluster(2);
+    cluster.addWorkers(2, 4);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0" };
+    JobSpec job = oneStep(2, 8, Milliseconds(600000), /*gang=*/false);
+    job.steps[0].longRunning = true;
+    cluster.submit("batch", "a1", job);
+    cluster.world.run(Milliseconds(90000));
+    checkGivenUp(cluster, "a1", "a1.0.0.0");
+}
+
+// Guards against a count that starts anew with each owner.
+TEST_CASE("crashes under a task are counted across takeovers")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    const Milliseconds between = GENERATE(Milliseconds(3500), Milliseconds(5000), Milliseconds(7000));
+    CAPTURE(cluster.fleet.returnWithNewId, between.count());
+    cluster.addWorkers(2, 4);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0" };
+    cluster.submit("batch", "a1", oneStep(1, 8, Milliseconds(3000), /*gang=*/false));
+    for (int takeover = 0; takeover < 2; ++takeover) {
+        cluster.world.run(between);
+        killOwner(cluster);
+        cluster.addInstance();
+        cluster.world.run(Milliseconds(4000));
+    }
+    cluster.world.run(Milliseconds(90000));
+    checkGivenUp(cluster, "a1", "a1.0.0.0");
+}
+
+// Guards against a task that is started once more for each owner that is killed before it learns of the crash.
+TEST_CASE("crashes under a suspect task that no owner saw stay within the limit")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    const Milliseconds untilKill = GENERATE(Milliseconds(100), Milliseconds(1000), Milliseconds(2500));
+    CAPTURE(cluster.fleet.returnWithNewId, untilKill.count());
+    cluster.addWorkers(3, 4);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0" };
+    cluster.submit("batch", "a1", oneStep(1, 8, Milliseconds(3000), /*gang=*/false));
+    int starts = 1;
+    for (int kills = 0; kills < 3;) {
+        for (int turn = 0; turn < 2000 && cluster.fleet.startsOfTask("a1.0.0.0") == starts; ++turn)
+            cluster.world.run(Milliseconds(10));
+        if (cluster.fleet.startsOfTask("a1.0.0.0") == starts)
+            break;
+        starts = cluster.fleet.startsOfTask("a1.0.0.0");
+        cluster.world.run(untilKill);
+        killOwner(cluster);
+        cluster.addInstance();
+        ++kills;
+    }
+    cluster.world.run(Milliseconds(90000));
+    checkGivenUp(cluster, "a1", "a1.0.0.0");
+}
+
+// Guards against a job that fails although only one worker is known to have crashed under its task.
+TEST_CASE("runs of a suspect task that are lost in takeovers do not fail its job by themselves")
+{
+    SimCluster cluster(2);
+    cluster.addWorkers(3, 4);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0" };
+    cluster.submit("batch", "a1", oneStep(1, 8, Milliseconds(3000), /*gang=*/false));
+    cluster.world.run(Milliseconds(100));
+    cluster.fleet.crashingTasks.clear();
+    for (int takeover = 0; takeover < 4; ++takeover) {
+        const int starts = cluster.fleet.startsOfTask("a1.0.0.0");
+        for (int turn = 0; turn < 2000 && cluster.fleet.startsOfTask("a1.0.0.0") == starts; ++turn)
+            cluster.world.run(Milliseconds(10));
+        // Every worker is cut off until the leases have expired, while the owner is replaced.
+        for (const WorkerId& id : cluster.fleet.ids())
+            cluster.fleet.silent.insert(id);
+        killOwner(cluster);
+        cluster.addInstance();
+        cluster.world.run(Milliseconds(9000));
+        cluster.fleet.silent.clear();
+    }
+    cluster.world.run(Milliseconds(60000));
+    CHECK(cluster.storedState("a1") == JobState::Completed);
+    CHECK(joined(cluster.fleet.violations()) == "");
+}
+
+// Guards against work that fails because it shared workers with a task that crashes them.
+TEST_CASE("tasks beside one that crashes its workers complete")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    cluster.addWorkers(1, 3);
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.crashingTasks = { "a1.0.0.0", "a2.0.0.0" };
+    // All of them start at the same time, lose their workers together and wait together.
+    cluster.submit("batch", "a1", oneStep(1, 1, Milliseconds(3000), /*gang=*/false));
+    cluster.submit("batch", "b1", oneStep(6, 1, Milliseconds(4000), /*gang=*/false));
+    cluster.submit("batch", "a2", oneStep(1, 1, Milliseconds(3000), /*gang=*/false));
+    cluster.submit("batch", "b2", oneStep(3, 2, Milliseconds(4000), /*gang=*/true));
+    cluster.submit("batch", "b3", oneStep(4, 1, Milliseconds(6000), /*gang=*/false));
+    cluster.world.run(Milliseconds(120000));
+    for (const std::string job : { "b1", "b2", "b3" }) {
+        CAPTURE(job);
+        CHECK(cluster.storedState(job) == JobState::Completed);
+    }
+    checkGivenUp(cluster, "a1", "a1.0.0.0");
+    checkGivenUp(cluster, "a2", "a2.0.0.0");
+}
+
+// Guards against a count that is lost with the record, and against records that an earlier version cannot read or has
+// written.
+TEST_CASE("the progress record holds the crashes under a task, and records without them are read")
+{
+    const JobSpec spec = oneStep(2, 1, Milliseconds(500), /*gang=*/false);
+    Job job = makeJob(spec, Revision(1));
+    job.occurrences[0][0].tasks[0].run = 3;
+    job.occurrences[0][0].tasks[1].run = 1;
+    const std::string earlier = progressRecord(job);
+    job.occurrences[0][0].tasks[0].crashedRuns = { 1, 3 };
+    job.occurrences[0][0].tasks[0].unresolvedRuns = { 4 };
+    Job loaded = makeJob(spec, Revision(1));
+    REQUIRE(applyProgressRecord(progressRecord(job), loaded));
+    CHECK(loaded.occurrences[0][0].tasks[0].crashedRuns == std::set<int> { 1, 3 });
+    CHECK(loaded.occurrences[0][0].tasks[0].unresolvedRuns == std::set<int> { 4 });
+    CHECK(loaded.occurrences[0][0].tasks[1].crashedRuns.empty());
+    Job old = makeJob(spec, Revision(1));
+    REQUIRE(applyProgressRecord(earlier, old));
+    CHECK(old.occurrences[0][0].tasks[0].run == 3);
+    CHECK(old.occurrences[0][0].tasks[0].crashedRuns.empty());
+}
+
+// Guards against jobs that fail because their workers crash by themselves.
+TEST_CASE("jobs complete although workers go down and up by themselves")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    const unsigned seed = GENERATE(range(1u, 21u));
+    CAPTURE(cluster.fleet.returnWithNewId, seed);
+    cluster.addWorkers(2, 6);
+    cluster.world.run(Milliseconds(300));
+    cluster.submit("batch", "g1", oneStep(10, 2, Milliseconds(2500), /*gang=*/true));
+    cluster.submit("batch", "s1", oneStep(40, 4, Milliseconds(1500), /*gang=*/false));
+    JobSpec lasting = oneStep(4, 2, Milliseconds(600000), /*gang=*/false);
+    lasting.steps[0].longRunning = true;
+    cluster.submit("batch", "l1", lasting);
+    flap(cluster, seed, Milliseconds(1000), Milliseconds(2000), 100);
+    cluster.world.run(Milliseconds(60000));
+    CHECK(cluster.storedState("g1") == JobState::Completed);
+    CHECK(cluster.storedState("s1") == JobState::Completed);
+    CHECK(cluster.storedState("l1") == JobState::Active);
+    CHECK(joined(cluster.fleet.violations()) == "");
+}
+
+// Guards against jobs that fail because the network cuts their workers off.
+TEST_CASE("jobs complete although their workers are cut off again and again")
+{
+    SimCluster cluster(2);
+    cluster.addWorkers(1, 4);
+    cluster.world.run(Milliseconds(300));
+    for (int cut = 0; cut < 6; ++cut) {
+        // Right after a start, for longer than the lease.
+        cluster.submit("batch", "c" + std::to_string(cut), oneStep(4, 8, Milliseconds(2000), /*gang=*/cut % 2 == 0));
+        cluster.world.run(Milliseconds(60));
+        for (const WorkerId& id : cluster.fleet.ids())
+            cluster.fleet.silent.insert(id);
+        cluster.world.run(Milliseconds(8000));
+        cluster.fleet.silent.clear();
+        cluster.world.run(Milliseconds(1000));
+    }
+    cluster.world.run(Milliseconds(60000));
+    for (int cut = 0; cut < 6; ++cut)
+        CHECK(cluster.storedState("c" + std::to_string(cut)) == JobState::Completed);
+    CHECK(joined(cluster.fleet.violations()) == "");
+}
+
+// Guards against two simultaneous runs of a task: a stop sent to a worker whose restart was not noticed yet was taken
+// as one to its earlier incarnation, and the task was started elsewhere before the run had ended.
+TEST_CASE("a run that is being stopped when its worker's restart is noticed still counts until it has ended")
+{
+    const int delay = GENERATE(range(0, 16));
+    CAPTURE(delay);
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 4);
+    cluster.world.run(Milliseconds(2000 + 50 * delay));
+    // The owner knows nothing of the restarts until it calls these workers or lists the registrations.
+    cluster.fleet.restart(WorkerId("w0-0"));
+    cluster.fleet.restart(WorkerId("w0-1"));
+    cluster.fleet.crashFor(WorkerId("w0-2"), Milliseconds(20000));
+    cluster.submit("batch", "a1", oneStep(3, 8, Milliseconds(1500), /*gang=*/true));
+    cluster.world.run(Milliseconds(40000));
+    CHECK(joined(cluster.fleet.violations()) == "");
+    CHECK(cluster.storedState("a1") == JobState::Completed);
+}
+
+} // namespace rosemarylink::jobs
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -33,7 +33,12 @@
 
     void crash(const WorkerId&); // unreachable until restart(); its runs are lost
     void restart(const WorkerId&); // as a new incarnation with the same id and no runs
+    // Ends the worker's process, whose port is closed until it comes back: as a new incarnation, or, if
+    // `returnWithNewId`, as another worker at the same address.
+    void crashFor(const WorkerId&, Milliseconds downTime);
     void setEntry(const WorkerId&, bool listed, bool draining = false);
+    // Changes the capacity while the worker runs. Starts are held to a smaller one after `shrinkGrace`.
+    void setCapacity(const WorkerId&, const Resources&);
 
     double delayedCommandShare = 0; // share of the commands that get no response and are executed later
     Milliseconds commandDelay { 4000 }; // delay of those commands
@@ -42,6 +47,15 @@
     std::set<WorkerId> faulty; // workers on which every run fails soon
     std::map<std::string, int> failuresLeft; // number of next runs that fail, by task name without index
 
+    // Workers start whatever they are told; a start that exceeds the capacity is a violation.
+    bool admitsAnything = false;
+    Milliseconds shrinkGrace { 5500 };
+
+    std::set<std::string> crashingTasks; // names of tasks whose start crashes the worker
+    Milliseconds crashDelay { 10 }; // from the start of such a task; if 0, the start gets no response
+    Milliseconds crashDownTime { 3000 };
+    bool returnWithNewId = false;
+
     std::mt19937 random { 2 };
 
     const WorkerEntry& entry(const WorkerId& id) const { return workers_.at(id).entry; }
@@ -50,6 +64,8 @@
     // Descriptions of the violated invariants.
     const std::vector<std::string>& violations() const { return violations_; }
     int startsOf(const JobId&) const;
+    int startsOfTask(const std::string& name) const;
+    std::vector<WorkerId> ids() const; // of the workers that are up
     int staleCommands = 0; // commands and polls with a lower token than the worker has seen
     int running() const;
     int runningOn(const WorkerId& id) const { return static_cast<int>(workers_.at(id).runs.size()); }
@@ -69,11 +85,14 @@
     struct WorkerState {
         WorkerEntry entry;
         bool up = true;
+        bool closed = false; // the process has ended; its address refuses connections or belongs to another worker
+        bool replaced = false; // another worker is at its address
         std::uint64_t number = 0;
         Milliseconds startedAt { 0 };
         std::int64_t fence = 0;
         Milliseconds leaseEnd { 0 }; // on the worker's clock
         std::map<TaskKey, Run> runs;
+        std::vector<std::pair<Milliseconds, Resources>> formerCapacities; // each with the time until which it held
         std::map<TaskKey, int> highestRefusedRuns; // runs up to this number cannot start any more
         std::vector<EndedRun> ended;
         std::int64_t lastEnd = 0;
@@ -82,6 +101,7 @@
     };
 
     Milliseconds clockOf(const WorkerState&) const;
+    bool fits(const WorkerState&, const Resources& used) const;
     CommandResponse start(WorkerState&, const StartCommand&, Milliseconds leaseEnd, std::int64_t fence);
     CommandResponse stop(WorkerState&, const TaskKey&, int run, std::int64_t fence);
     WorkerReport report(const WorkerState&) const;
@@ -102,6 +122,8 @@
     std::map<WorkerId, WorkerState> workers_;
     std::set<TaskKey> acknowledgedDone_; // tasks whose completion has been acknowledged
     std::map<JobId, int> starts_;
+    std::map<std::string, int> taskStarts_;
+    int returned_ = 0; // workers that have come back with a new id
     std::vector<std::string> violations_;
 };
 
