--- a/tests/jobs/CrashingTasksTest.cpp
+++ b/tests/jobs/CrashingTasksTest.cpp
@@ -251,6 +251,31 @@
     CHECK(joined(cluster.fleet.violations()) == "");
 }
 
+// Guards against the same where workers crash so often that each of them lives for about 5 s.
+TEST_CASE("jobs complete although a worker crashes by itself every 400 ms")
+{
+    SimCluster cluster(2);
+    cluster.fleet.returnWithNewId = GENERATE(false, true);
+    cluster.addWorkers(2, 6);
+    cluster.world.run(Milliseconds(300));
+    cluster.submit("batch", "g1", oneStep(10, 2, Milliseconds(2500), /*gang=*/true));
+    cluster.submit("batch", "s1", oneStep(40, 4, Milliseconds(1500), /*gang=*/false));
+    JobSpec lasting = oneStep(4, 2, Milliseconds(600000), /*gang=*/false);
+    lasting.steps[0].longRunning = true;
+    cluster.submit("batch", "l1", lasting);
+    for (std::size_t crash = 0; crash < 100; ++crash) {
+        const std::vector<WorkerId> up = cluster.fleet.ids();
+        if (!up.empty())
+            cluster.fleet.crashFor(up[crash % up.size()], Milliseconds(2000));
+        cluster.world.run(Milliseconds(400));
+    }
+    cluster.world.run(Milliseconds(60000));
+    CHECK(cluster.storedState("g1") == JobState::Completed);
+    CHECK(cluster.storedState("s1") == JobState::Completed);
+    CHECK(cluster.storedState("l1") == JobState::Active);
+    CHECK(cluster.fleet.violations().empty());
+}
+
 // Guards against jobs that fail because the network cuts their workers off.
 TEST_CASE("jobs complete although their workers are cut off again and again")
 {
