--- a/tests/jobs/LargeConfigurationTest.cpp
+++ b/tests/jobs/LargeConfigurationTest.cpp
@@ -14,7 +14,7 @@
     // The store's limit on a value. Its transfer takes 1.1 s on the small link.
     constexpr std::size_t largestConfiguration = 1048000;
 
-    constexpr std::size_t largestTransfer = largestConfiguration * 4 / 3; // of the configuration, in base64
+    constexpr double largestTransfer = largestConfiguration * 4.0 / 3; // bytes of the configuration in base64
 
     // An instance that has not confirmed its configuration for this long reports that it is not ready.
     constexpr Milliseconds longestReadyAge { 2500 };
@@ -111,7 +111,7 @@
     cluster.queryFor(applyTime * 2);
     const double carried = cluster.small().store.link.bytesCarried;
     cluster.queryFor(Milliseconds(10000));
-    CHECK(cluster.small().store.link.bytesCarried - carried < largestConfiguration / 10);
+    CHECK(cluster.small().store.link.bytesCarried - carried < largestConfiguration / 10.0);
     CHECK(cluster.servesQueries());
 }
 
