--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -5,6 +5,7 @@
 #include "rosemarylink/jobs/JobProgress.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rosemarylink::jobs {
 
@@ -24,6 +25,9 @@
     // at another instance, which may reach the store.
     constexpr int resolutionDivisor = 2;
 
+    // A count of waiting jobs is used for this long after it was requested; the platform allows 2 s.
+    constexpr Milliseconds maximumCountAge { 1000 };
+
     // Reserved out of the caller's deadline for delivering the response.
     constexpr Milliseconds responseMargin { 150 };
 
@@ -97,6 +101,11 @@
             retryLater(call, /*mayHaveWritten=*/false, [this, call, proceed] { authorize(call, proceed); });
             return;
         }
+        if (call->mayHaveRun && config_.revision() != call->configRevision) {
+            // A newer configuration may refuse what an unresolved attempt has stored.
+            resolveAttempt(call);
+            return;
+        }
         const Queue* queue = configuration->findQueue(call->request.host, call->request.path);
         if (!queue) {
             finish(call, { AdmissionOutcome::NoQueue, "no queue matches this host and path" });
@@ -132,6 +141,8 @@
 
 void Admission::fail(const CallPointer& call)
 {
+    if (call->finished)
+        return;
     const Milliseconds waited = clock_.monotonic() - call->startedAt;
     // Logs the path because the job id can be extracted from it only with a confirmed configuration.
     const auto age = config_.age();
@@ -168,21 +179,26 @@
 }
 
 // Evaluates the submission anew for each attempt, since the write's precondition names the configuration that decided.
-// A newer configuration may refuse what an unresolved earlier attempt has stored, so that attempt is resolved first.
 void Admission::evaluateSubmission(const CallPointer& call)
 {
-    if (call->mayHaveRun) {
-        config_.whenConfirmed([this, call](const Configuration* configuration) {
-            if (!configuration)
-                retryLater(call, /*mayHaveWritten=*/false, [this, call] { evaluateSubmission(call); });
-            else if (config_.revision() != call->configRevision)
-                resolveAttempt(call);
-            else
-                authorizeSubmission(call);
-        });
-        return;
-    }
-    authorizeSubmission(call);
+    authorize(call, [this, call](const Queue& queue, const AccountId& account) {
+        call->spec.id = call->job;
+        call->spec.account = account;
+        call->spec.policy = queue.policy;
+        call->spec.acceptedAt = clock_.now();
+        if (!isValidJobId(call->job))
+            call->rejection = "the path does not contain a valid job id";
+        else if (!queue.unsupportedReason.empty())
+            call->rejection = queue.unsupportedReason;
+        else if (const auto checked = checkJobSpec(call->spec); !checked && call->rejection.empty())
+            call->rejection = checked.error().message;
+        if (!call->rejection.empty())
+            finish(call, { AdmissionOutcome::Invalid, call->rejection });
+        else if (config_.isLarge())
+            commitUnlessStored(call);
+        else
+            commitSubmission(call);
+    });
 }
 
 // Reads whether an unresolved attempt has stored its job. The configuration in its precondition has been replaced, so
@@ -204,42 +220,36 @@
     });
 }
 
-void Admission::authorizeSubmission(const CallPointer& call)
-{
-    authorize(call, [this, call](const Queue& queue, const AccountId& account) {
-        call->spec.id = call->job;
-        call->spec.account = account;
-        call->spec.policy = queue.policy;
-        call->spec.acceptedAt = clock_.now();
-        if (!isValidJobId(call->job))
-            call->rejection = "the path does not contain a valid job id";
-        else if (!queue.unsupportedReason.empty())
-            call->rejection = queue.unsupportedReason;
-        else if (const auto checked = checkJobSpec(call->spec); !checked && call->rejection.empty())
-            call->rejection = checked.error().message;
-        if (!call->rejection.empty())
-            finish(call, { AdmissionOutcome::Invalid, call->rejection });
-        else if (config_.isLarge())
-            commitUnlessStored(call);
-        else
-            commitSubmission(call);
-    });
-}
-
 // Reads whether the job is stored before it writes, because the response to a failed precondition contains the
 // configuration.
 void Admission::commitUnlessStored(const CallPointer& call)
 {
-    store_.read(keys::progress(call->job), storeTimeout, [this, call](const StoreResponse& response) {
+    const Revision decidedUnder = config_.revision();
+    store_.read(keys::progress(call->job), storeTimeout, [this, call, decidedUnder](const StoreResponse& response) {
         if (response.done())
             acceptAgain(call, response.records.front().revision);
         else if (response.outcome == StoreOutcome::NotFound)
-            commitSubmission(call);
+            commitUnlessReplaced(call, decidedUnder);
         else
             retryLater(call, /*mayHaveWritten=*/false, [this, call] { evaluateSubmission(call); });
     });
 }
 
+// Commits the submission if the configuration that decided on it is still the newest; otherwise evaluates it again.
+void Admission::commitUnlessReplaced(const CallPointer& call, Revision decidedUnder)
+{
+    config_.whenJustConfirmed([this, call, decidedUnder](const Configuration* configuration) {
+        if (call->finished)
+            return;
+        if (!configuration)
+            retryLater(call, /*mayHaveWritten=*/false, [this, call] { evaluateSubmission(call); });
+        else if (config_.revision() == decidedUnder)
+            commitSubmission(call);
+        else
+            evaluateSubmission(call);
+    });
+}
+
 void Admission::acceptAgain(const CallPointer& call, Revision revision)
 {
     logger.info("Job accepted again", { { "job", call->job }, { "revision", revision.value() } });
@@ -409,17 +419,39 @@
     });
 }
 
+// Callers that ask at the same time share one list, because it grows with the number of waiting jobs.
 void Admission::countWaiting(const CallPointer& call, const QueueId& queue)
 {
-    store_.list(keys::waitingPrefix(queue), storeTimeout, [this, call, queue](const StoreResponse& response) {
-        if (!response.done()) {
-            retryLater(call, /*mayHaveWritten=*/false, [this, call, queue] { countWaiting(call, queue); });
-            return;
+    WaitingCount& count = waitingCounts_[queue];
+    if (count.requestedAt && clock_.monotonic() - *count.requestedAt <= maximumCountAge) {
+        finishCount(call, count.jobs);
+        return;
+    }
+    count.callers.push_back(call);
+    if (count.callers.size() > 1)
+        return;
+    const Milliseconds requestedAt = clock_.monotonic();
+    store_.list(keys::waitingPrefix(queue), storeTimeout, [this, queue, requestedAt](const StoreResponse& response) {
+        WaitingCount& counted = waitingCounts_[queue];
+        const std::vector<CallPointer> callers = std::exchange(counted.callers, {});
+        if (response.done()) {
+            counted.jobs = response.records.size();
+            counted.requestedAt = requestedAt;
+        }
+        for (const CallPointer& caller : callers) {
+            if (response.done())
+                finishCount(caller, response.records.size());
+            else
+                retryLater(caller, /*mayHaveWritten=*/false, [this, caller, queue] { countWaiting(caller, queue); });
         }
-        AdmissionResponse waiting { AdmissionOutcome::Accepted, "" };
-        waiting.pending = response.records.size();
-        finish(call, waiting);
     });
 }
 
+void Admission::finishCount(const CallPointer& call, std::size_t jobs)
+{
+    AdmissionResponse waiting { AdmissionOutcome::Accepted, "" };
+    waiting.pending = jobs;
+    finish(call, waiting);
+}
+
 } // namespace rosemarylink::jobs
--- a/src/jobs/ConfigView.cpp
+++ b/src/jobs/ConfigView.cpp
@@ -12,6 +12,12 @@
     // this age is still correct when it arrives.
     constexpr Milliseconds maximumConfirmationAge { 1000 };
 
+    // The shorter it is, the fewer writes name a configuration that has just been replaced.
+    constexpr Milliseconds maximumJustConfirmedAge { 100 };
+
+    // A confirmation that is older when it arrives, because it transferred a new version, is repeated once.
+    constexpr Milliseconds maximumAgeOnArrival { 2000 };
+
     // A call takes 30 ms across regions and 300 ms when the store is slow.
     constexpr Milliseconds callTimeout { 800 };
 
@@ -19,6 +25,14 @@
     // if it has changed, but counts as a write, and the store may lose responses to writes while it serves reads.
     constexpr std::size_t largestSmallRecordBytes = 32 * 1024;
 
+    // After this many such confirmations in a row without a result, a watch that does not wait takes their place once,
+    // because the store may serve reads only. It transfers all versions since the last confirmation.
+    constexpr int maximumFailedPreconditions = 2;
+    constexpr Milliseconds immediateWatchWait { 1 };
+
+    // For a precondition; it is shorter because another call follows.
+    constexpr Milliseconds preconditionTimeout { 500 };
+
     // Requests confirm the configuration themselves; the watch keeps it current on instances without requests. A large
     // configuration is confirmed at an interval instead, because a watch transfers each version of it.
     constexpr Milliseconds watchWait { 5000 };
@@ -35,6 +49,11 @@
 
     const Logger logger("config");
 
+    bool hasResult(const StoreResponse& response)
+    {
+        return response.outcome != StoreOutcome::Refused && response.outcome != StoreOutcome::Unknown;
+    }
+
 } // namespace
 
 ConfigView::ConfigView(RecordStore& store, const Catalog& catalog, Timers& timers, const Clock& clock)
@@ -103,11 +122,21 @@
 
 void ConfigView::whenConfirmed(std::function<void(const Configuration*)> handler)
 {
-    if (configuration_ && confirmedAt_ && clock_.monotonic() - *confirmedAt_ <= maximumConfirmationAge) {
+    whenConfirmedWithin(maximumConfirmationAge, std::move(handler));
+}
+
+void ConfigView::whenJustConfirmed(std::function<void(const Configuration*)> handler)
+{
+    whenConfirmedWithin(maximumJustConfirmedAge, std::move(handler));
+}
+
+void ConfigView::whenConfirmedWithin(Milliseconds maximumAge, std::function<void(const Configuration*)> handler)
+{
+    if (configuration_ && confirmedAt_ && clock_.monotonic() - *confirmedAt_ <= maximumAge) {
         handler(&*configuration_);
         return;
     }
-    waitingHandlers_.push_back(std::move(handler));
+    waiting_.push_back({ std::move(handler), clock_.monotonic() - maximumAge, /*repeated=*/false });
     refresh();
 }
 
@@ -133,23 +162,37 @@
         store_.read(catalog_.configurationKey(), callTimeout, handler);
         return;
     }
+    if (failedPreconditions_ >= maximumFailedPreconditions) {
+        failedPreconditions_ = 0;
+        store_.watch(catalog_.configurationKey(), watchedRevision_, immediateWatchWait,
+            [this, handler](const StoreResponse& response) {
+                if (response.outcome == StoreOutcome::HistoryGone)
+                    store_.read(catalog_.configurationKey(), callTimeout, handler);
+                else
+                    handler(response);
+            });
+        return;
+    }
     // A batch without changes succeeds if the configuration is unchanged; otherwise the response contains the new one.
     Batch unchanged;
     unchanged.preconditions = { { catalog_.configurationKey(), revision_ } };
-    store_.commit(unchanged, callTimeout, handler);
+    store_.commit(unchanged, preconditionTimeout, [this, handler](const StoreResponse& response) {
+        failedPreconditions_ = hasResult(response) ? 0 : failedPreconditions_ + 1;
+        handler(response);
+    });
 }
 
 void ConfigView::handleConfirmation(const StoreResponse& response, Milliseconds requestedAt)
 {
     recordReach(response, requestedAt);
-    for (const Record& record : response.records)
-        apply(record, requestedAt);
+    // The newest version comes first, so that the others are ignored.
+    for (auto record = response.records.rbegin(); record != response.records.rend(); ++record)
+        apply(*record, requestedAt);
     const bool unchanged = response.done() && response.records.empty();
     if (unchanged)
         confirmedAt_ = std::max(confirmedAt_.value_or(requestedAt), requestedAt);
     watchedRevision_ = std::max({ watchedRevision_, revision_, response.done() ? response.revision : Revision(0) });
-    const bool confirmed = (unchanged || !response.records.empty()) && configuration_;
-    notifyWaiting(confirmed ? &*configuration_ : nullptr);
+    notifyWaiting(configuration_ && confirmedAt_ && *confirmedAt_ >= requestedAt);
 }
 
 bool ConfigView::isLarge() const { return recordBytes_ > largestSmallRecordBytes; }
@@ -161,7 +204,7 @@
 
 void ConfigView::recordReach(const StoreResponse& response, Milliseconds requestedAt)
 {
-    if (response.outcome == StoreOutcome::Refused || response.outcome == StoreOutcome::Unknown) {
+    if (!hasResult(response)) {
         recordFailedCall();
         return;
     }
@@ -199,12 +242,21 @@
     });
 }
 
-void ConfigView::notifyWaiting(const Configuration* configuration)
+// Keeps the handlers for which the confirmation is too old and repeats it for them, once for each handler.
+void ConfigView::notifyWaiting(bool confirmed)
 {
-    const auto waiting = std::move(waitingHandlers_);
-    waitingHandlers_.clear();
-    for (const auto& handler : waiting)
-        handler(configuration);
+    std::vector<Waiting> waiting = std::move(waiting_);
+    waiting_.clear();
+    for (Waiting& one : waiting) {
+        const bool inTime = confirmed && *confirmedAt_ >= one.confirmedSince
+            && clock_.monotonic() - *confirmedAt_ <= maximumAgeOnArrival;
+        if (!inTime && confirmed && !std::exchange(one.repeated, true))
+            waiting_.push_back(std::move(one));
+        else
+            one.handler(inTime ? &*configuration_ : nullptr);
+    }
+    if (!waiting_.empty())
+        refresh();
 }
 
 } // namespace rosemarylink::jobs
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -44,8 +44,11 @@
 {
     const Milliseconds time = now();
     for (auto& [id, worker] : workers_) {
-        if (!worker.runs.empty() && time >= worker.leaseExpiresAt)
-            endLostRuns(worker, "the worker's lease has expired");
+        if (worker.runs.empty() || time < worker.leaseExpiresAt)
+            continue;
+        const std::vector<RunKey> undecided = possibleCauses(worker);
+        worker.undecidedRuns.insert(worker.undecidedRuns.end(), undecided.begin(), undecided.end());
+        endLostRuns(worker, "the worker's lease has expired");
     }
     stopIncompleteGangs();
     checkRecovered();
@@ -117,8 +120,9 @@
                 handleIncoming(record);
         }
         // Cancellations are handled before the first response to this call, hence before any worker is polled, so that
-        // no run is stopped before it has been seen.
-        loadWorkers();
+        // no run is stopped before it has been seen. The list of workers is repeated by itself from then on.
+        if (!incomingLoaded_)
+            loadWorkers();
         for (const Record& record : response.records) {
             if (record.key.compare(0, keys::cancellations.size(), keys::cancellations) == 0)
                 handleIncoming(record);
@@ -132,7 +136,7 @@
 {
     owner_.store_.watch(keys::incoming, after, watchWait, guarded([this, after](const StoreResponse& response) {
         if (response.outcome == StoreOutcome::HistoryGone) {
-            loadIncoming();
+            runAfter(retryDelay, [this] { loadIncoming(); });
             return;
         }
         if (!response.done()) {
--- a/tests/jobs/LargeConfigurationTest.cpp
+++ b/tests/jobs/LargeConfigurationTest.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
+#include <optional>
+
 namespace rosemarylink::jobs {
 
 namespace {
@@ -60,6 +63,24 @@
             }
         }
 
+        // Hands in `count` jobs one after the other and returns how many of them are accepted within their callers'
+        // time.
+        int submitSteadily(int count, Milliseconds interval)
+        {
+            const auto accepted = std::make_shared<int>(0);
+            for (int number = 0; number < count; ++number) {
+                small().admission.submit(
+                    { "host", "/batch/steady" + std::to_string(number), "key", Milliseconds(3000) },
+                    []() -> Result<JobSpec> { return smallJob(); },
+                    [accepted](const AdmissionResponse& response) {
+                        *accepted += response.outcome == AdmissionOutcome::Accepted ? 1 : 0;
+                    });
+                world.run(interval);
+            }
+            world.run(Milliseconds(3000));
+            return *accepted;
+        }
+
         bool servesQueries() { return query("batch", "a1", 1).outcome == AdmissionOutcome::Accepted; }
     };
 
@@ -77,7 +98,7 @@
         INFO("turn " << turn << ", " << bytes << " bytes");
         REQUIRE(cluster.servesQueries());
         REQUIRE(cluster.small().config.current()->version == 2);
-        REQUIRE(cluster.small().config.age().value() <= longestReadyAge);
+        REQUIRE(cluster.small().config.age().value().count() <= longestReadyAge.count());
         cluster.queryFor(Milliseconds(1000));
     }
 }
@@ -161,4 +182,123 @@
     CHECK(cluster.servesQueries());
 }
 
+// Guards against submissions that each receive a new version because they name the replaced one, and that delay the
+// confirmation which would prevent it.
+TEST_CASE("submissions are accepted on a small link while a large configuration changes now and then")
+{
+    SmallLinkCluster cluster;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.queryFor(applyTime * 2);
+    for (int change = 1; change <= 3; ++change)
+        cluster.world.after(Milliseconds(5000) * change, [&cluster] { cluster.putConfiguration(); });
+    CHECK(cluster.submitSteadily(100, Milliseconds(200)) == 100);
+    CHECK(cluster.small().config.age().value().count() <= longestReadyAge.count());
+}
+
+// Guards against decisions under a version that was replaced while it was being transferred.
+TEST_CASE("a version that was replaced during its transfer is not handed out as confirmed")
+{
+    SmallLinkCluster cluster;
+    cluster.small().store.link.bytesPerMillisecond = smallLink / 5;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.world.run(Milliseconds(20000));
+    cluster.putConfiguration();
+    cluster.world.run(Milliseconds(1500));
+    cluster.putConfiguration();
+    std::optional<std::int64_t> version;
+    cluster.small().config.whenConfirmed(
+        [&version](const Configuration* configuration) { version = configuration ? configuration->version : 0; });
+    cluster.world.run(Milliseconds(20000));
+    REQUIRE(version.has_value());
+    CHECK(*version != 3);
+    cluster.small().config.whenConfirmed([&version](const Configuration* configuration) {
+        REQUIRE(configuration != nullptr);
+        version = configuration->version;
+    });
+    cluster.world.run(Milliseconds(1000));
+    CHECK(*version == 4);
+}
+
+// Guards against losing the configuration with the store's writes, on which its confirmation depends when it is large,
+// and against transferring it again and again meanwhile.
+TEST_CASE("an instance with a large configuration stays in service while the store serves reads only")
+{
+    const bool lost = GENERATE(true, false);
+    const int shareOfLink = GENERATE(1, 2);
+    SmallLinkCluster cluster;
+    cluster.small().store.link.bytesPerMillisecond = smallLink / shareOfLink;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.queryFor(applyTime * 3);
+    cluster.store.lostResponseShare = lost ? 1 : 0;
+    cluster.store.refusesWrites = !lost;
+    const double carried = cluster.small().store.link.bytesCarried;
+    int served = 0;
+    for (int turn = 0; turn < 40; ++turn) {
+        served += cluster.servesQueries() ? 1 : 0;
+        REQUIRE(cluster.small().config.age().value().count() <= longestReadyAge.count());
+        cluster.world.run(callInterval);
+    }
+    CHECK(served >= (lost ? 20 : 39));
+    CHECK(cluster.small().store.link.bytesCarried - carried < largestTransfer / 10);
+}
+
+// Guards against transferring a large configuration again and again because its confirmations time out.
+TEST_CASE("a large configuration is confirmed without transferring it while the store is slow")
+{
+    SmallLinkCluster cluster;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.queryFor(applyTime * 2);
+    cluster.store.oneWayLatency = Milliseconds(260);
+    cluster.world.run(Milliseconds(3000));
+    const double carried = cluster.small().store.link.bytesCarried;
+    for (int turn = 0; turn < 40; ++turn) {
+        REQUIRE(cluster.small().config.age().value().count() <= longestReadyAge.count());
+        cluster.world.run(Milliseconds(500));
+    }
+    CHECK(cluster.small().store.link.bytesCarried - carried < largestTransfer / 10);
+}
+
+// Guards against handlers that are kept for as long as the configuration changes faster than the link carries it.
+TEST_CASE("a confirmation that cannot be had in time is reported")
+{
+    SmallLinkCluster cluster;
+    cluster.small().store.link.bytesPerMillisecond = smallLink / 5;
+    cluster.growConfiguration(largestConfiguration);
+    cluster.world.run(Milliseconds(20000));
+    int called = 0;
+    for (int change = 0; change < 10; ++change) {
+        cluster.putConfiguration();
+        cluster.world.run(Milliseconds(1100));
+        cluster.small().config.whenConfirmed([&called](const Configuration*) { ++called; });
+        cluster.world.run(Milliseconds(1900));
+    }
+    CHECK(called >= 5);
+}
+
+// Guards against refusing a stored job: the configuration that removes its queue arrives while the write of the
+// submission is unresolved, between two confirmations.
+TEST_CASE("a stored submission is not refused under a version that took long to arrive")
+{
+    for (Milliseconds delay(0); delay <= Milliseconds(6000); delay += Milliseconds(200)) {
+        SmallLinkCluster cluster;
+        cluster.growConfiguration(largestConfiguration);
+        cluster.queryFor(applyTime * 2);
+        cluster.small().config.whenJustConfirmed([](const Configuration*) {});
+        cluster.world.run(Milliseconds(30));
+        std::optional<AdmissionOutcome> outcome;
+        cluster.small().admission.submit(
+            { "host", "/batch/s1", "key", Milliseconds(12000) }, []() -> Result<JobSpec> { return smallJob(); },
+            [&outcome](const AdmissionResponse& response) { outcome = response.outcome; });
+        cluster.world.run(Milliseconds(1));
+        cluster.store.lostResponseShare = 1;
+        cluster.world.after(delay, [&cluster] { cluster.putConfiguration("key", "urgent"); });
+        cluster.world.after(delay + Milliseconds(300), [&cluster] { cluster.store.lostResponseShare = 0; });
+        cluster.world.run(Milliseconds(20000));
+        INFO("queue removed after " << delay.count() << " ms");
+        REQUIRE(outcome.has_value());
+        const bool stored = cluster.storedState("s1").has_value();
+        CHECK(stored == (*outcome == AdmissionOutcome::Accepted || *outcome == AdmissionOutcome::MayHaveRun));
+    }
+}
+
 } // namespace rosemarylink::jobs
