--- a/tests/jobs/CrashingTasksTest.cpp
+++ b/tests/jobs/CrashingTasksTest.cpp
@@ -50,6 +50,23 @@
         }
     }
 
+    // Hands in a gang, a job of single tasks and a long-running one, none of which crashes its workers.
+    void submitWork(SimCluster& cluster)
+    {
+        cluster.submit("batch", "g1", oneStep(10, 2, Milliseconds(2500), /*gang=*/true));
+        cluster.submit("batch", "s1", oneStep(40, 4, Milliseconds(1500), /*gang=*/false));
+        JobSpec lasting = oneStep(4, 2, Milliseconds(600000), /*gang=*/false);
+        lasting.steps[0].longRunning = true;
+        cluster.submit("batch", "l1", lasting);
+    }
+
+    void checkWorkIsDone(const SimCluster& cluster)
+    {
+        CHECK(cluster.storedState("g1") == JobState::Completed);
+        CHECK(cluster.storedState("s1") == JobState::Completed);
+        CHECK(cluster.storedState("l1") == JobState::Active);
+    }
+
 } // namespace
 
 // Guards against a task that is started without limit although each worker crashes under it.
@@ -238,16 +255,10 @@
     CAPTURE(cluster.fleet.returnWithNewId, seed);
     cluster.addWorkers(2, 6);
     cluster.world.run(Milliseconds(300));
-    cluster.submit("batch", "g1", oneStep(10, 2, Milliseconds(2500), /*gang=*/true));
-    cluster.submit("batch", "s1", oneStep(40, 4, Milliseconds(1500), /*gang=*/false));
-    JobSpec lasting = oneStep(4, 2, Milliseconds(600000), /*gang=*/false);
-    lasting.steps[0].longRunning = true;
-    cluster.submit("batch", "l1", lasting);
+    submitWork(cluster);
     flap(cluster, seed, Milliseconds(1000), Milliseconds(2000), 100);
     cluster.world.run(Milliseconds(60000));
-    CHECK(cluster.storedState("g1") == JobState::Completed);
-    CHECK(cluster.storedState("s1") == JobState::Completed);
-    CHECK(cluster.storedState("l1") == JobState::Active);
+    checkWorkIsDone(cluster);
     CHECK(joined(cluster.fleet.violations()) == "");
 }
 
@@ -258,11 +269,7 @@
     cluster.fleet.returnWithNewId = GENERATE(false, true);
     cluster.addWorkers(2, 6);
     cluster.world.run(Milliseconds(300));
-    cluster.submit("batch", "g1", oneStep(10, 2, Milliseconds(2500), /*gang=*/true));
-    cluster.submit("batch", "s1", oneStep(40, 4, Milliseconds(1500), /*gang=*/false));
-    JobSpec lasting = oneStep(4, 2, Milliseconds(600000), /*gang=*/false);
-    lasting.steps[0].longRunning = true;
-    cluster.submit("batch", "l1", lasting);
+    submitWork(cluster);
     for (std::size_t crash = 0; crash < 100; ++crash) {
         const std::vector<WorkerId> up = cluster.fleet.ids();
         if (!up.empty())
@@ -270,9 +277,7 @@
         cluster.world.run(Milliseconds(400));
     }
     cluster.world.run(Milliseconds(60000));
-    CHECK(cluster.storedState("g1") == JobState::Completed);
-    CHECK(cluster.storedState("s1") == JobState::Completed);
-    CHECK(cluster.storedState("l1") == JobState::Active);
+    checkWorkIsDone(cluster);
     CHECK(cluster.fleet.violations().empty());
 }
 
