--- a/review/lab/Platform.cpp
+++ b/review/lab/Platform.cpp
@@ -100,6 +100,18 @@
 {
 }
 
+Server& Store::addServer(const Interceptor& intercept)
+{
+    furtherServers_.push_back(std::make_unique<Server>(loop_, [this, intercept](const Message& message, const Respond& respond) {
+        const auto later = [this, message, respond] {
+            loop_.after(storeAnswerMs, [this, message, respond] { serve(message, respond); });
+        };
+        if (!intercept(message, respond, later))
+            later();
+    }));
+    return *furtherServers_.back();
+}
+
 Json Store::itemJson(const std::string& key, const Item& item) const
 {
     return { { "Key", key }, { "Value", item.value }, { "Revision", item.revision }, { "Created", item.created },
@@ -581,18 +593,23 @@
             { { "ContactMs", 4000 }, { "AckMs", 5000 }, { "DrainMs", 2500 }, { "GraceS", 6 }, { "ConfigApplyMs", 2500 },
                 { "HoldMaxMs", holdMaxMs }, { "StopMs", stopMs }, { "GangTimeoutMs", 3000 }, { "cancel_ms", cancelMs },
                 { "visible_ms", 3000 }, { "status_s", 120 }, { "LeaseMs", 3000 }, { "ReclaimMs", 2900 } } } };
-    const std::string path = directory + "/" + name + ".json";
-    std::ofstream(path) << settings.dump(2) << "\n";
-    const std::string log = directory + "/" + name + ".log";
+    settings_ = directory + "/" + name + ".json";
+    log_ = directory + "/" + name + ".log";
+    std::ofstream(settings_) << settings.dump(2) << "\n";
+    start();
+}
+
+void Edge::start()
+{
     pid_ = ::fork();
     if (pid_ < 0)
         throw std::runtime_error("cannot start a process");
     if (pid_ > 0)
         return;
-    const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int output = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(output, STDOUT_FILENO);
     ::dup2(output, STDERR_FILENO);
-    ::setenv("ROSEMARYLINK_SETTINGS", path.c_str(), 1);
+    ::setenv("ROSEMARYLINK_SETTINGS", settings_.c_str(), 1);
     ::execl("target/rosemarylink-edge", "target/rosemarylink-edge", nullptr); // `run` in deploy/system.toml
     ::_exit(127);
 }
@@ -606,6 +623,17 @@
     ::waitpid(pid_, nullptr, 0);
 }
 
-void Edge::signal(int number) const { ::kill(pid_, number); }
+bool Edge::ended()
+{
+    if (pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_)
+        pid_ = 0;
+    return pid_ == 0;
+}
+
+void Edge::signal(int number) const
+{
+    if (pid_ > 0)
+        ::kill(pid_, number);
+}
 
 } // namespace lab
--- a/review/lab/Platform.h
+++ b/review/lab/Platform.h
@@ -41,15 +41,19 @@
 
 class Store {
 public:
+    // Decides what happens to a call, before it is served: returns true if the call was taken care of. Empty: serves all.
+    using Interceptor = std::function<bool(const Message&, const Respond&, const std::function<void()>& serve)>;
     explicit Store(Loop&);
     std::string address() const { return server_.address(); }
+
+    // A further address of the store, whose calls only this interceptor sees. Returns the server, which the store keeps.
+    Server& addServer(const Interceptor&);
+
     void put(const std::string& key, const std::string& value); // as the operator or a minion
     void remove(const std::string& key);
     bool has(const std::string& key) const { return items_.count(key) > 0; }
     std::int64_t revision() const { return revision_; }
 
-    // Decides what happens to a call, before it is served: returns true if the call was taken care of. Empty: serves all.
-    using Interceptor = std::function<bool(const Message&, const Respond&, const std::function<void()>& serve)>;
     Interceptor interceptor;
     std::function<void(const std::string& key, const std::string& value)> onWrite;
 
@@ -86,6 +90,7 @@
     std::map<std::int64_t, std::pair<Ms, Ms>> leases_; // by lease: end and time to live
     std::list<std::shared_ptr<Watcher>> watchers_;
     Server server_;
+    std::vector<std::unique_ptr<Server>> furtherServers_;
 };
 
 struct Run {
@@ -126,6 +131,11 @@
     // Cuts the minion off from the store and from all machines of the system; what runs on it goes on.
     void setCutOff(bool);
 
+    // The same for one of the two.
+    void setCutOffFromStore(bool cutOff) { cutOff_ = cutOff; }
+    void setCutOffFromMachines(bool cutOff) { server_.setCutOff(cutOff); }
+    bool isDown() const { return down_; }
+
     // The process ends with all that it runs. After `downTime` it starts again under its id and knows nothing of before.
     void crash(Ms downTime);
 
@@ -198,6 +208,8 @@
     int readiness() const { return readiness_; }
     int metrics() const { return metrics_; }
     void signal(int number) const;
+    void start(); // with its settings; also after the process has ended
+    bool ended(); // whether the process has ended since it was started
     pid_t pid() const { return pid_; }
 
 private:
@@ -205,6 +217,8 @@
     int frontend_;
     int readiness_;
     int metrics_;
+    std::string settings_;
+    std::string log_;
     pid_t pid_ = 0;
 };
 
--- a/review/lab/Script.cpp
+++ b/review/lab/Script.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-Script::Script(const std::string& folder)
+Script::Script(const std::string& folder, const std::function<std::string(Script&, int)>& storeAddressOf)
     : record(folder + "/record.txt")
     , store(loop)
     , runs(record)
@@ -47,7 +47,8 @@
     }
     for (const auto& [zone, machines] : zones) {
         for (int i = 1; i <= machines; ++i)
-            edges.push_back(std::make_unique<Edge>("edge-" + zone + "-" + std::to_string(i), zone, store.address(), directory_));
+            edges.push_back(std::make_unique<Edge>("edge-" + zone + "-" + std::to_string(i), zone,
+                storeAddressOf ? storeAddressOf(*this, static_cast<int>(edges.size())) : store.address(), directory_));
     }
     record.line(std::string("starts; ") + (trouble_ ? "with" : "without") + " the disruption");
 }
--- a/review/lab/Script.h
+++ b/review/lab/Script.h
@@ -13,7 +13,8 @@
 class Script {
 public:
     // `folder` gets record.txt; logs and settings go to a temporary folder, which is removed at the end.
-    explicit Script(const std::string& folder);
+    // `storeAddressOf` gives each edge, by its number, the address of the store; by default the store's own.
+    explicit Script(const std::string& folder, const std::function<std::string(Script&, int)>& storeAddressOf = {});
     ~Script();
 
     bool trouble() const { return trouble_; }
