--- a/review/lab/Loop.cpp
+++ b/review/lab/Loop.cpp
@@ -8,6 +8,7 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <random>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -348,12 +349,18 @@
 
 int freePort()
 {
-    const int fd = openSocket();
-    const sockaddr_in address = loopback(0);
-    ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-    const int port = portOf(fd, false);
-    ::close(fd);
-    return port;
+    // Below the ports that the kernel gives to outgoing connections, so that none of them takes the port meanwhile.
+    static std::mt19937 random(std::random_device {}());
+    for (int attempt = 0; attempt < 1000; ++attempt) {
+        const int port = 10000 + static_cast<int>(random() % 20000);
+        const int fd = openSocket();
+        const sockaddr_in address = loopback(port);
+        const bool free = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+        ::close(fd);
+        if (free)
+            return port;
+    }
+    throw std::runtime_error("no free port");
 }
 
 } // namespace lab
--- a/review/lab/Platform.cpp
+++ b/review/lab/Platform.cpp
@@ -503,7 +503,11 @@
         return;
     }
     const std::string path = message.target();
-    const Json body = Json::parse(message.body);
+    const Json body = Json::parse(message.body, nullptr, /*allow_exceptions=*/false);
+    if (!body.is_object()) {
+        respond(400, "{}");
+        return;
+    }
     const auto answer = [this, &respond](int status, const char* reason) {
         Json json = { { "ClockMs", clock() } };
         if (reason)
--- a/review/lab/Script.cpp
+++ b/review/lab/Script.cpp
@@ -36,7 +36,9 @@
         { "Services",
             { { { "Name", "fattura" }, { "HealthPath", "/health" }, { "MaxConnections", 64 }, { "Protocol", "h1" },
                 { "AdmissionCheck", true }, { "Standby", false } } } },
-        { "Tenants", { { { "Name", "catania-plants" }, { "ApiKeys", { "key-1" } }, { "Guaranteed", { { "Gpu", 64 } } } } } },
+        { "Tenants",
+            { { { "Name", "catania-plants" }, { "ApiKeys", { "key-1" } }, { "Guaranteed", { { "Gpu", 144 } } } },
+                { { "Name", "palermo-plants" }, { "ApiKeys", { "key-2" } }, { "Guaranteed", { { "Gpu", 64 } } } } } },
         { "Limits", { { "MaxHeaderBytes", 16384 }, { "MaxBodyBytes", 262144 } } } };
     store.put("op/config", config.dump());
     int number = 0;
@@ -107,11 +109,16 @@
 
 void Script::call(int edge, const std::string& method, const std::string& id, const std::string& body, Ms patience, Done done)
 {
-    const std::string path = "/sweep/" + id;
+    callAs(edge, method, "/sweep/" + id, "key-1", body, patience, std::move(done));
+}
+
+void Script::callAs(int edge, const std::string& method, const std::string& path, const std::string& key, const std::string& body,
+    Ms patience, Done done)
+{
     const std::string name = edges.at(static_cast<std::size_t>(edge))->name();
     record.line("client sends " + method + " " + path + " to " + name);
     request(loop, edges[static_cast<std::size_t>(edge)]->frontend(), method, path,
-        { { "Host", "review.example" }, { "Authorization", "Token key-1" }, { "X-Deadline-Ms", std::to_string(patience) } }, body,
+        { { "Host", "review.example" }, { "Authorization", "Token " + key }, { "X-Deadline-Ms", std::to_string(patience) } }, body,
         patience, [this, method, path, name, done](int status, const std::string& text) {
             record.line("client gets " + (status == 0 ? std::string("no answer") : std::to_string(status) + " " + text) + " to "
                 + method + " " + path + " from " + name);
--- a/review/lab/Script.h
+++ b/review/lab/Script.h
@@ -33,6 +33,8 @@
     using Done = std::function<void(const Answer&)>;
     // Sends a client's call, and records it and its answer. `patience` is how long the client waits.
     void call(int edge, const std::string& method, const std::string& id, const std::string& body, Ms patience, Done);
+    void callAs(int edge, const std::string& method, const std::string& path, const std::string& key, const std::string& body,
+        Ms patience, Done);
     Answer callAndWait(int edge, const std::string& method, const std::string& id, const std::string& body, Ms patience);
 
     // A job of the site's kind of request arrears-sweep or meter-statement: steps of tasks of one accelerator each, every
