--- a/review/lab/CancelledWhileFrozen.cpp
+++ b/review/lab/CancelledWhileFrozen.cpp
@@ -1,5 +1,5 @@
-// A machine freezes with a submission in its socket, the client gives up and cancels through another machine, and the first
-// machine wakes. Guards against tasks of a job whose cancelling was acknowledged (rule UNASKED).
+// A machine freezes with a submission in its socket, the client gives up and cancels through another machine, and the
+// first machine wakes. Guards against tasks of a job whose cancelling was acknowledged (rule UNASKED).
 #include "Script.h"
 
 #include <csignal>
--- a/review/lab/CutOffWorkers.cpp
+++ b/review/lab/CutOffWorkers.cpp
@@ -13,7 +13,9 @@
     // Four sweeps of 24 tasks: about a quarter of the accelerators.
     int accepted = 0;
     for (int i = 0; i < 4; ++i)
-        accepted += script.callAndWait(i, "POST", script.newId(), lab::Script::job({ 24 }, 7600), 3000).status == 200 ? 1 : 0;
+        accepted += script.callAndWait(i, "POST", script.newId(), lab::Script::job({ 24 }, 7600), 3000).status == 200
+            ? 1
+            : 0;
     if (accepted < 4)
         return script.cannotRun("a job was not accepted");
     script.runFor(1000);
--- a/review/lab/Loop.cpp
+++ b/review/lab/Loop.cpp
@@ -168,7 +168,8 @@
     const int on = 1;
     ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const sockaddr_in address = loopback(port_);
-    if (::bind(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 || ::listen(fd_, normalBacklog) != 0)
+    if (::bind(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0
+        || ::listen(fd_, normalBacklog) != 0)
         throw std::runtime_error("cannot listen");
     port_ = portOf(fd_, false);
     loop_.watch(fd_, POLLIN, [this](short) { accept(); });
@@ -203,7 +204,8 @@
         const sockaddr_in address = loopback(port_);
         for (int i = 0; i < 3; ++i) { // fills the queue of a length of one, so that further opening packets are dropped
             const int filler = openSocket();
-            ::connect(filler, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+            // Not established at once, because the socket does not block.
+            static_cast<void>(::connect(filler, reinterpret_cast<const sockaddr*>(&address), sizeof address));
             fillerPorts_.insert(portOf(filler, false));
             fillers_.push_back(filler);
         }
@@ -266,8 +268,9 @@
         connection->busy = false;
         if (connection->fd < 0)
             return;
-        connection->out += "HTTP/1.1 " + std::to_string(status) + " Status\r\nContent-Type: application/json\r\nContent-Length: "
-            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        connection->out += "HTTP/1.1 " + std::to_string(status)
+            + " Status\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body;
         flush(connection);
         if (connection->fd >= 0)
             loop_.after(0, [this, connection] { serve(connection); });
--- a/review/lab/Loop.h
+++ b/review/lab/Loop.h
@@ -1,5 +1,5 @@
-// Event loop, HTTP server and HTTP client of the review's stand-ins. They share no code with the project, so that a fault
-// of the project's own HTTP code does not hide behind them.
+// Event loop, HTTP server and HTTP client of the review's stand-ins. They share no code with the project, so that a
+// fault of the project's own HTTP code does not hide behind them.
 #pragma once
 
 #include <cstdint>
@@ -19,7 +19,10 @@
 class Loop {
 public:
     void after(Ms delay, std::function<void()> task) { timers_.emplace(now() + delay, std::move(task)); }
-    void watch(int fd, short events, std::function<void(short)> handler) { handlers_[fd] = { events, std::move(handler) }; }
+    void watch(int fd, short events, std::function<void(short)> handler)
+    {
+        handlers_[fd] = { events, std::move(handler) };
+    }
     void unwatch(int fd) { handlers_.erase(fd); }
     void run(Ms until);
     void stop() { stopped_ = true; }
@@ -52,8 +55,8 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
     int port() const { return port_; }
 
-    // While cut off, the server neither accepts nor reads nor writes: open connections hang and new ones get no answer to
-    // their opening packet, because the queue of the listening socket is kept full.
+    // While cut off, the server neither accepts nor reads nor writes: open connections hang and new ones get no answer
+    // to their opening packet, because the queue of the listening socket is kept full.
     void setCutOff(bool);
 
     // While closed, as after a crash of the process, the port refuses connections. Closing resets the open ones.
@@ -78,8 +81,8 @@
     std::set<int> fillerPorts_;
 };
 
-// Sends one request on a connection of its own. `done` gets the status, or 0 if there was no complete answer in time, in
-// which case the connection is closed.
+// Sends one request on a connection of its own. `done` gets the status, or 0 if there was no complete answer in time,
+// in which case the connection is closed.
 void request(Loop&, int port, const std::string& method, const std::string& path,
     const std::vector<std::pair<std::string, std::string>>& headers, const std::string& body, Ms timeout,
     std::function<void(int status, const std::string& body)> done);
--- a/review/lab/ManyEnds.cpp
+++ b/review/lab/ManyEnds.cpp
@@ -1,5 +1,5 @@
-// A minion has more ends to report than fit into one report, because the store is slow to take note of them. Guards against
-// runs that count as lost because they are neither running nor among the first 500 ends (rule TWICE).
+// A minion has more ends to report than fit into one report, because the store is slow to take note of them. Guards
+// against runs that count as lost because they are neither running nor among the first 500 ends (rule TWICE).
 #include "Script.h"
 
 #include <random>
@@ -28,7 +28,8 @@
     if (!script.awaitReady())
         return script.cannotRun("the instances did not become ready");
     const lab::Json job = { { "Spec", "review" },
-        { "Steps", { { { "Count", tasks }, { "Cpu", milliCores }, { "RequestedMb", megabytes }, { "EstimateMs", 2500 } } } } };
+        { "Steps",
+            { { { "Count", tasks }, { "Cpu", milliCores }, { "RequestedMb", megabytes }, { "EstimateMs", 2500 } } } } };
     const auto accepted = script.callAndWait(0, "POST", script.newId(), job.dump(), 3000);
     if (accepted.status != 200)
         return script.cannotRun("the job was not accepted");
--- a/review/lab/OverlappingOccurrences.cpp
+++ b/review/lab/OverlappingOccurrences.cpp
@@ -1,6 +1,6 @@
 // A timed job of priority 0 whose occurrences overlap needs more than the service has for a while. Guards against
-// occurrences that stop each other in turn, so that none of them ends and other tenants' guaranteed jobs do not begin (rule
-// RECLAIM).
+// occurrences that stop each other in turn, so that none of them ends and other tenants' guaranteed jobs do not begin
+// (rule RECLAIM).
 #include "Script.h"
 
 #include <chrono>
@@ -25,7 +25,8 @@
     const auto job = [&](int count, int repetitions, lab::Ms interval) {
         lab::Json body = { { "Spec", "review" },
             { "Steps",
-                { { { "Count", count }, { "Cpu", 7500 }, { "RequestedMb", 31000 }, { "Gpu", 8 }, { "EstimateMs", work } } } } };
+                { { { "Count", count }, { "Cpu", 7500 }, { "RequestedMb", 31000 }, { "Gpu", 8 },
+                    { "EstimateMs", work } } } } };
         if (repetitions > 0) {
             const auto unixNow = std::chrono::system_clock::now().time_since_epoch();
             body["Repetitions"] = repetitions;
@@ -37,13 +38,14 @@
     const std::string timed = script.newId();
     const std::string other = script.newId();
     lab::Ms acceptedAt = -1;
-    script.callAs(0, "POST", "/statement/" + timed, "key-1", job(width, times, script.trouble() ? overlapping : apart), 3000,
-        [](const lab::Script::Answer&) {});
+    script.callAs(0, "POST", "/statement/" + timed, "key-1", job(width, times, script.trouble() ? overlapping : apart),
+        3000, [](const lab::Script::Answer&) {});
     script.loop.after(10000, [&] {
-        script.callAs(1, "POST", "/statement/" + other, "key-2", job(4, 0, 0), 3000, [&](const lab::Script::Answer& answer) {
-            if (answer.status == 200)
-                acceptedAt = answer.at;
-        });
+        script.callAs(
+            1, "POST", "/statement/" + other, "key-2", job(4, 0, 0), 3000, [&](const lab::Script::Answer& answer) {
+                if (answer.status == 200)
+                    acceptedAt = answer.at;
+            });
     });
     script.runFor(watched);
     if (acceptedAt < 0)
@@ -66,8 +68,8 @@
     for (const auto& [task, at] : begun)
         last = std::max(last, at);
     if (begun.size() < 4)
-        breaches.push_back("of 4 tasks of the other tenant's job " + std::to_string(begun.size()) + " have begun within "
-            + std::to_string(script.record.time() - acceptedAt) + " ms of its acknowledgement");
+        breaches.push_back("of 4 tasks of the other tenant's job " + std::to_string(begun.size())
+            + " have begun within " + std::to_string(script.record.time() - acceptedAt) + " ms of its acknowledgement");
     else if (last > acceptedAt + reclaimMs)
         breaches.push_back("the last of 4 tasks of the other tenant's job begins " + std::to_string(last - acceptedAt)
             + " ms after its acknowledgement");
--- a/review/lab/Platform.cpp
+++ b/review/lab/Platform.cpp
@@ -44,7 +44,10 @@
         return query;
     }
 
-    bool startsWith(const std::string& text, const std::string& prefix) { return text.compare(0, prefix.size(), prefix) == 0; }
+    bool startsWith(const std::string& text, const std::string& prefix)
+    {
+        return text.compare(0, prefix.size(), prefix) == 0;
+    }
 
 } // namespace
 
@@ -102,13 +105,14 @@
 
 Server& Store::addServer(const Interceptor& intercept)
 {
-    furtherServers_.push_back(std::make_unique<Server>(loop_, [this, intercept](const Message& message, const Respond& respond) {
-        const auto later = [this, message, respond] {
-            loop_.after(storeAnswerMs, [this, message, respond] { serve(message, respond); });
-        };
-        if (!intercept(message, respond, later))
-            later();
-    }));
+    furtherServers_.push_back(
+        std::make_unique<Server>(loop_, [this, intercept](const Message& message, const Respond& respond) {
+            const auto later = [this, message, respond] {
+                loop_.after(storeAnswerMs, [this, message, respond] { serve(message, respond); });
+            };
+            if (!intercept(message, respond, later))
+                later();
+        }));
     return *furtherServers_.back();
 }
 
@@ -254,7 +258,8 @@
             const auto item = items_.find(key);
             const std::int64_t revision = item == items_.end() ? 0 : item->second.revision;
             holds = holds && revision == row.at("Revision").get<std::int64_t>();
-            current.push_back(item == items_.end() ? Json({ { "Key", key }, { "Revision", 0 } }) : itemJson(key, item->second));
+            current.push_back(
+                item == items_.end() ? Json({ { "Key", key }, { "Revision", 0 } }) : itemJson(key, item->second));
         }
         if (!holds) {
             respond(412, Json({ { "items", current }, { "CurrentRev", revision_ } }).dump());
@@ -313,7 +318,8 @@
     for (const Run& other : runs_) {
         if (other.end < 0 && other.task == task)
             doubles.push_back(std::to_string(record_.time()) + " ms: " + text + " begins on " + minion + " while run "
-                + std::to_string(other.run) + " runs on " + other.minion + " since " + std::to_string(other.begin) + " ms");
+                + std::to_string(other.run) + " runs on " + other.minion + " since " + std::to_string(other.begin)
+                + " ms");
     }
     runs_.push_back({ task, run, minion, record_.time(), -1, "" });
     return runs_.size() - 1;
@@ -367,8 +373,9 @@
 {
     ++life_;
     born_ = now();
-    bornUnix_ = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-                    .count();
+    bornUnix_
+        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+              .count();
     fence_ = 0;
     leaseEnd_ = 0;
     lastEnd_ = 0;
@@ -433,9 +440,9 @@
 {
     lastBeat_ = now();
     store_.put("servers/" + id_,
-        Json({ { "Service", "fattura" }, { "Address", address() }, { "Zone", zone_ }, { "Version", "v1" }, { "Slots", 8 },
-                 { "State", "ready" }, { "ColdRemainingMs", 0 }, { "Labels", { "a", rack_ } }, { "Sequence", ++sequence_ },
-                 { "born", bornUnix_ }, { "ClockMs", clock() },
+        Json({ { "Service", "fattura" }, { "Address", address() }, { "Zone", zone_ }, { "Version", "v1" },
+                 { "Slots", 8 }, { "State", "ready" }, { "ColdRemainingMs", 0 }, { "Labels", { "a", rack_ } },
+                 { "Sequence", ++sequence_ }, { "born", bornUnix_ }, { "ClockMs", clock() },
                  { "Capacity", { { "Cpu", 64000 }, { "RequestedMb", 262144 }, { "Gpu", 8 } } } })
             .dump());
 }
@@ -482,7 +489,8 @@
         if (active.stopping)
             continue;
         const Ms work = std::max<Ms>(1, active.due - active.begin);
-        running.push_back(Json::array({ task, active.run, "", std::min<Ms>(99, (now() - active.begin) * 100 / work), 0 }));
+        running.push_back(
+            Json::array({ task, active.run, "", std::min<Ms>(99, (now() - active.begin) * 100 / work), 0 }));
     }
     Json ends = Json::array();
     for (std::size_t i = 0; i < std::min<std::size_t>(500, ended_.size()); ++i)
@@ -576,20 +584,22 @@
 
 // ---- processes under test
 
-Edge::Edge(const std::string& name, const std::string& zone, const std::string& storeAddress, const std::string& directory)
+Edge::Edge(
+    const std::string& name, const std::string& zone, const std::string& storeAddress, const std::string& directory)
     : name_(name)
     , frontend_(freePort())
     , readiness_(freePort())
     , metrics_(freePort())
 {
     const auto at = [](int port) { return "127.0.0.1:" + std::to_string(port); };
-    const Json settings = { { "NodeName", name }, { "Role", "edge" }, { "MachineClass", "edge" }, { "Serves", { "edge" } },
-        { "Ip", "127.0.0.1" }, { "Zone", zone }, { "Region", zone.substr(0, zone.find('-')) },
+    const Json settings = { { "NodeName", name }, { "Role", "edge" }, { "MachineClass", "edge" },
+        { "Serves", { "edge" } }, { "Ip", "127.0.0.1" }, { "Zone", zone }, { "Region", zone.substr(0, zone.find('-')) },
         { "Listen", { { "Frontend", at(frontend_) }, { "Readiness", at(readiness_) } } },
         { "InternalPortRange", { metrics_, metrics_ } }, { "Bootstrap", true }, { "Discovery", "platform" },
         { "HeartbeatMs", heartbeatMs }, { "Orders", "request" },
         { "Limits",
-            { { "CpuShare", 0.25 }, { "Cores", 1 }, { "MemoryMb", 260 }, { "FileDescriptors", 4100 }, { "LinkMbps", 1000.0 } } },
+            { { "CpuShare", 0.25 }, { "Cores", 1 }, { "MemoryMb", 260 }, { "FileDescriptors", 4100 },
+                { "LinkMbps", 1000.0 } } },
         { "platform",
             { { "Address", storeAddress }, { "form", "kv" }, { "WritesPerS", 400 }, { "ReadsPerS", 2000 },
                 { "HistoryS", historySeconds }, { "ValueBytes", 1048576 }, { "TtlMinMs", 1000 } } },
--- a/review/lab/Platform.h
+++ b/review/lab/Platform.h
@@ -41,12 +41,14 @@
 
 class Store {
 public:
-    // Decides what happens to a call, before it is served: returns true if the call was taken care of. Empty: serves all.
+    // Decides what happens to a call, before it is served: returns true if the call was taken care of. Empty: serves
+    // all.
     using Interceptor = std::function<bool(const Message&, const Respond&, const std::function<void()>& serve)>;
     explicit Store(Loop&);
     std::string address() const { return server_.address(); }
 
-    // A further address of the store, whose calls only this interceptor sees. Returns the server, which the store keeps.
+    // A further address of the store, whose calls only this interceptor sees. Returns the server, which the store
+    // keeps.
     Server& addServer(const Interceptor&);
 
     void put(const std::string& key, const std::string& value); // as the operator or a minion
@@ -114,7 +116,8 @@
     // Takes note of the end `done` of a task's run, which the system has acknowledged.
     void noteDone(const std::string& task, int run);
     const std::vector<Run>& all() const { return runs_; }
-    std::vector<std::string> doubles; // breaches of TWICE: two runs of one task at a time, or a start after a noted `done`
+    std::vector<std::string>
+        doubles; // breaches of TWICE: two runs of one task at a time, or a start after a noted `done`
 
 private:
     Record& record_;
@@ -136,10 +139,12 @@
     void setCutOffFromMachines(bool cutOff) { server_.setCutOff(cutOff); }
     bool isDown() const { return down_; }
 
-    // The process ends with all that it runs. After `downTime` it starts again under its id and knows nothing of before.
+    // The process ends with all that it runs. After `downTime` it starts again under its id and knows nothing of
+    // before.
     void crash(Ms downTime);
 
-    // How much later than generated a response leaves the minion; responses on different channels may overtake each other.
+    // How much later than generated a response leaves the minion; responses on different channels may overtake each
+    // other.
     static std::function<Ms()> responseDelay;
 
     // How many of the script's tasks have room on a minion; 8 if each needs one accelerator.
@@ -201,7 +206,8 @@
 // A process of the project, started with the command of the deploy file.
 class Edge {
 public:
-    Edge(const std::string& name, const std::string& zone, const std::string& storeAddress, const std::string& directory);
+    Edge(const std::string& name, const std::string& zone, const std::string& storeAddress,
+        const std::string& directory);
     ~Edge();
     const std::string& name() const { return name_; }
     int frontend() const { return frontend_; }
--- a/review/lab/Script.cpp
+++ b/review/lab/Script.cpp
@@ -11,7 +11,8 @@
 namespace {
 
     constexpr int minionsPerZone = 16;
-    const std::vector<std::pair<std::string, int>> zones { { "palermo-a", 3 }, { "catania-a", 3 }, { "siracusa-a", 1 } };
+    const std::vector<std::pair<std::string, int>> zones { { "palermo-a", 3 }, { "catania-a", 3 },
+        { "siracusa-a", 1 } };
     constexpr Ms readyLimit = 15000;
 
     Json route(const std::string& name, const std::string& prefix, int priority, int attempts)
@@ -44,8 +45,8 @@
     int number = 0;
     for (const auto& [zone, machines] : zones) {
         for (int i = 0; i < minionsPerZone; ++i, ++number)
-            minions.push_back(std::make_unique<Minion>(loop, store, runs, record, "i-" + std::to_string(1000 + number), zone,
-                "r" + std::to_string(1 + number / minionsPerZone) + "-" + std::to_string(1 + i / 8)));
+            minions.push_back(std::make_unique<Minion>(loop, store, runs, record, "i-" + std::to_string(1000 + number),
+                zone, "r" + std::to_string(1 + number / minionsPerZone) + "-" + std::to_string(1 + i / 8)));
     }
     for (const auto& [zone, machines] : zones) {
         for (int i = 1; i <= machines; ++i)
@@ -107,26 +108,29 @@
     return false;
 }
 
-void Script::call(int edge, const std::string& method, const std::string& id, const std::string& body, Ms patience, Done done)
+void Script::call(
+    int edge, const std::string& method, const std::string& id, const std::string& body, Ms patience, const Done& done)
 {
-    callAs(edge, method, "/sweep/" + id, "key-1", body, patience, std::move(done));
+    callAs(edge, method, "/sweep/" + id, "key-1", body, patience, done);
 }
 
-void Script::callAs(int edge, const std::string& method, const std::string& path, const std::string& key, const std::string& body,
-    Ms patience, Done done)
+void Script::callAs(int edge, const std::string& method, const std::string& path, const std::string& key,
+    const std::string& body, Ms patience, const Done& done)
 {
     const std::string name = edges.at(static_cast<std::size_t>(edge))->name();
     record.line("client sends " + method + " " + path + " to " + name);
     request(loop, edges[static_cast<std::size_t>(edge)]->frontend(), method, path,
-        { { "Host", "review.example" }, { "Authorization", "Token " + key }, { "X-Deadline-Ms", std::to_string(patience) } }, body,
-        patience, [this, method, path, name, done](int status, const std::string& text) {
-            record.line("client gets " + (status == 0 ? std::string("no answer") : std::to_string(status) + " " + text) + " to "
-                + method + " " + path + " from " + name);
+        { { "Host", "review.example" }, { "Authorization", "Token " + key },
+            { "X-Deadline-Ms", std::to_string(patience) } },
+        body, patience, [this, method, path, name, done](int status, const std::string& text) {
+            record.line("client gets " + (status == 0 ? std::string("no answer") : std::to_string(status) + " " + text)
+                + " to " + method + " " + path + " from " + name);
             done({ status, text, record.time() });
         });
 }
 
-Script::Answer Script::callAndWait(int edge, const std::string& method, const std::string& id, const std::string& body, Ms patience)
+Script::Answer Script::callAndWait(
+    int edge, const std::string& method, const std::string& id, const std::string& body, Ms patience)
 {
     Answer answer;
     bool done = false;
--- a/review/lab/Script.h
+++ b/review/lab/Script.h
@@ -1,5 +1,5 @@
-// A small deployment for one script: the store, 48 minions and 7 processes of the project in three zones, as on the site
-// frescura-hq, and the clients.
+// A small deployment for one script: the store, 48 minions and 7 processes of the project in three zones, as on the
+// site frescura-hq, and the clients.
 #pragma once
 
 #include "Platform.h"
@@ -32,13 +32,15 @@
     };
     using Done = std::function<void(const Answer&)>;
     // Sends a client's call, and records it and its answer. `patience` is how long the client waits.
-    void call(int edge, const std::string& method, const std::string& id, const std::string& body, Ms patience, Done);
-    void callAs(int edge, const std::string& method, const std::string& path, const std::string& key, const std::string& body,
-        Ms patience, Done);
-    Answer callAndWait(int edge, const std::string& method, const std::string& id, const std::string& body, Ms patience);
+    void call(
+        int edge, const std::string& method, const std::string& id, const std::string& body, Ms patience, const Done&);
+    void callAs(int edge, const std::string& method, const std::string& path, const std::string& key,
+        const std::string& body, Ms patience, const Done&);
+    Answer callAndWait(
+        int edge, const std::string& method, const std::string& id, const std::string& body, Ms patience);
 
-    // A job of the site's kind of request arrears-sweep or meter-statement: steps of tasks of one accelerator each, every
-    // step after the one before.
+    // A job of the site's kind of request arrears-sweep or meter-statement: steps of tasks of one accelerator each,
+    // every step after the one before.
     static std::string job(const std::vector<int>& tasksOfSteps, Ms estimate);
     std::string newId();
 
