--- a/review/build.sh
+++ b/review/build.sh
@@ -3,9 +3,17 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-common="review/lab/Loop.cpp review/lab/Platform.cpp review/lab/Script.cpp"
-for main in review/lab/*.cpp; do
-    name=$(basename "$main" .cpp)
-    case " $common " in *" $main "*) continue ;; esac
-    g++ -std=c++17 -O1 -Wall -Wextra -o "target/review/$name" "$main" $common
+flags=(-std=c++17 -O1 -Wall -Wextra)
+pids=()
+for source in review/lab/*.cpp; do
+    g++ "${flags[@]}" -c -o "target/review/$(basename "$source" .cpp).o" "$source" &
+    pids+=($!)
+done
+for pid in "${pids[@]}"; do
+    wait "$pid"
+done
+for source in review/lab/*.cpp; do
+    name=$(basename "$source" .cpp)
+    case "$name" in Loop | Platform | Script) continue ;; esac
+    g++ -o "target/review/$name" "target/review/$name.o" target/review/{Loop,Platform,Script}.o
 done
