--- a/review/lab/Platform.cpp
+++ b/review/lab/Platform.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -620,6 +621,7 @@
         throw std::runtime_error("cannot start a process");
     if (pid_ > 0)
         return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with the script, also if that is killed
     const int output = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(output, STDOUT_FILENO);
     ::dup2(output, STDERR_FILENO);
