--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,8 @@
 #!/usr/bin/env bash
 # Exit code: 1 if TWICE was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the crashes out.
-cd "$(dirname "$0")/../.." && exec target/review/OvertakenReports review/3
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -x target/rosemarylink-edge ] || [ ! -x target/review/OvertakenReports ]; then
+    echo "cannot run: target/ is not built" | tee review/3/record.txt
+    exit 2
+fi
+exec target/review/OvertakenReports review/3
--- a/review/lab/CutOffWorkers.cpp
+++ b/review/lab/CutOffWorkers.cpp
@@ -34,11 +34,19 @@
             minion->setCutOff(true);
         }
     }
-    script.runFor(5500);
+    constexpr lab::Ms fromStore = 5000; // the longest srv_cut
+    constexpr lab::Ms fromMachines = 5500; // the longest node_cut of servers
+    script.runFor(fromStore);
     if (script.trouble()) {
         for (lab::Minion* minion : byLoad)
-            minion->setCutOff(false);
-        script.record.line("the cut has healed");
+            minion->setCutOffFromStore(false);
+        script.record.line("the cut from the store has healed");
+    }
+    script.runFor(fromMachines - fromStore);
+    if (script.trouble()) {
+        for (lab::Minion* minion : byLoad)
+            minion->setCutOffFromMachines(false);
+        script.record.line("the cut from the machines has healed");
     }
     script.runFor(14000);
     return script.finish("TWICE", script.runs.doubles);
--- a/review/lab/OverlappingOccurrences.cpp
+++ b/review/lab/OverlappingOccurrences.cpp
@@ -38,8 +38,9 @@
     const std::string timed = script.newId();
     const std::string other = script.newId();
     lab::Ms acceptedAt = -1;
+    bool timedAccepted = false;
     script.callAs(0, "POST", "/statement/" + timed, "key-1", job(width, times, script.trouble() ? overlapping : apart),
-        3000, [](const lab::Script::Answer&) {});
+        3000, [&](const lab::Script::Answer& answer) { timedAccepted = answer.status == 200; });
     script.loop.after(10000, [&] {
         script.callAs(
             1, "POST", "/statement/" + other, "key-2", job(4, 0, 0), 3000, [&](const lab::Script::Answer& answer) {
@@ -48,8 +49,8 @@
             });
     });
     script.runFor(watched);
-    if (acceptedAt < 0)
-        return script.cannotRun("the other tenant's job was not accepted");
+    if (!timedAccepted || acceptedAt < 0)
+        return script.cannotRun("a job was not accepted");
     for (const auto& [id, key] : { std::make_pair(timed, "key-1"), std::make_pair(other, "key-2") })
         script.callAs(2, "GET", "/statement/" + id, key, "", 3000, [](const lab::Script::Answer&) {});
     script.runFor(500);
--- a/review/lab/Platform.cpp
+++ b/review/lab/Platform.cpp
@@ -88,6 +88,14 @@
     return out;
 }
 
+Record::Record(const std::string& path)
+    : out_(path)
+    , begin_(now())
+{
+    if (!out_)
+        throw std::runtime_error("cannot write " + path);
+}
+
 void Record::line(const std::string& text) { out_ << time() << " ms  " << text << std::endl; }
 
 // ---- store
@@ -405,7 +413,8 @@
 
 void Minion::respondLater(const Message& message, const Respond& respond)
 {
-    serve(message, [this, respond, life = life_](int status, const std::string& body) {
+    serve(message, [this, message, respond, life = life_](int status, const std::string& body) {
+        recordOrder(message, status, body);
         const Ms delay = responseDelay();
         if (delay <= 0) {
             respond(status, body);
@@ -429,6 +438,20 @@
     server_.setCutOff(cutOff);
 }
 
+// Orders only; looks at a minion come several times a second.
+void Minion::recordOrder(const Message& message, int status, const std::string& answer)
+{
+    const std::string path = message.target();
+    if (path != "/rosemarylink/run-start" && path != "/rosemarylink/run-stop")
+        return;
+    const Json order = Json::parse(message.body, nullptr, /*allow_exceptions=*/false);
+    if (!order.is_object())
+        return;
+    record_.line(id_ + " answers " + std::to_string(status) + (status == 200 ? "" : " " + answer) + " to "
+        + path.substr(path.rfind('/') + 1) + " " + order.value("Task", "") + " run "
+        + std::to_string(order.value("Run", 0)) + " fence " + std::to_string(order.value("FencingToken", 0)));
+}
+
 void Minion::beat()
 {
     // The first interval differs between minions, so that they do not write at the same time.
--- a/review/lab/Platform.h
+++ b/review/lab/Platform.h
@@ -26,11 +26,7 @@
 // Writes record.txt; times are milliseconds since the start of the script.
 class Record {
 public:
-    explicit Record(const std::string& path)
-        : out_(path)
-        , begin_(now())
-    {
-    }
+    explicit Record(const std::string& path); // throws if it cannot be written
     void line(const std::string& text);
     Ms time() const { return now() - begin_; }
 
@@ -171,6 +167,7 @@
     void startLife();
     void writeEntry();
     void respondLater(const Message&, const Respond&);
+    void recordOrder(const Message&, int status, const std::string& answer);
     void serve(const Message&, const Respond&);
     void end(const std::string& task, const std::string& how);
     void check();
--- a/review/lab/Script.cpp
+++ b/review/lab/Script.cpp
@@ -1,5 +1,6 @@
 #include "Script.h"
 
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
@@ -15,6 +16,18 @@
         { "siracusa-a", 1 } };
     constexpr Ms readyLimit = 15000;
 
+    // A script that fails itself exits with 2. Its processes end with it.
+    void exitCannotRun(int) { ::_exit(2); }
+
+    bool installExits()
+    {
+        for (int number : { SIGABRT, SIGBUS, SIGFPE, SIGHUP, SIGINT, SIGSEGV, SIGTERM })
+            std::signal(number, &exitCannotRun);
+        return true;
+    }
+
+    const bool exitsInstalled = installExits(); // before main(), so that it also holds while a script is set up
+
     Json route(const std::string& name, const std::string& prefix, int priority, int attempts)
     {
         return { { "Name", name }, { "Host", "review.example" }, { "Prefix", prefix }, { "Kind", "non_idempotent" },
@@ -28,7 +41,7 @@
     : record(folder + "/record.txt")
     , store(loop)
     , runs(record)
-    , trouble_(!std::getenv("TROUBLE") || std::string(std::getenv("TROUBLE")) != "0")
+    , trouble_(exitsInstalled && (!std::getenv("TROUBLE") || std::string(std::getenv("TROUBLE")) != "0"))
 {
     directory_ = (std::filesystem::temp_directory_path() / ("review-" + std::to_string(::getpid()))).string();
     std::filesystem::create_directories(directory_);
