Owner: report work that is held back although capacity is free

The logs of an owner could not tell why a ready step does not start: a step is logged when its reason to wait changes, without how long it has waited or whether it would fit, and a job that waits for the end of a takeover has no line at all. An owner now names, once a second, each step that has been ready for 1.5 s, fits twice over and has nothing running while most of the pool is free, with the reason, and while it takes over the first worker that it waits for. A counter adds the seconds up by reason. No decision changes.

--- a/include/rosemarylink/jobs/JobMetrics.h
+++ b/include/rosemarylink/jobs/JobMetrics.h
@@ -3,6 +3,8 @@
 #include "rosemarylink/base/Metrics.h"
 #include "rosemarylink/jobs/WorkerPort.h"
 
+#include <string>
+
 namespace rosemarylink::jobs {
 
 enum class AdmissionOutcome;
@@ -16,6 +18,7 @@
     void countResponse(AdmissionOutcome);
     void countEnd(RunEnd);
     void countRefusedStart(CommandOutcome);
+    void countWithheldStep(const std::string& reason);
 
     Counter& ownerships; // times that this instance became the owner
     Counter& silentWorkers; // times that a worker stopped responding
--- a/src/jobs/JobMetrics.cpp
+++ b/src/jobs/JobMetrics.cpp
@@ -69,4 +69,13 @@
         .add();
 }
 
+void JobMetrics::countWithheldStep(const std::string& reason)
+{
+    registry_
+        .counter("rosemarylink_withheld_step_seconds_total",
+            "Seconds for which ready steps did not start although capacity for them was free.",
+            { { "reason", reason } })
+        .add();
+}
+
 } // namespace rosemarylink::jobs
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -2,6 +2,7 @@
 
 #include "CommandWindow.h"
 #include "Planner.h"
+#include "PlannerFleet.h"
 #include "PreemptionPatience.h"
 #include "UrgentHeadroom.h"
 #include "rosemarylink/base/RunTimePredictor.h"
@@ -201,6 +202,7 @@
     // Calls `visit` with each job of the pool that has not ended, in the order of arrival, and what is left of its
     // account's guarantee after it.
     void forEachJob(const ServiceId& pool, const std::function<void(Job&, std::int64_t)>& visit);
+    std::optional<Milliseconds> dueTime(const Job&, int occurrence) const;
     void addSteps(PlanInput&, Job&, std::int64_t remainingGuarantee);
     void addRunning(PlanInput&, const Job&, bool guaranteed) const;
     Milliseconds criticalPath(const JobSpec&, std::size_t from) const;
@@ -210,6 +212,13 @@
     void preempt(const PlanInput&, const Plan&);
     void logWaiting(const ServiceId& pool, const PlanInput&, const Plan&);
 
+    // OwnerSessionDiagnosis.cpp: reports of work that is held back.
+    void logHeldBackWork();
+    void logTakeoverWait();
+    void logWithheldSteps(const ServiceId& pool);
+    void logWithheldStep(const Job&, int occurrence, int step, const PlannerFleet&);
+    std::string withheldReason(const Job&, int occurrence, int step) const;
+
     // OwnerSessionRecords.cpp
     void scheduleFlush(Milliseconds delay);
     void flushNow();
@@ -257,6 +266,7 @@
     };
     std::map<std::tuple<JobId, int, int>, StepActivity> stepActivity_; // by job, occurrence and step
     Milliseconds activityLoggedAt_ { 0 };
+    Milliseconds heldBackLoggedAt_ { 0 };
     CommandWindow commandWindow_;
     std::deque<std::pair<RunKey, WorkerId>> queuedStarts_;
     std::optional<Milliseconds> planDueAt_; // when the pending plan is made
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -33,23 +33,6 @@
 
     const Logger logger("plan");
 
-    const char* reasonName(WaitReason reason)
-    {
-        switch (reason) {
-        case WaitReason::NoCapacity:
-            return "no-room";
-        case WaitReason::CapacityBeingFreed:
-            return "room-is-freed";
-        case WaitReason::EndsExpected:
-            return "ends-expected";
-        case WaitReason::Reserved:
-            return "reserved";
-        case WaitReason::WaitsForRack:
-            return "waits-for-rack";
-        }
-        return "no-room";
-    }
-
     // Whether one more failed or crashed run of any waiting task makes the job fail.
     bool isLastAttempt(const Job& job, const StepProgress& step, bool gang)
     {
@@ -233,16 +216,26 @@
     return input;
 }
 
+// When the occurrence became due, on the monotonic clock; nullopt if it is not due yet.
+std::optional<Milliseconds> OwnerSession::dueTime(const Job& job, int occurrence) const
+{
+    if (!job.spec.firstDue)
+        return job.arrivedAt;
+    const Milliseconds wallOffset = now() - Milliseconds(toMilliseconds(owner_.clock_.now()));
+    const Milliseconds dueAt
+        = Milliseconds(toMilliseconds(*job.spec.firstDue)) + job.spec.interval * occurrence + wallOffset;
+    if (now() < dueAt + dueMargin)
+        return std::nullopt;
+    return dueAt;
+}
+
 void OwnerSession::addSteps(PlanInput& input, Job& job, std::int64_t remainingGuarantee)
 {
-    const Milliseconds wallOffset = input.now - Milliseconds(toMilliseconds(owner_.clock_.now()));
     for (int occurrence = 0; occurrence < job.spec.occurrences; ++occurrence) {
-        Milliseconds dueAt = job.arrivedAt;
-        if (job.spec.firstDue) {
-            dueAt = Milliseconds(toMilliseconds(*job.spec.firstDue)) + job.spec.interval * occurrence + wallOffset;
-            if (input.now < dueAt + dueMargin)
-                return;
-        }
+        const std::optional<Milliseconds> due = dueTime(job, occurrence);
+        if (!due)
+            return;
+        const Milliseconds dueAt = *due;
         for (std::size_t number = 0; number < job.spec.steps.size(); ++number) {
             StepProgress& progress = job.occurrences[occurrence][number];
             const StepSpec& spec = job.spec.steps[number];
@@ -391,7 +384,7 @@
         if (logged != known.end() && logged->second == waiting.reason)
             continue;
         logger.info("Step waits",
-            { { "job", step.job }, { "step", step.step }, { "reason", reasonName(waiting.reason) },
+            { { "job", step.job }, { "step", step.step }, { "reason", waitReasonName(waiting.reason) },
                 { "tasks", waiting.tasks }, { "acceleratorsEach", step.spec->perTask.accelerators },
                 { "freeAccelerators", freeAccelerators }, { "usableWorkers", schedulableWorkers },
                 { "stepsAhead", ahead }, { "token", token_ } });
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -55,6 +55,7 @@
     removeDepartedWorkers();
     removeExpiredRecords();
     logStepActivity();
+    logHeldBackWork();
     schedulePlan();
     runAfter(tickInterval, [this] { tick(); });
 }
--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -330,6 +330,23 @@
         + coresPerAccelerator * static_cast<double>(resources.accelerators);
 }
 
+const char* waitReasonName(WaitReason reason)
+{
+    switch (reason) {
+    case WaitReason::NoCapacity:
+        return "no-room";
+    case WaitReason::CapacityBeingFreed:
+        return "room-is-freed";
+    case WaitReason::EndsExpected:
+        return "ends-expected";
+    case WaitReason::Reserved:
+        return "reserved";
+    case WaitReason::WaitsForRack:
+        return "waits-for-rack";
+    }
+    return "no-room";
+}
+
 Plan makePlan(const PlanInput& input) { return PlanBuilder(input).run(); }
 
 } // namespace rosemarylink::jobs::internal
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -100,6 +100,9 @@
     WaitsForRack, // its preferred rack has no capacity and other racks are not allowed yet
 };
 
+// The name of a reason in logs.
+const char* waitReasonName(WaitReason);
+
 struct WaitingStep {
     std::size_t step = 0; // index into PlanInput::steps
     std::size_t tasks = 0;
--- a/src/jobs/PlannerFleet.cpp
+++ b/src/jobs/PlannerFleet.cpp
@@ -184,4 +184,31 @@
     });
 }
 
+std::size_t PlannerFleet::countStartable(const PlanStep& step) const
+{
+    std::size_t count = 0;
+    for (const FleetWorker* worker : all_) {
+        if (!isEligible(step, *worker))
+            continue;
+        const int fitting = applySpreadLimit(step, *worker, countFitting(step.spec->perTask, worker->row->free));
+        count += static_cast<std::size_t>(std::min(fitting, step.spec->taskCount));
+    }
+    return count;
+}
+
+bool PlannerFleet::isMostlyFree() const
+{
+    Resources capacity;
+    Resources free;
+    for (const FleetWorker* worker : all_) {
+        if (!worker->schedulable)
+            continue;
+        capacity += worker->row->capacity;
+        free += worker->row->free;
+    }
+    const auto isHalfFree = [](std::int64_t available, std::int64_t all) { return available > all - available; };
+    return isHalfFree(free.milliCores, capacity.milliCores) || isHalfFree(free.megabytes, capacity.megabytes)
+        || isHalfFree(free.accelerators, capacity.accelerators);
+}
+
 } // namespace rosemarylink::jobs::internal
--- a/src/jobs/PlannerFleet.h
+++ b/src/jobs/PlannerFleet.h
@@ -67,6 +67,13 @@
     // Whether some rack could hold all of the step's tasks if nothing ran there.
     bool fitsAnyEmptyRack(const PlanStep&) const;
 
+    // Number of the step's tasks for which there is room beside what runs, whatever this plan puts or holds there.
+    std::size_t countStartable(const PlanStep&) const;
+
+    // Whether less than half of the cores, of the memory or of the accelerators is in use, on workers that may be given
+    // work.
+    bool isMostlyFree() const;
+
     // Applies the step's limit of tasks on one worker to `count`.
     static int applySpreadLimit(const PlanStep&, const FleetWorker&, int count);
 
