Takeover: wait only for workers that have responded to an owner

Callers saw accepted jobs of which nothing ran for 6.4 s (10.5 s where leases are longer) after each change of the owner, with the pool free.

Cause: the fleet record, from which a new owner learns where runs may exist, held every registered worker, also one that had never responded to anyone: a registration of another writer, or a worker that no instance reaches. Each new owner waited for it until the longest lease was over.

A worker gets work only after its first report, so one without a report holds no run. The record now takes a worker in with its first report and drops it once it is silent, has no runs and its lease is over. While a write that drops a worker is on its way the worker gets no work, since the write may take effect without a response; so a worker that returns meanwhile is written again.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -227,6 +227,7 @@
         const std::vector<std::pair<JobId, std::int64_t>>& written, const StoreResponse&, bool complete);
     void updateRevisions(const std::vector<Record>&);
     bool appendToBatch(Batch&, const Job&) const;
+    bool mayHoldRuns(const Worker&) const;
     void writeFleet();
     void handleProgressStored();
     void removeExpiredRecords();
--- a/src/jobs/OwnerSessionRecords.cpp
+++ b/src/jobs/OwnerSessionRecords.cpp
@@ -175,16 +175,25 @@
     }
 }
 
-// Stores the ids of the workers that may be given work. A worker is used only after it is in the stored record, so that
-// the next owner knows where runs may exist.
+// Whether runs that this owner knows or has started may exist on the worker. A worker that has never responded to it
+// has none: it gets no work before its first report.
+bool OwnerSession::mayHoldRuns(const Worker& worker) const
+{
+    return !worker.runs.empty() || now() < worker.leaseExpiresAt || (worker.firstReportAt && !worker.unresponsiveSince);
+}
+
+// Stores which workers may hold runs, so that the next owner knows it. A worker is used only after it is in the stored
+// record.
 void OwnerSession::writeFleet()
 {
     if (fleetWriting_ || !fleetLoaded_)
         return;
     // Workers of a previous owner stay in the record until they are reconciled or their leases have expired.
     std::set<WorkerId> workerIds = unconfirmedWorkers_;
-    for (const auto& [id, worker] : workers_)
-        workerIds.insert(id);
+    for (const auto& [id, worker] : workers_) {
+        if (mayHoldRuns(worker))
+            workerIds.insert(id);
+    }
     if (workerIds == recordedWorkers_)
         return;
     nlohmann::json fleet = nlohmann::json::array();
@@ -194,6 +203,9 @@
     batch.preconditions = { owner_.ownership_.condition(), { keys::fleet, fleetRevision_ } };
     batch.puts = { { keys::fleet, fleet.dump() } };
     fleetWriting_ = true;
+    // The write may take effect without a response, so a worker that it leaves out gets no work from now on.
+    for (auto id = recordedWorkers_.begin(); id != recordedWorkers_.end();)
+        id = workerIds.count(*id) > 0 ? std::next(id) : recordedWorkers_.erase(id);
     owner_.store_.commit(batch, commitTimeout, guarded([this, workerIds](const StoreResponse& response) {
         fleetWriting_ = false;
         if (response.done()) {
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -186,6 +186,8 @@
     resolveAbsentRuns(worker, report, sentAt);
     if (!worker.reconciled)
         updateReconciled(worker, sentAt);
+    if (recordedWorkers_.count(id) == 0)
+        writeFleet();
     schedulePlan();
     if (!newest)
         return;
