Takeover: owners that follow each other share the wait for a silent worker

Callers saw no accepted job go on for as long as owners changed more often than the longest lease lasts while one worker did not respond.

Cause: each owner waits for a silent worker until the longest lease is over, counted from its own start, since it cannot know what an earlier owner has waited already; what was waited ended with the owner.

While an owner waits, it now stores each second how long the lease of each worker that has not responded to it lasts at most from then on, and the next owner waits no longer. That is safe because an owner renews no lease of a worker that the record lists with a limit: when such a worker responds, the record is written without the limit first.

Weighed and left: a record of each start before it is sent, which would tell exactly which jobs must wait, for a write before each first start.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CommandWindow.h"
+#include "FleetRecord.h"
 #include "Planner.h"
 #include "PlannerFleet.h"
 #include "PreemptionPatience.h"
@@ -135,6 +136,7 @@
     void removeDepartedWorkers();
     void checkRecovered();
     void finishRecovery();
+    Milliseconds longestLease() const;
 
     // OwnerSessionWorkers.cpp: polling of workers and their reports.
     void poll(Worker&);
@@ -228,12 +230,15 @@
     void updateRevisions(const std::vector<Record>&);
     bool appendToBatch(Batch&, const Job&) const;
     bool mayHoldRuns(const Worker&) const;
+    FleetRecord currentFleet() const;
+    bool needsFleetWrite(const FleetRecord&) const;
     void writeFleet();
     void handleProgressStored();
     void removeExpiredRecords();
 
     Job* find(const JobId&);
     Worker* find(const WorkerId&);
+    const Worker* find(const WorkerId&) const;
 
     PoolOwner& owner_;
     FencingToken token_;
@@ -242,8 +247,11 @@
     std::map<JobId, std::pair<JobState, Milliseconds>> finalJobs_; // jobs in a final state, and when they ended
     std::map<JobId, std::pair<std::string, Revision>> loadedProgress_; // until the job's submission is read
     std::map<WorkerId, Worker> workers_;
-    std::set<WorkerId> unconfirmedWorkers_; // in the loaded fleet record, not reconciled yet, lease may be valid
-    std::set<WorkerId> recordedWorkers_; // in the stored fleet record
+    // Workers of the loaded fleet record that are not reconciled yet, each with the time by which all runs on it have
+    // ended unless it responds before.
+    std::map<WorkerId, Milliseconds> unconfirmedWorkers_;
+    FleetRecord storedFleet_;
+    Milliseconds fleetWrittenAt_ { 0 };
     Revision fleetRevision_ { 0 };
     bool fleetLoaded_ = false;
     bool incomingLoaded_ = false;
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -157,7 +157,7 @@
     }
     std::sort(row.expectedEnds.begin(), row.expectedEnds.end(),
         [](const ExpectedEnd& a, const ExpectedEnd& b) { return a.at < b.at; });
-    row.schedulable = worker.reconciled && recordedWorkers_.count(worker.entry.id) > 0 && worker.clock
+    row.schedulable = worker.reconciled && storedFleet_.allowsWork(worker.entry.id) && worker.clock
         && !worker.entry.draining && !worker.unresponsiveSince;
     row.suspect = worker.avoidUntil > now() || isRecentlyCrashed(worker);
     return row;
--- a/src/jobs/OwnerSessionRecords.cpp
+++ b/src/jobs/OwnerSessionRecords.cpp
@@ -11,6 +11,10 @@
     constexpr Milliseconds commitTimeout { 1000 };
     constexpr Milliseconds retryDelay { 150 };
 
+    // While a takeover waits for workers, the remaining limits of their leases are stored at this interval, so that
+    // owners that follow each other quickly do not wait for them anew.
+    constexpr Milliseconds leaseLimitInterval { 1000 };
+
     const Logger logger("records");
 
 } // namespace
@@ -182,35 +186,57 @@
     return !worker.runs.empty() || now() < worker.leaseExpiresAt || (worker.firstReportAt && !worker.unresponsiveSince);
 }
 
+FleetRecord OwnerSession::currentFleet() const
+{
+    FleetRecord fleet;
+    for (const auto& [id, worker] : workers_) {
+        if (mayHoldRuns(worker))
+            fleet.workers.insert(id);
+    }
+    // Workers of a previous owner stay in the record until they are reconciled or their leases have expired.
+    for (const auto& [id, runsEndBy] : unconfirmedWorkers_) {
+        fleet.workers.insert(id);
+        const Worker* const worker = find(id);
+        if (!worker || !mayHoldRuns(*worker))
+            fleet.leaseLimits[id] = std::max(Milliseconds(0), runsEndBy - now());
+    }
+    return fleet;
+}
+
+bool OwnerSession::needsFleetWrite(const FleetRecord& fleet) const
+{
+    if (fleet.workers != storedFleet_.workers)
+        return true;
+    for (const auto& [id, limit] : storedFleet_.leaseLimits) {
+        if (fleet.leaseLimits.count(id) == 0)
+            return true;
+    }
+    // The limits fall all the time. A later owner that reads old ones waits longer than it has to.
+    return !fleet.leaseLimits.empty() && now() - fleetWrittenAt_ >= leaseLimitInterval;
+}
+
 // Stores which workers may hold runs, so that the next owner knows it. A worker is used only after it is in the stored
 // record.
 void OwnerSession::writeFleet()
 {
     if (fleetWriting_ || !fleetLoaded_)
         return;
-    // Workers of a previous owner stay in the record until they are reconciled or their leases have expired.
-    std::set<WorkerId> workerIds = unconfirmedWorkers_;
-    for (const auto& [id, worker] : workers_) {
-        if (mayHoldRuns(worker))
-            workerIds.insert(id);
-    }
-    if (workerIds == recordedWorkers_)
+    const FleetRecord fleet = currentFleet();
+    if (!needsFleetWrite(fleet))
         return;
-    nlohmann::json fleet = nlohmann::json::array();
-    for (const WorkerId& id : workerIds)
-        fleet.push_back(id.value());
     Batch batch;
     batch.preconditions = { owner_.ownership_.condition(), { keys::fleet, fleetRevision_ } };
-    batch.puts = { { keys::fleet, fleet.dump() } };
+    batch.puts = { { keys::fleet, fleetRecordText(fleet) } };
     fleetWriting_ = true;
     // The write may take effect without a response, so a worker that it leaves out gets no work from now on.
-    for (auto id = recordedWorkers_.begin(); id != recordedWorkers_.end();)
-        id = workerIds.count(*id) > 0 ? std::next(id) : recordedWorkers_.erase(id);
-    owner_.store_.commit(batch, commitTimeout, guarded([this, workerIds](const StoreResponse& response) {
+    for (auto id = storedFleet_.workers.begin(); id != storedFleet_.workers.end();)
+        id = fleet.allowsWork(*id) ? std::next(id) : storedFleet_.workers.erase(id);
+    owner_.store_.commit(batch, commitTimeout, guarded([this, fleet](const StoreResponse& response) {
         fleetWriting_ = false;
         if (response.done()) {
             fleetRevision_ = response.revision;
-            recordedWorkers_ = workerIds;
+            storedFleet_ = fleet;
+            fleetWrittenAt_ = now();
             schedulePlan();
             writeFleet();
             return;
@@ -218,7 +244,7 @@
         if (response.outcome == StoreOutcome::Conflict)
             updateRevisions(response.records);
         else
-            logger.warning("Fleet record was not stored; retrying", { { "workers", workerIds.size() } });
+            logger.warning("Fleet record was not stored; retrying", { { "workers", fleet.workers.size() } });
         runAfter(retryDelay, [this] { writeFleet(); });
     }));
 }
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -31,6 +31,7 @@
     : owner_(owner)
     , token_(token)
     , startedAt_(owner.clock_.monotonic())
+    , fleetWrittenAt_(startedAt_)
 {
 }
 
@@ -93,15 +94,17 @@
         }
         if (response.done()) {
             fleetRevision_ = response.records.front().revision;
-            const nlohmann::json fleet
-                = nlohmann::json::parse(response.records.front().value, nullptr, /*allow_exceptions=*/false);
-            if (!fleet.is_array())
+            const auto fleet = parseFleetRecord(response.records.front().value);
+            if (!fleet)
                 logger.error("Fleet record is malformed", { { "revision", fleetRevision_ } });
-            for (const nlohmann::json& id : fleet) {
-                if (id.is_string())
-                    unconfirmedWorkers_.insert(WorkerId(id.get<std::string>()));
+            storedFleet_ = fleet.value_or(FleetRecord());
+            for (const WorkerId& id : storedFleet_.workers)
+                unconfirmedWorkers_[id] = startedAt_ + longestLease();
+            for (const auto& [id, limit] : storedFleet_.leaseLimits) {
+                const auto unconfirmed = unconfirmedWorkers_.find(id);
+                if (unconfirmed != unconfirmedWorkers_.end())
+                    unconfirmed->second = std::min(unconfirmed->second, now() + limit);
             }
-            recordedWorkers_ = unconfirmedWorkers_;
         }
         fleetLoaded_ = true;
         loadIncoming();
@@ -268,22 +271,29 @@
         writeFleet();
 }
 
+// The longest time for which a run may go on after the last renewal of its lease, on the owner's clock.
+Milliseconds OwnerSession::longestLease() const
+{
+    const auto lease = static_cast<double>(owner_.limits_.workerLease.count());
+    return Milliseconds(static_cast<std::int64_t>(lease / slowestClockRate)) + leaseMargin;
+}
+
 void OwnerSession::checkRecovered()
 {
     if (recovered_ || !incomingLoaded_)
         return;
-    const Milliseconds leasesOver = startedAt_
-        + Milliseconds(
-            static_cast<std::int64_t>(static_cast<double>(owner_.limits_.workerLease.count()) / slowestClockRate))
-        + leaseMargin;
-    if (now() >= leasesOver) {
-        if (!unconfirmedWorkers_.empty())
-            logger.warning(
-                "Leases of unresponsive workers have expired", { { "workers", unconfirmedWorkers_.size() } });
-        unconfirmedWorkers_.clear();
+    for (auto position = unconfirmedWorkers_.begin(); position != unconfirmedWorkers_.end();) {
+        if (now() < position->second) {
+            ++position;
+            continue;
+        }
+        logger.warning("Lease of an unresponsive worker has expired", { { "worker", position->first } });
+        position = unconfirmedWorkers_.erase(position);
     }
     if (unconfirmedWorkers_.empty())
         finishRecovery();
+    if (needsFleetWrite(currentFleet()))
+        writeFleet();
 }
 
 void OwnerSession::finishRecovery()
@@ -324,4 +334,10 @@
     return position == workers_.end() ? nullptr : &position->second;
 }
 
+const Worker* OwnerSession::find(const WorkerId& id) const
+{
+    const auto position = workers_.find(id);
+    return position == workers_.end() ? nullptr : &position->second;
+}
+
 } // namespace rosemarylink::jobs::internal
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -105,7 +105,8 @@
     const std::int64_t cursor = pending && sameIncarnation ? acknowledgeableEnd(worker) : 0;
     worker.skipWait = worker.skipWait || (pending && !sameIncarnation);
     const bool silent = worker.unresponsiveSince && now() - worker.reportedAt > silentRenewalLimit;
-    const bool renewsLease = worker.clock && !worker.runs.empty() && !silent;
+    const bool renewsLease
+        = worker.clock && !worker.runs.empty() && !silent && storedFleet_.allowsWork(worker.entry.id);
     const Milliseconds leaseEnd = renewsLease ? leaseEndFor(worker) : Milliseconds(0);
     if (renewsLease)
         extendLease(worker, leaseEnd);
@@ -186,7 +187,7 @@
     resolveAbsentRuns(worker, report, sentAt);
     if (!worker.reconciled)
         updateReconciled(worker, sentAt);
-    if (recordedWorkers_.count(id) == 0)
+    if (!storedFleet_.allowsWork(id))
         writeFleet();
     schedulePlan();
     if (!newest)
--- a/tests/jobs/HeldBackWorkTest.cpp
+++ b/tests/jobs/HeldBackWorkTest.cpp
@@ -100,6 +100,51 @@
     CHECK(cluster.fleet.violations().empty());
 }
 
+// Guards against two runs of a task at a time: what an owner notes about the lease of a silent worker shortens the wait
+// of the owners after it, and must not shorten it below the lease.
+TEST_CASE("tasks of a silent worker start nowhere else before its lease has expired, however often owners change")
+{
+    const int silentFor = GENERATE(range(1200, 5600, 400));
+    const int secondLife = GENERATE(1500, 3000, 8000);
+    const bool refusesWrites = GENERATE(false, true);
+    CAPTURE(silentFor, secondLife, refusesWrites);
+    SimCluster cluster(2);
+    cluster.addWorkers(2, 2);
+    cluster.world.run(Milliseconds(3000));
+    cluster.submit("batch", "a0", oneStep(8, 4, Milliseconds(40000), /*gang=*/false));
+    cluster.world.run(Milliseconds(1000));
+    REQUIRE(cluster.fleet.runningOn(WorkerId("w0-0")) > 0);
+    // The next owner follows at once, so that nothing but the record makes it wait.
+    const auto changeOwner = [&cluster] {
+        SimInstance* const owner = cluster.currentOwner();
+        REQUIRE(owner != nullptr);
+        owner->ownership.resign();
+        owner->owner.end();
+        cluster.addInstance();
+    };
+    for (int round = 0; round < 4; ++round) {
+        // The worker responds to this owner after a while, and again to none of the following ones. The owner may or
+        // may not be able to store that.
+        cluster.fleet.silent = { WorkerId("w0-0") };
+        changeOwner();
+        cluster.world.run(Milliseconds(silentFor));
+        cluster.store.refusesWrites = refusesWrites;
+        cluster.fleet.silent.clear();
+        cluster.world.run(Milliseconds(600));
+        cluster.fleet.silent = { WorkerId("w0-0") };
+        cluster.store.refusesWrites = false;
+        changeOwner();
+        cluster.world.run(Milliseconds(secondLife));
+        changeOwner();
+        cluster.world.run(Milliseconds(8000));
+        cluster.fleet.silent.clear();
+        cluster.world.run(Milliseconds(3000));
+    }
+    cluster.world.run(Milliseconds(120000));
+    CHECK(cluster.storedState("a0") == JobState::Completed);
+    CHECK(cluster.fleet.violations().empty());
+}
+
 // Guards against a job that stands still while most of the pool is free, because each rack has room for a part of it
 // only and it waits for a whole one.
 TEST_CASE("a gang that prefers one rack starts on several while most of the pool is free")
