Planner: a step does not wait for its rack in a mostly free pool

Callers saw an accepted job stand still although most of the pool was free.

Cause: a gang that prefers one rack, and a task that prefers the rack of its data, wait for it for up to one predicted run time (11 s of photo-sort), however empty the pool is. A gang of wide tasks finds room for a part of it in each rack and waits; the platform counts a job as lost of which nothing runs for 3 s while there is room for it twice over and most of the pool is free.

After 2 s the step now starts wherever it fits, if there is room for twice its tasks and less than half of the cores, the memory or the accelerators is in use. One of the three is enough, since the platform does not say how it adds them up. A fuller pool keeps the longer wait, which is better for the job: it takes three times as long on several racks.

--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -20,6 +20,11 @@
     // not become free at all.
     constexpr double rackWaitFactor = 1.0;
 
+    // Limits that wait while the pool is mostly free and has room for this many times the step's tasks elsewhere: the
+    // platform counts a job as lost of which nothing runs for 3 s then.
+    constexpr Milliseconds rackWaitInFreePool { 2000 };
+    constexpr std::size_t freeRoomFactor = 2;
+
     // Weight of an accelerator in lost core-seconds, as defined by the platform's users.
     constexpr double coresPerAccelerator = 8.0;
 
@@ -99,6 +104,9 @@
             const Milliseconds waited = input_.now - step.readyAt;
             if (step.priority == 0)
                 return waited >= input_.urgentRackWait;
+            if (waited >= rackWaitInFreePool && fleet_.isMostlyFree()
+                && fleet_.countStartable(step) >= freeRoomFactor * step.tasks.size())
+                return true;
             return static_cast<double>(waited.count())
                 >= rackWaitFactor * static_cast<double>(step.expectedRunTime.count());
         }
--- a/src/jobs/PlannerFleet.cpp
+++ b/src/jobs/PlannerFleet.cpp
@@ -35,6 +35,21 @@
             std::min(a.accelerators, b.accelerators) };
     }
 
+    bool isMostlyFreePool(const std::vector<PlanWorker>& workers)
+    {
+        Resources capacity;
+        Resources free;
+        for (const PlanWorker& worker : workers) {
+            if (!worker.schedulable)
+                continue;
+            capacity += worker.capacity;
+            free += worker.free;
+        }
+        const auto isHalfFree = [](std::int64_t available, std::int64_t all) { return available > all - available; };
+        return isHalfFree(free.milliCores, capacity.milliCores) || isHalfFree(free.megabytes, capacity.megabytes)
+            || isHalfFree(free.accelerators, capacity.accelerators);
+    }
+
 } // namespace
 
 PlannerFleet::PlannerFleet(const PlanInput& input)
@@ -54,6 +69,7 @@
     const auto suspects = std::count_if(
         input.workers.begin(), input.workers.end(), [](const PlanWorker& worker) { return worker.suspect; });
     fewSuspects_ = static_cast<std::size_t>(suspects) * suspectDivisor <= input.workers.size();
+    mostlyFree_ = isMostlyFreePool(input.workers);
 }
 
 int PlannerFleet::countFitting(const Resources& perTask, const Resources& available)
@@ -196,19 +212,4 @@
     return count;
 }
 
-bool PlannerFleet::isMostlyFree() const
-{
-    Resources capacity;
-    Resources free;
-    for (const FleetWorker* worker : all_) {
-        if (!worker->schedulable)
-            continue;
-        capacity += worker->row->capacity;
-        free += worker->row->free;
-    }
-    const auto isHalfFree = [](std::int64_t available, std::int64_t all) { return available > all - available; };
-    return isHalfFree(free.milliCores, capacity.milliCores) || isHalfFree(free.megabytes, capacity.megabytes)
-        || isHalfFree(free.accelerators, capacity.accelerators);
-}
-
 } // namespace rosemarylink::jobs::internal
--- a/src/jobs/PlannerFleet.h
+++ b/src/jobs/PlannerFleet.h
@@ -72,7 +72,7 @@
 
     // Whether less than half of the cores, of the memory or of the accelerators is in use, on workers that may be given
     // work.
-    bool isMostlyFree() const;
+    bool isMostlyFree() const { return mostlyFree_; }
 
     // Applies the step's limit of tasks on one worker to `count`.
     static int applySpreadLimit(const PlanStep&, const FleetWorker&, int count);
@@ -83,6 +83,7 @@
     FleetWorkers all_;
     std::vector<FleetWorkers> racks_;
     bool fewSuspects_ = false;
+    bool mostlyFree_ = false;
 };
 
 } // namespace rosemarylink::jobs::internal
