Planner: what is held for a wide gang does not keep a small one out of a half-empty pool

Cause: a task of photo-sort takes more than half of a worker's memory and few accelerators, so that 43 of 48 workers have no room for another one while two thirds of the accelerators are free. The few workers with room are held for the wide gangs first in line, which need many times more, and all small gangs wait behind them; a headroom for urgent work and suspect workers add to it.

The price: a wide gang may wait longer.

--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -20,11 +20,6 @@
     // not become free at all.
     constexpr double rackWaitFactor = 1.0;
 
-    // Limits that wait while the pool is mostly free and has room for this many times the step's tasks elsewhere: the
-    // platform counts a job as lost of which nothing runs for 3 s then.
-    constexpr Milliseconds rackWaitInFreePool { 2000 };
-    constexpr std::size_t freeRoomFactor = 2;
-
     // Weight of an accelerator in lost core-seconds, as defined by the platform's users.
     constexpr double coresPerAccelerator = 8.0;
 
@@ -56,6 +51,7 @@
             plannedStep_ = static_cast<std::size_t>(&step - input_.steps.data());
             const std::size_t placedBefore = plan_.placements.size();
             const std::size_t reservationsBefore = plan_.reservations.size();
+            fleet_.beginStep(step);
             const bool spreadAllowed = maySpread(step);
             bool held = false;
             if (step.spec->gang)
@@ -91,22 +87,19 @@
                 if (!worker->schedulable || worker->free.accelerators <= 0 || worker->free.accelerators > left)
                     continue;
                 left -= worker->free.accelerators;
-                worker->schedulable = false;
+                worker->keptForUrgent = true;
             }
         }
 
         bool maySpread(const PlanStep& step) const
         {
-            if (!step.spec->rackLocal && step.spec->dataRack.empty())
+            if ((!step.spec->rackLocal && step.spec->dataRack.empty()) || fleet_.mustStart())
                 return true;
             if (step.spec->rackLocal && !fleet_.fitsAnyEmptyRack(step))
                 return true;
             const Milliseconds waited = input_.now - step.readyAt;
             if (step.priority == 0)
                 return waited >= input_.urgentRackWait;
-            if (waited >= rackWaitInFreePool && fleet_.isMostlyFree()
-                && fleet_.countStartable(step) >= freeRoomFactor * step.tasks.size())
-                return true;
             return static_cast<double>(waited.count())
                 >= rackWaitFactor * static_cast<double>(step.expectedRunTime.count());
         }
@@ -152,7 +145,7 @@
         {
             const bool preferRack = step.spec->rackLocal || !step.spec->dataRack.empty();
             FleetWorkers chosen;
-            if (!isKnown(withoutCapacity_, step, spread)) {
+            if (fleet_.mustStart() || !isKnown(withoutCapacity_, step, spread)) {
                 chosen = selectForGang(step, preferRack, spread, /*includeReleasing=*/false);
                 if (!chosen.empty()) {
                     place(step, chosen);
--- a/src/jobs/PlannerFleet.cpp
+++ b/src/jobs/PlannerFleet.cpp
@@ -35,6 +35,14 @@
             std::min(a.accelerators, b.accelerators) };
     }
 
+    // The platform counts a job as lost of which nothing runs for 3 s while less than half of the pool is in use and
+    // there is room for it twice over.
+    constexpr Milliseconds longestHoldBack { 2000 };
+    constexpr std::size_t roomFactor = 2;
+
+    // A little above half, because the owner learns of ends later than the platform.
+    constexpr std::int64_t mostlyFreePercent = 55;
+
     bool isMostlyFreePool(const std::vector<PlanWorker>& workers)
     {
         Resources capacity;
@@ -45,9 +53,11 @@
             capacity += worker.capacity;
             free += worker.free;
         }
-        const auto isHalfFree = [](std::int64_t available, std::int64_t all) { return available > all - available; };
-        return isHalfFree(free.milliCores, capacity.milliCores) || isHalfFree(free.megabytes, capacity.megabytes)
-            || isHalfFree(free.accelerators, capacity.accelerators);
+        const auto isMostlyFree = [](std::int64_t available, std::int64_t all) {
+            return (all - available) * 100 <= all * mostlyFreePercent;
+        };
+        return capacity.accelerators > 0 ? isMostlyFree(free.accelerators, capacity.accelerators)
+                                         : isMostlyFree(free.milliCores, capacity.milliCores);
     }
 
 } // namespace
@@ -79,12 +89,23 @@
         countFittingOne(perTask.accelerators, available.accelerators) });
 }
 
-bool PlannerFleet::isEligible(const PlanStep& step, const FleetWorker& worker)
+void PlannerFleet::beginStep(const PlanStep& step)
+{
+    mustStart_ = mostlyFree_ && input_.now - step.readyAt >= longestHoldBack
+        && countStartable(step) >= roomFactor * step.tasks.size();
+}
+
+bool PlannerFleet::mayRun(const PlanStep& step, const FleetWorker& worker)
 {
     return worker.schedulable
         && (step.spec->workerLabel.empty() || worker.row->labels->count(step.spec->workerLabel) > 0);
 }
 
+bool PlannerFleet::isEligible(const PlanStep& step, const FleetWorker& worker)
+{
+    return !worker.keptForUrgent && mayRun(step, worker);
+}
+
 bool PlannerFleet::isTooRisky(const PlanStep& step, const FleetWorker& worker) const
 {
     // Guaranteed work must start in time, and there may be no other room for it.
@@ -104,19 +125,19 @@
 
 int PlannerFleet::capacityOn(const PlanStep& step, const FleetWorker& worker, bool includeReleasing) const
 {
-    if (!worker.schedulable || isTooRisky(step, worker))
+    if (mustStart_ ? !mayRun(step, worker) : worker.keptForUrgent || !worker.schedulable || isTooRisky(step, worker))
         return 0;
     Resources available = worker.free;
     if (includeReleasing)
         available += worker.releasing;
-    if (worker.hold && (worker.hold->againstPeers || step.priority > worker.hold->priority)) {
+    if (!mustStart_ && worker.hold && (worker.hold->againstPeers || step.priority > worker.hold->priority)) {
         const auto longestRun
             = static_cast<std::int64_t>(static_cast<double>(step.expectedRunTime.count()) * runTimeMargin);
         if (input_.now + Milliseconds(longestRun) > worker.hold->from)
             available = smallerOf(available, worker.hold->spare);
     }
     const int fitting = countFitting(step.spec->perTask, available);
-    if (fitting == 0 || !isEligible(step, worker))
+    if (fitting == 0 || !mayRun(step, worker))
         return 0;
     return applySpreadLimit(step, worker, fitting);
 }
@@ -204,7 +225,7 @@
 {
     std::size_t count = 0;
     for (const FleetWorker* worker : all_) {
-        if (!isEligible(step, *worker))
+        if (!mayRun(step, *worker))
             continue;
         const int fitting = applySpreadLimit(step, *worker, countFitting(step.spec->perTask, worker->row->free));
         count += static_cast<std::size_t>(std::min(fitting, step.spec->taskCount));
--- a/src/jobs/PlannerFleet.h
+++ b/src/jobs/PlannerFleet.h
@@ -22,6 +22,7 @@
     Resources releasing;
     bool schedulable = false;
     std::optional<CapacityHold> hold;
+    bool keptForUrgent = false; // its free capacity is left to urgent work
 };
 
 using FleetWorkers = std::vector<FleetWorker*>;
@@ -39,9 +40,19 @@
     const FleetWorkers& all() const { return all_; }
     const std::vector<FleetWorkers>& racks() const { return racks_; }
 
+    // Must be called before a step is placed. Decides whether it must start wherever there is room: it has been ready
+    // for a while, less than half of the pool is in use, and there is room for more than its tasks. Then neither a
+    // preferred rack nor a hold, a suspicion or the capacity that is kept for urgent work holds it back.
+    void beginStep(const PlanStep&);
+    bool mustStart() const { return mustStart_; }
+
     // Number of tasks of this size that fit into the available resources.
     static int countFitting(const Resources& perTask, const Resources& available);
 
+    // Whether the worker may be given work and has the label that the step needs.
+    static bool mayRun(const PlanStep&, const FleetWorker&);
+
+    // The same for a worker whose free capacity is not kept for urgent work.
     static bool isEligible(const PlanStep&, const FleetWorker&);
 
     // Whether the step must not use the worker because runs have failed there recently. A worker that fails its runs at
@@ -70,8 +81,8 @@
     // Number of the step's tasks for which there is room beside what runs, whatever this plan puts or holds there.
     std::size_t countStartable(const PlanStep&) const;
 
-    // Whether less than half of the cores, of the memory or of the accelerators is in use, on workers that may be given
-    // work.
+    // Whether about half or less of the accelerators, or of the cores of a pool without accelerators, is in use on
+    // workers that may be given work.
     bool isMostlyFree() const { return mostlyFree_; }
 
     // Applies the step's limit of tasks on one worker to `count`.
@@ -84,6 +95,7 @@
     std::vector<FleetWorkers> racks_;
     bool fewSuspects_ = false;
     bool mostlyFree_ = false;
+    bool mustStart_ = false; // the step that is being placed
 };
 
 } // namespace rosemarylink::jobs::internal
--- a/tests/jobs/HeldBackWorkTest.cpp
+++ b/tests/jobs/HeldBackWorkTest.cpp
@@ -184,4 +184,30 @@
     CHECK(cluster.fleet.startsOf(JobId("a0")) == 2);
 }
 
+// Guards against a small gang that stands still although free workers have room for it twice over, because all of them
+// are held for a wide gang that does not fit (found with bench setup tidyroom-jo late-gangs, seed 9).
+TEST_CASE("a small gang starts on workers that are held for a wide one while most of the pool is free")
+{
+    SimCluster cluster(1);
+    cluster.addWorkers(4, 4);
+    cluster.world.run(Milliseconds(2500));
+    // A task uses more than half of a worker's memory and few of its accelerators, so that there is one for each
+    // worker.
+    JobSpec occupied = oneStep(12, 1, Milliseconds(60000), /*gang=*/false);
+    occupied.steps[0].perTask.megabytes = 34000;
+    cluster.submit("batch", "b0", occupied);
+    cluster.world.run(Milliseconds(500));
+    REQUIRE(cluster.fleet.running() == 12);
+    JobSpec wide = oneStep(8, 1, Milliseconds(11000), /*gang=*/true);
+    wide.steps[0].perTask.megabytes = 34000;
+    cluster.submit("batch", "b1", wide);
+    cluster.world.run(Milliseconds(500));
+    JobSpec small = wide;
+    small.steps[0].taskCount = 2;
+    cluster.submit("batch", "a0", small);
+    cluster.world.run(longestStandstill);
+    CHECK(cluster.fleet.startsOf(JobId("a0")) == 2);
+    CHECK(cluster.fleet.violations().empty());
+}
+
 } // namespace rosemarylink::jobs
