Base: bound the nesting of JSON from other processes

What an operator would have seen: an owner that ends with SIGSEGV as soon as it reads one worker's report, then the next owner, and so on; or an owner that stops responding because of one entry under servers/.

Cause: nlohmann's parser and destructor do not recurse, but copying a value does, and WorkerClient copies "Running" and "Ended" out of the report (value() with a default). A report may have up to 16 MB. An entry of 1 MB of "[" is not copied, but a value is built from it each time the list is read, once per second.

Fix: parseJson() scans the text for its nesting before it parses it.

Ruled out: callers' bodies.

--- a/include/rosemarylink/base/JsonReader.h
+++ b/include/rosemarylink/base/JsonReader.h
@@ -14,6 +14,14 @@
 
 namespace rosemarylink {
 
+// Limit on the nesting of arrays and objects in JSON from other processes. Copying or serializing a JSON value recurses
+// into it, so that a deeper one could exhaust the stack.
+constexpr std::size_t maximumJsonDepth = 32;
+
+// Parses JSON that may come from any writer. Fails with InvalidArgument for malformed text and, before a value is
+// built, for text that is nested more deeply than maximumJsonDepth. The message is short enough for a log.
+Result<nlohmann::json> parseJson(const std::string& text);
+
 // The range of allowed values of an integer in a schema, both ends included.
 struct IntegerRange {
     std::int64_t minimum = std::numeric_limits<std::int64_t>::min();
@@ -36,6 +44,11 @@
 // as "Job.tasks".
 Result<std::string> readString(const nlohmann::json&, const std::string& path, LengthRange = {});
 Result<std::int64_t> readInteger(const nlohmann::json&, const std::string& path, IntegerRange = {});
+
+// Like readInteger, but also accepts a floating-point number without a fraction, which is how some writers represent
+// whole numbers.
+Result<std::int64_t> readWholeNumber(const nlohmann::json&, const std::string& path, IntegerRange = {});
+
 Result<double> readNumber(const nlohmann::json&, const std::string& path, NumberRange = {});
 Result<bool> readBoolean(const nlohmann::json&, const std::string& path);
 
--- a/src/base/JsonReader.cpp
+++ b/src/base/JsonReader.cpp
@@ -1,12 +1,41 @@
 #include "rosemarylink/base/JsonReader.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace rosemarylink {
 
 namespace {
 
+    // Parse errors quote the input, which may be long.
+    constexpr std::size_t maximumMessageLength = 160;
+
+    // All whole numbers up to this one can be represented as a double.
+    constexpr double largestExactWholeNumber = 9007199254740992; // 2^53
+
+    // Returns whether the text has more than maximumJsonDepth brackets open at once, outside of strings.
+    bool isNestedTooDeeply(const std::string& text)
+    {
+        std::size_t depth = 0;
+        bool inString = false;
+        for (std::size_t index = 0; index < text.size(); ++index) {
+            const char character = text[index];
+            if (inString) {
+                index += character == '\\' ? 1 : 0; // skips the escaped character
+                inString = character != '"';
+            } else if (character == '"') {
+                inString = true;
+            } else if (character == '[' || character == '{') {
+                if (++depth > maximumJsonDepth)
+                    return true;
+            } else if ((character == ']' || character == '}') && depth > 0) {
+                --depth;
+            }
+        }
+        return false;
+    }
+
     std::size_t editDistance(const std::string& a, const std::string& b)
     {
         std::vector<std::size_t> row(b.size() + 1);
@@ -30,6 +59,18 @@
 
 } // namespace
 
+Result<nlohmann::json> parseJson(const std::string& text)
+{
+    if (isNestedTooDeeply(text)) {
+        return invalidArgument("the JSON is nested more than " + std::to_string(maximumJsonDepth) + " levels deep");
+    }
+    try {
+        return nlohmann::json::parse(text);
+    } catch (const nlohmann::json::exception& problem) {
+        return invalidArgument(std::string(problem.what()).substr(0, maximumMessageLength));
+    }
+}
+
 std::optional<std::string> nearestName(const std::string& unknown, const std::vector<std::string>& known)
 {
     std::optional<std::string> nearest;
@@ -71,6 +112,16 @@
     return number;
 }
 
+Result<std::int64_t> readWholeNumber(const nlohmann::json& value, const std::string& path, IntegerRange range)
+{
+    if (!value.is_number_float())
+        return readInteger(value, path, range);
+    const auto number = value.get<double>();
+    if (std::abs(number) > largestExactWholeNumber || std::trunc(number) != number)
+        return invalidArgument(path + " must be a whole number");
+    return readInteger(static_cast<std::int64_t>(number), path, range);
+}
+
 Result<double> readNumber(const nlohmann::json& value, const std::string& path, NumberRange range)
 {
     if (!value.is_number())
--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -1,5 +1,7 @@
 #include "rosemarylink/jobs/JobProgress.h"
 
+#include "rosemarylink/base/JsonReader.h"
+
 namespace rosemarylink::jobs {
 
 namespace {
@@ -128,7 +130,10 @@
 
 std::optional<JobState> parseProgressState(const std::string& record)
 {
-    const nlohmann::json json = nlohmann::json::parse(record, nullptr, /*allow_exceptions=*/false);
+    const auto parsed = parseJson(record);
+    if (!parsed)
+        return std::nullopt;
+    const nlohmann::json& json = parsed.value();
     if (!json.is_object() || !json.contains("state") || !json["state"].is_string())
         return std::nullopt;
     return parseJobState(json["state"].get<std::string>());
@@ -141,7 +146,7 @@
         return invalidArgument("the progress record of job " + job.spec.id.value() + " has no valid state");
     job.state = *state;
     job.hasWaitingRecord = *state == JobState::Queued;
-    const nlohmann::json json = nlohmann::json::parse(record, nullptr, /*allow_exceptions=*/false);
+    BOOST_OUTCOME_TRY(json, parseJson(record));
     if (!json.contains("occurrences"))
         return okStatus();
     try {
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -1,5 +1,6 @@
 #include "OwnerSession.h"
 
+#include "rosemarylink/base/JsonReader.h"
 #include "rosemarylink/base/Log.h"
 
 namespace rosemarylink::jobs::internal {
@@ -162,8 +163,8 @@
 {
     if (jobs_.count(id) > 0 || finalJobs_.count(id) > 0)
         return;
-    const nlohmann::json json = nlohmann::json::parse(record.value, nullptr, /*allow_exceptions=*/false);
-    auto spec = json.is_object() ? parseJobSpec(json) : invalidArgument("not an object");
+    const auto json = parseJson(record.value);
+    auto spec = json ? parseJobSpec(json.value()) : json.error();
     if (!spec) {
         logger.error("Submission is malformed", { { "job", id }, { "reason", spec.error().message } });
         return;
