--- a/tests/platform/OddReportsTest.cpp
+++ b/tests/platform/OddReportsTest.cpp
@@ -96,4 +96,51 @@
     CHECK(start(409, R"({"Reason":"room","ClockMs":482113})").response.outcome == jobs::CommandOutcome::NoCapacity);
 }
 
+// Guards against numbers that are converted to others: a run that was never started, a time that overflows.
+TEST_CASE("a report with a number out of range is malformed")
+{
+    const auto report = [](const std::string& text) { return poll(200, text).report; };
+    for (const char* const number :
+        { "1e300", "-1e300", "1099511627776", "-1", "9223372036854775807", "18446744073709551615", "1.5", "\"2\"" }) {
+        const std::string text(number);
+        INFO(text);
+        CHECK_FALSE(report(R"({"ClockMs":5,"Running":[["a1.0.0.0",)" + text + R"(,"",0]]})").has_value());
+        CHECK_FALSE(report(R"({"ClockMs":5,"Ended":[[1,"a1.0.0.0",)" + text + R"(,"done",""]]})").has_value());
+    }
+    for (const char* const number : { "1e300", "-1", "18446744073709551615", "9223372036854775807", "1.5", "null" }) {
+        const std::string text(number);
+        INFO(text);
+        CHECK_FALSE(report(R"({"ClockMs":5,"born":)" + text + "}").has_value());
+        CHECK_FALSE(report(R"({"ClockMs":5,"Ended":[[)" + text + R"(,"a1.0.0.0",1,"done",""]]})").has_value());
+    }
+    for (const char* const number : { "1e300", "-1", "18446744073709551615", "9223372036854775807", "null", "\"5\"" })
+        CHECK_FALSE(report(R"({"ClockMs":)" + std::string(number) + "}").has_value());
+    for (const char* const percent : { "1e300", "-1e300", "1e30" }) {
+        const auto bounded = report(R"({"ClockMs":5,"Running":[["a1.0.0.0",1,"",)" + std::string(percent) + "]]}");
+        REQUIRE(bounded.has_value());
+        CHECK(bounded.value().running.at(0).percent >= 0);
+        CHECK(bounded.value().running.at(0).percent <= 100);
+    }
+}
+
+// Guards against refusing what workers really report.
+TEST_CASE("the fields of a report are decoded")
+{
+    const auto report = poll(200,
+        R"({"ClockMs":482113,"born":1700000000000,"Running":[["a1.0.1.17",2,"c",41,0.5],["other",1,"",0]],
+            "Ended":[[58,"a1.0.1.9",1,"done",""]]})")
+                            .report;
+    REQUIRE(report.has_value());
+    CHECK(report.value().workerClock == Milliseconds(482113));
+    CHECK(report.value().startTimeMs == 1700000000000);
+    REQUIRE(report.value().running.size() == 1);
+    CHECK(report.value().running[0].task.index == 17);
+    CHECK(report.value().running[0].run == 2);
+    CHECK(report.value().running[0].checkpoint == "c");
+    CHECK(report.value().running[0].percent == 41);
+    REQUIRE(report.value().ended.size() == 1);
+    CHECK(report.value().ended[0].number == 58);
+    CHECK(report.value().ended[0].end == jobs::RunEnd::Done);
+}
+
 } // namespace rosemarylink::platform
