Catalog: refuse entries of workers that name no worker to use

What an operator would have seen after another writer left one such entry: an owner that stands still while it asks the resolver for a host name, once per poll of that worker; a plan on sums that have overflowed; log lines that are broken or as long as the entry.

Cause: parseWorker took any text as address, converted any number, and set no limit on ids, names, labels and the size of the entry. Poco's SocketAddress resolves a host that is no IP address and blocks.

What becomes of a worker whose entry is odd now is stated at Catalog::parseWorker.

Not done: an entry whose service no configuration names is still accepted and its worker polled; nothing is started on it.

--- a/include/rosemarylink/jobs/Catalog.h
+++ b/include/rosemarylink/jobs/Catalog.h
@@ -18,7 +18,13 @@
     virtual std::string workerPrefix() const = 0;
 
     // Fails for a malformed entry and for a worker that must not be used. Entries come from other processes and are
-    // not trusted.
+    // not trusted. All fields of an entry that is returned are in a range for which sums over all workers do not
+    // overflow, and its address can be connected to without resolving a name.
+    //
+    // A worker whose entry is refused counts as not registered, whether or not it was before. No run is started on it,
+    // as nothing is known for certain about where it is and what it can hold. Runs that it already has continue, and
+    // their leases are renewed at the address of its last valid entry, because the worker has most likely not changed.
+    // Ending them would run their tasks twice.
     virtual Result<WorkerEntry> parseWorker(const Record&) const = 0;
 };
 
