--- a/include/rosemarylink/jobs/Catalog.h
+++ b/include/rosemarylink/jobs/Catalog.h
@@ -23,8 +23,8 @@
     //
     // A worker whose entry is refused counts as not registered, whether or not it was before. No run is started on it,
     // as nothing is known for certain about where it is and what it can hold. Runs that it already has continue, and
-    // their leases are renewed at the address of its last valid entry, because the worker has most likely not changed.
-    // Ending them would run their tasks twice.
+    // their leases are renewed at the address of its last valid entry for as long as it can be connected to, because
+    // the worker has most likely not changed.
     virtual Result<WorkerEntry> parseWorker(const Record&) const = 0;
 };
 
