Owner: log each entry of a worker that is refused

What an operator would have seen: nothing. A worker whose entry was odd was missing from the plans without a line in any log.

Cause: loadWorkers passed over an entry that does not parse.

Fix: an entry is logged with its key and the reason when it appears and when the reason changes, without what is not printable and in bounded length.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -129,7 +129,7 @@
     void handleIncoming(const Record&);
     void handleSubmission(const JobId&, const Record&);
     void handleCancellation(const JobId&);
-    void handleWorkers(const std::vector<Record>&);
+    void logRefusedEntries(std::map<std::string, std::string> reasons);
     void handleWorkerEntry(const WorkerEntry&);
     void markUnlisted(const WorkerId&);
     void removeDepartedWorkers();
@@ -242,6 +242,7 @@
     std::map<JobId, std::pair<std::string, Revision>> loadedProgress_; // until the job's submission is read
     std::map<WorkerId, Worker> workers_;
     std::set<WorkerId> unconfirmedWorkers_; // in the loaded fleet record, not reconciled yet, lease may be valid
+    std::map<std::string, std::string> refusedEntries_; // reasons by key, of the last list of workers
     std::set<WorkerId> recordedWorkers_; // in the stored fleet record
     Revision fleetRevision_ { 0 };
     bool fleetLoaded_ = false;
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -3,6 +3,9 @@
 #include "rosemarylink/base/JsonReader.h"
 #include "rosemarylink/base/Log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace rosemarylink::jobs::internal {
 
 namespace {
@@ -24,8 +27,20 @@
     // Added to the end of a lease to allow for a command that was in flight when the previous owner lost ownership.
     constexpr Milliseconds leaseMargin { 250 };
 
+    // Limit on text of another writer in a log line, in bytes.
+    constexpr std::size_t maximumLoggedText = 200;
+
     const Logger logger("recovery");
 
+    // Returns the beginning of the text with everything replaced that is not printable ASCII.
+    std::string loggable(const std::string& text)
+    {
+        std::string line = text.substr(0, maximumLoggedText);
+        std::replace_if(
+            line.begin(), line.end(), [](char character) { return character < ' ' || character > '~'; }, '?');
+        return line;
+    }
+
 } // namespace
 
 OwnerSession::OwnerSession(PoolOwner& owner, FencingToken token)
@@ -208,12 +223,16 @@
             return;
         }
         std::set<WorkerId> present;
+        std::map<std::string, std::string> refused;
         for (const Record& record : response.records) {
             if (auto entry = owner_.catalog_.parseWorker(record)) {
                 present.insert(entry.value().id);
                 handleWorkerEntry(entry.value());
+            } else {
+                refused[record.key] = entry.error().message;
             }
         }
+        logRefusedEntries(std::move(refused));
         for (auto& [id, worker] : workers_) {
             if (worker.listed && present.count(id) == 0)
                 markUnlisted(id);
@@ -223,6 +242,18 @@
     }));
 }
 
+// Logs each refused entry when it appears and when the reason changes.
+void OwnerSession::logRefusedEntries(std::map<std::string, std::string> reasons)
+{
+    for (const auto& [key, reason] : reasons) {
+        const auto logged = refusedEntries_.find(key);
+        if (logged == refusedEntries_.end() || logged->second != reason)
+            logger.warning("Entry of a worker is refused",
+                { { "key", loggable(key) }, { "reason", loggable(reason) }, { "token", token_ } });
+    }
+    refusedEntries_ = std::move(reasons);
+}
+
 void OwnerSession::handleWorkerEntry(const WorkerEntry& entry)
 {
     const auto [position, added] = workers_.try_emplace(entry.id);
