--- a/src/jobs/FleetRecord.cpp
+++ b/src/jobs/FleetRecord.cpp
@@ -1,9 +1,8 @@
 #include "FleetRecord.h"
 
+#include "rosemarylink/base/JsonReader.h"
 #include "rosemarylink/base/Log.h"
 
-#include <nlohmann/json.hpp>
-
 namespace rosemarylink::jobs::internal {
 
 namespace {
@@ -51,11 +50,11 @@
 
 std::optional<FleetRecord> parseFleetRecord(const std::string& text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
-    if (!json.is_array())
+    const auto json = parseJson(text);
+    if (!json || !json.value().is_array())
         return std::nullopt;
     FleetRecord record;
-    for (const nlohmann::json& element : json) {
+    for (const nlohmann::json& element : json.value()) {
         if (element.is_string()) {
             record.workers.insert(WorkerId(element.get<std::string>()));
             continue;
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -140,7 +140,7 @@
     void handleIncoming(const Record&);
     void handleSubmission(const JobId&, const Record&);
     void handleCancellation(const JobId&);
-    void handleWorkers(const std::vector<Record>&);
+    void logRefusedEntries(std::map<std::string, std::string> reasons);
     void handleWorkerEntry(const WorkerEntry&);
     void markUnlisted(const WorkerId&);
     void removeDepartedWorkers();
@@ -263,6 +263,7 @@
     std::map<WorkerId, UnconfirmedWorker> unconfirmedWorkers_; // of the loaded fleet record, not reconciled yet
     FleetRecord storedFleet_;
     Milliseconds fleetWrittenAt_ { 0 };
+    std::map<std::string, std::string> refusedEntries_; // reasons by key, of the last list of workers
     Revision fleetRevision_ { 0 };
     bool fleetLoaded_ = false;
     bool incomingLoaded_ = false;
