HTTP client: call the handler exactly once when a socket is refused

Callers of the owner's clients waited forever: a call to the store or to a worker whose socket the system refused to watch never ended, and the log held only "[loop] Event handler threw an exception reason=bad_function_call". The list of workers, the watch of submissions and the poll of a worker repeat themselves when their call ends, so that the duty was over while the owner kept its lease. On a reused connection the exception left through the caller of send() instead, which ended whatever the caller did.

Cause: the handler was moved into the connection before the socket was watched, and the catch block then called the empty one; the reused connection was started outside of the try block. EventLoop::watch also kept the handler of a socket that it did not watch, and unwatch() could throw before a failed request had called its handler.

send() now hands the handler to the connection, which ends the request itself whatever fails: building or sending the request, watching, receiving or parsing. Such a connection is closed at once, so that no event can end the request a second time or return the connection to the idle ones. A response handler is called outside of the guarded part, so that its own exception does not fail the next request on the connection.

The new tests replace the descriptors of the event loop by /dev/null while a request is sent. Before: "a request whose socket cannot be watched fails exactly once" got 0 errors in 1 s on the loop's clock with a timeout of 400 ms; "a request on a reused connection that cannot be watched fails exactly once" left send() with "Invalid argument". Ruled out by tests that passed before as well: no free descriptor, malformed addresses, a response handler that throws. An exception in extractResponse could not be provoked by bytes alone.

--- a/include/rosemarylink/reactor/EventLoop.h
+++ b/include/rosemarylink/reactor/EventLoop.h
@@ -42,10 +42,11 @@
     void cancel(TimerId);
 
     // Starts watching a socket, or changes how it is watched. Only a weak reference to the handler is kept; the socket
-    // is unwatched once the handler has been destroyed.
+    // is unwatched once the handler has been destroyed. Throws Poco::Exception if the system refuses to watch the
+    // socket; its handler is then unchanged.
     void watch(const Poco::Net::Socket&, bool forWriting, const std::shared_ptr<SocketHandler>&);
 
-    // Must be called before the socket is closed.
+    // Must be called before the socket is closed. Does not throw.
     void unwatch(const Poco::Net::Socket&);
 
     // Runs until stop() is called. Calls onIteration after each iteration, at least every 100 ms unless a handler
--- a/include/rosemarylink/reactor/LoopHttpClient.h
+++ b/include/rosemarylink/reactor/LoopHttpClient.h
@@ -51,9 +51,10 @@
     ~LoopHttpClient();
 
     // Sends a request to an address of the form "IP:port". The loop calls the handler exactly once, after send() has
-    // returned. A complete response is a success whatever its status, including 4xx and 5xx. Every error is
-    // Unavailable, with the verdict NotRun if the connection was not established, otherwise MayHaveRun. A timeout also
-    // closes the idle connections to the address, because the peer may no longer respond on them either.
+    // returned, also if the address is malformed or the system refuses a socket. A complete response is a success
+    // whatever its status, including 4xx and 5xx. Every error is Unavailable, with the verdict NotRun if the connection
+    // was not established, otherwise MayHaveRun. A timeout also closes the idle connections to the address, because the
+    // peer may no longer respond on them either.
     void send(const std::string& address, const ClientRequest&, ResponseHandler);
 
     // Closes the idle connections to an address.
@@ -64,6 +65,7 @@
 private:
     class Connection;
 
+    std::shared_ptr<Connection> takeConnection(const std::string& address);
     void release(const std::shared_ptr<Connection>&);
 
     EventLoop& loop_;
--- a/src/reactor/EventLoop.cpp
+++ b/src/reactor/EventLoop.cpp
@@ -2,6 +2,7 @@
 
 #include "rosemarylink/base/Log.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Thread.h>
 
 #include <algorithm>
@@ -39,17 +40,22 @@
 {
     const int mode = Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR
         | (forWriting ? Poco::Net::PollSet::POLL_WRITE : 0);
-    const auto [position, added] = handlers_.insert_or_assign(socket, handler);
-    if (added)
-        sockets_.add(position->first, mode);
+    if (handlers_.count(socket) == 0)
+        sockets_.add(socket, mode);
     else
-        sockets_.update(position->first, mode);
+        sockets_.update(socket, mode);
+    handlers_.insert_or_assign(socket, handler);
 }
 
 void EventLoop::unwatch(const Poco::Net::Socket& socket)
 {
-    if (handlers_.erase(socket) > 0)
+    if (handlers_.erase(socket) == 0)
+        return;
+    try {
         sockets_.remove(socket);
+    } catch (const Poco::Exception& problem) {
+        logger.warning("Socket was not removed from the poll set", { { "reason", problem.displayText() } });
+    }
 }
 
 Milliseconds EventLoop::nextWait() const
--- a/src/reactor/LoopHttpClient.cpp
+++ b/src/reactor/LoopHttpClient.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <optional>
 #include <sstream>
 
 namespace rosemarylink::reactor {
@@ -12,6 +13,12 @@
     // Limit on idle connections per address; further ones are closed.
     constexpr std::size_t maximumIdleConnections = 8;
 
+    std::string describe(const std::exception& problem)
+    {
+        const auto* const detailed = dynamic_cast<const Poco::Exception*>(&problem);
+        return detailed ? detailed->displayText() : problem.what();
+    }
+
 } // namespace
 
 class LoopHttpClient::Connection final : public SocketHandler,
@@ -26,78 +33,45 @@
 
     const std::string& address() const { return address_; }
 
+    // Does not throw. The handler is called later whatever fails.
     void start(const ClientRequest& request, ResponseHandler handler)
     {
         handler_ = std::move(handler);
         timeout_ = request.timeout;
         timeoutScope_ = request.timeoutScope;
-        Poco::Net::HTTPRequest head(request.method, request.target, Poco::Net::HTTPMessage::HTTP_1_1);
-        head.setHost(address_);
-        head.setKeepAlive(true);
-        for (const auto& [name, value] : request.headers)
-            head.set(name, value);
-        if (request.method != "GET")
-            head.setContentLength(static_cast<std::streamsize>(request.body.size()));
-        if (!request.body.empty())
-            head.setContentType("application/json");
-        std::ostringstream out;
-        head.write(out);
-        buffer_.appendUnsent(out.str());
-        buffer_.appendUnsent(request.body);
-        const auto self = shared_from_this();
         restartTimeout();
-        if (connected_ && buffer_.send() == SocketBuffer::ConnectionState::Closed) {
-            client_.loop_.after(Milliseconds(0), [self] { self->fail("the connection is closed"); });
-            return;
+        if (const std::optional<std::string> problem = problemIn([&] { return sendRequest(request); })) {
+            close(); // nothing else may end the request before the handler is called
+            client_.loop_.after(Milliseconds(0), [self = shared_from_this(), problem] { self->fail(*problem); });
         }
-        client_.loop_.watch(buffer_.socket(), buffer_.hasUnsent() || !connected_, self);
     }
 
     void onWritable() override
     {
-        if (!connected_ && buffer_.socket().impl()->socketError() != 0) {
-            fail("the connection was not established");
-            return;
-        }
-        connected_ = true;
-        if (buffer_.send() == SocketBuffer::ConnectionState::Closed) {
-            fail("the connection failed");
-            return;
-        }
-        if (!buffer_.hasUnsent())
-            client_.loop_.watch(buffer_.socket(), false, shared_from_this());
+        if (const std::optional<std::string> problem = problemIn([this] { return sendUnsent(); }))
+            fail(*problem);
     }
 
     void onReadable() override
     {
-        const std::size_t receivedBefore = buffer_.received().size();
-        const bool closed = buffer_.receive() == SocketBuffer::ConnectionState::Closed;
         if (!handler_) { // an idle connection is readable only when the peer has closed it
             removeIdle();
             return;
         }
-        auto extracted = extractResponse(buffer_.received(), MessageLimits { 64 * 1024, 16 * 1024 * 1024 });
-        if (!extracted) {
-            fail(extracted.error().message);
+        std::optional<ReceivedResponse> received;
+        if (const std::optional<std::string> problem = problemIn([&] { return receive(received); })) {
+            fail(*problem);
             return;
         }
-        if (!extracted.value()) {
-            if (closed)
-                fail("the connection was closed before the complete response");
-            else if (timeoutScope_ == TimeoutScope::Progress && buffer_.received().size() > receivedBefore)
-                restartTimeout();
+        if (!received)
             return;
-        }
-        ClientResponse response { extracted.value()->head.getStatus(), std::move(extracted.value()->body) };
-        const bool reusable = !closed && extracted.value()->head.getKeepAlive();
         client_.loop_.cancel(timer_);
         const ResponseHandler handler = std::exchange(handler_, nullptr);
-        const auto self = shared_from_this();
-        if (reusable)
-            client_.release(self);
+        if (received->reusable)
+            client_.release(shared_from_this());
         else
             close();
-        handler(std::move(response));
+        handler(std::move(received->response));
     }
 
     void close()
@@ -107,6 +81,73 @@
     }
 
 private:
+    struct ReceivedResponse {
+        ClientResponse response;
+        bool reusable = false; // whether the connection can be used for another request
+    };
+
+    // Runs a part of the exchange that returns why the request has failed, if it has. An exception counts as a failure.
+    template <typename Part> static std::optional<std::string> problemIn(Part part)
+    {
+        try {
+            return part();
+        } catch (const std::exception& problem) {
+            return describe(problem);
+        }
+    }
+
+    std::optional<std::string> sendRequest(const ClientRequest& request)
+    {
+        Poco::Net::HTTPRequest head(request.method, request.target, Poco::Net::HTTPMessage::HTTP_1_1);
+        head.setHost(address_);
+        head.setKeepAlive(true);
+        for (const auto& [name, value] : request.headers)
+            head.set(name, value);
+        if (request.method != "GET")
+            head.setContentLength(static_cast<std::streamsize>(request.body.size()));
+        if (!request.body.empty())
+            head.setContentType("application/json");
+        std::ostringstream out;
+        head.write(out);
+        buffer_.appendUnsent(out.str());
+        buffer_.appendUnsent(request.body);
+        if (connected_ && buffer_.send() == SocketBuffer::ConnectionState::Closed)
+            return "the connection is closed";
+        client_.loop_.watch(buffer_.socket(), buffer_.hasUnsent() || !connected_, shared_from_this());
+        return std::nullopt;
+    }
+
+    std::optional<std::string> sendUnsent()
+    {
+        if (!connected_ && buffer_.socket().impl()->socketError() != 0)
+            return "the connection was not established";
+        connected_ = true;
+        if (buffer_.send() == SocketBuffer::ConnectionState::Closed)
+            return "the connection failed";
+        if (!buffer_.hasUnsent())
+            client_.loop_.watch(buffer_.socket(), false, shared_from_this());
+        return std::nullopt;
+    }
+
+    std::optional<std::string> receive(std::optional<ReceivedResponse>& received)
+    {
+        const std::size_t receivedBefore = buffer_.received().size();
+        const bool closed = buffer_.receive() == SocketBuffer::ConnectionState::Closed;
+        auto extracted = extractResponse(buffer_.received(), MessageLimits { 64 * 1024, 16 * 1024 * 1024 });
+        if (!extracted)
+            return extracted.error().message;
+        if (std::optional<HttpMessage<Poco::Net::HTTPResponse>>& message = extracted.value()) {
+            received
+                = { { message->head.getStatus(), std::move(message->body) }, !closed && message->head.getKeepAlive() };
+            return std::nullopt;
+        }
+        if (closed)
+            return "the connection was closed before the complete response";
+        if (timeoutScope_ == TimeoutScope::Progress && buffer_.received().size() > receivedBefore)
+            restartTimeout();
+        return std::nullopt;
+    }
+
     void removeIdle()
     {
         const auto self = shared_from_this();
@@ -157,24 +198,31 @@
 
 void LoopHttpClient::send(const std::string& address, const ClientRequest& request, ResponseHandler handler)
 {
-    std::list<std::shared_ptr<Connection>>& idle = idle_[address];
-    if (!idle.empty()) {
-        const std::shared_ptr<Connection> connection = idle.back();
-        idle.pop_back();
-        connection->start(request, std::move(handler));
-        return;
-    }
+    std::shared_ptr<Connection> connection;
     try {
-        Poco::Net::StreamSocket socket;
-        socket.connectNB(Poco::Net::SocketAddress(address));
-        ++connectionsOpened_;
-        const auto connection = std::make_shared<Connection>(*this, address, socket);
-        connection->start(request, std::move(handler));
-    } catch (const Poco::Exception& problem) {
-        loop_.after(Milliseconds(0), [handler = std::move(handler), text = address + ": " + problem.displayText()] {
+        connection = takeConnection(address);
+    } catch (const std::exception& problem) {
+        loop_.after(Milliseconds(0), [handler = std::move(handler), text = address + ": " + describe(problem)] {
             handler(unavailable(text, Verdict::NotRun));
         });
+        return;
+    }
+    connection->start(request, std::move(handler));
+}
+
+// Returns an idle connection, or opens one.
+std::shared_ptr<LoopHttpClient::Connection> LoopHttpClient::takeConnection(const std::string& address)
+{
+    std::list<std::shared_ptr<Connection>>& idle = idle_[address];
+    if (!idle.empty()) {
+        std::shared_ptr<Connection> connection = std::move(idle.back());
+        idle.pop_back();
+        return connection;
     }
+    Poco::Net::StreamSocket socket;
+    socket.connectNB(Poco::Net::SocketAddress(address));
+    ++connectionsOpened_;
+    return std::make_shared<Connection>(*this, address, socket);
 }
 
 void LoopHttpClient::release(const std::shared_ptr<Connection>& connection)
--- a/tests/reactor/EventLoopTest.cpp
+++ b/tests/reactor/EventLoopTest.cpp
@@ -6,10 +6,15 @@
 
 #include <Poco/Net/ServerSocket.h>
 
+#include <fcntl.h>
+#include <filesystem>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <stdexcept>
+#include <string>
+#include <sys/resource.h>
+#include <unistd.h>
 #include <vector>
 
 namespace rosemarylink::reactor {
@@ -215,4 +220,187 @@
     REQUIRE(response.error().verdict == Verdict::MayHaveRun);
 }
 
+namespace {
+
+    // While it exists, the system refuses to watch sockets: the descriptors of all event loops of the process are
+    // replaced by another file.
+    class RefusedWatches {
+    public:
+        RefusedWatches()
+        {
+            for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd")) {
+                std::error_code ended; // the descriptor of the directory itself is no longer open
+                if (std::filesystem::read_symlink(entry.path(), ended) == "anon_inode:[eventpoll]")
+                    replace(std::stoi(entry.path().filename()));
+            }
+        }
+        ~RefusedWatches()
+        {
+            for (const auto& [descriptor, copy] : copies_) {
+                ::dup2(copy, descriptor);
+                ::close(copy);
+            }
+        }
+        RefusedWatches(const RefusedWatches&) = delete;
+        RefusedWatches& operator=(const RefusedWatches&) = delete;
+
+    private:
+        void replace(int descriptor)
+        {
+            copies_.emplace_back(descriptor, ::dup(descriptor));
+            const int other = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+            ::dup2(other, descriptor);
+            ::close(other);
+        }
+
+        std::vector<std::pair<int, int>> copies_; // descriptors, each with its copy
+    };
+
+    // While it exists, the process cannot open any further descriptor.
+    class NoFreeDescriptors {
+    public:
+        NoFreeDescriptors()
+        {
+            ::getrlimit(RLIMIT_NOFILE, &previous_);
+            const rlimit none { 0, previous_.rlim_max };
+            ::setrlimit(RLIMIT_NOFILE, &none);
+        }
+        ~NoFreeDescriptors() { ::setrlimit(RLIMIT_NOFILE, &previous_); }
+        NoFreeDescriptors(const NoFreeDescriptors&) = delete;
+        NoFreeDescriptors& operator=(const NoFreeDescriptors&) = delete;
+
+    private:
+        rlimit previous_ {};
+    };
+
+    // Runs a loop for longer than a request's timeout of 400 ms on the loop's clock.
+    void runPastTimeout(EventLoop& loop, ManualClock& clock)
+    {
+        int iterations = 0;
+        loop.run([&] {
+            clock.advance(Milliseconds(50));
+            if (++iterations == 20)
+                loop.stop();
+        });
+    }
+
+    ClientRequest plainRequest() { return { "GET", "/", {}, "", Milliseconds(400) }; }
+
+    // Collects the errors that reach the handler of one request.
+    struct Failures {
+        std::vector<Error> errors;
+        ResponseHandler handler()
+        {
+            return [this](const Result<ClientResponse>& response) {
+                REQUIRE(!response);
+                errors.push_back(response.error());
+            };
+        }
+    };
+
+} // namespace
+
+// Guards against a caller that never hears of its request because the system refused to watch the new socket.
+TEST_CASE("a request whose socket cannot be watched fails exactly once")
+{
+    ManualClock clock;
+    EventLoop loop(clock);
+    LoopHttpClient client(loop);
+    auto server = LoopHttpServer::listen(loop, "127.0.0.1:0", {}, [](const ServerRequest&, const Responder& respond) {
+        respond({ 200, "{}", {} });
+    });
+    REQUIRE(server.has_value());
+    Failures failures;
+    {
+        const RefusedWatches refused;
+        REQUIRE_NOTHROW(client.send(server.value()->address(), plainRequest(), failures.handler()));
+        CHECK(failures.errors.empty());
+    }
+    runPastTimeout(loop, clock);
+    REQUIRE(failures.errors.size() == 1);
+    CHECK(failures.errors[0].verdict == Verdict::NotRun);
+}
+
+// Guards against an exception that leaves through the caller of send() and ends what the caller does.
+TEST_CASE("a request on a reused connection that cannot be watched fails exactly once")
+{
+    ManualClock clock;
+    EventLoop loop(clock);
+    LoopHttpClient client(loop);
+    auto server = LoopHttpServer::listen(loop, "127.0.0.1:0", {}, [](const ServerRequest&, const Responder& respond) {
+        respond({ 200, "{}", {} });
+    });
+    REQUIRE(server.has_value());
+    const std::string address = server.value()->address();
+    Failures failures;
+    bool sentAgain = false;
+    client.send(address, plainRequest(), [&](const Result<ClientResponse>& first) {
+        REQUIRE(first.has_value());
+        loop.after(Milliseconds(0), [&] {
+            const RefusedWatches refused;
+            client.send(address, plainRequest(), failures.handler());
+            sentAgain = true;
+        });
+    });
+    runPastTimeout(loop, clock);
+    CHECK(sentAgain);
+    CHECK(client.connectionsOpened() == 1);
+    REQUIRE(failures.errors.size() == 1);
+    CHECK(failures.errors[0].verdict == Verdict::MayHaveRun);
+}
+
+// Guards against a caller that never hears of its request because the process has no descriptor left, or because the
+// address in a worker's registration is not one.
+TEST_CASE("a request that cannot open a connection fails exactly once")
+{
+    ManualClock clock;
+    EventLoop loop(clock);
+    LoopHttpClient client(loop);
+    Failures failures;
+    std::size_t expected = 1;
+    SECTION("no free descriptor")
+    {
+        const NoFreeDescriptors none;
+        client.send("127.0.0.1:1", plainRequest(), failures.handler());
+    }
+    SECTION("malformed address")
+    {
+        const std::vector<std::string> addresses { "127.0.0.1:99999", "127.0.0.1", "", ":", "127.0.0.1:x", "[::1" };
+        for (const std::string& address : addresses)
+            client.send(address, plainRequest(), failures.handler());
+        expected = addresses.size();
+    }
+    CHECK(failures.errors.empty());
+    runPastTimeout(loop, clock);
+    REQUIRE(failures.errors.size() == expected);
+    for (const Error& error : failures.errors)
+        CHECK(error.verdict == Verdict::NotRun);
+}
+
+// Guards against a request that fails because of an exception in the handler of the request before it on the same
+// connection.
+TEST_CASE("a response handler that throws is called once and does not affect the next request")
+{
+    ManualClock clock;
+    EventLoop loop(clock);
+    LoopHttpClient client(loop);
+    auto server = LoopHttpServer::listen(loop, "127.0.0.1:0", {}, [](const ServerRequest&, const Responder& respond) {
+        respond({ 200, "{}", {} });
+    });
+    REQUIRE(server.has_value());
+    const std::string address = server.value()->address();
+    int firstCalls = 0;
+    int secondResponses = 0;
+    client.send(address, plainRequest(), [&](const Result<ClientResponse>&) {
+        ++firstCalls;
+        client.send(address, plainRequest(),
+            [&](const Result<ClientResponse>& second) { secondResponses += second.has_value() ? 1 : 100; });
+        throw std::runtime_error("unexpected");
+    });
+    runPastTimeout(loop, clock);
+    CHECK(firstCalls == 1);
+    CHECK(secondResponses == 1);
+    CHECK(client.connectionsOpened() == 1);
+}
+
 } // namespace rosemarylink::reactor
