HTTP client: do not take a repeated response for the next one

A server that responds twice to a request makes the client take its second response for the one to the next request on that connection: a poll of a worker could be answered with an older report, a read of the store with another record.

Cause: a connection was reused although bytes beyond the response had been received. They stayed in its buffer and were extracted with the next arrival. A connection with such bytes, or with a request that is not sent completely, is now closed.

Before, "a second response to a request is not the response to the next request" got a success for a request to which the server had not responded.

--- a/src/reactor/LoopHttpClient.cpp
+++ b/src/reactor/LoopHttpClient.cpp
@@ -137,8 +137,9 @@
         if (!extracted)
             return extracted.error().message;
         if (std::optional<HttpMessage<Poco::Net::HTTPResponse>>& message = extracted.value()) {
-            received
-                = { { message->head.getStatus(), std::move(message->body) }, !closed && message->head.getKeepAlive() };
+            const bool exchangeEnded = buffer_.received().empty() && !buffer_.hasUnsent();
+            received = { { message->head.getStatus(), std::move(message->body) },
+                !closed && exchangeEnded && message->head.getKeepAlive() };
             return std::nullopt;
         }
         if (closed)
--- a/tests/reactor/EventLoopTest.cpp
+++ b/tests/reactor/EventLoopTest.cpp
@@ -403,4 +403,25 @@
     CHECK(client.connectionsOpened() == 1);
 }
 
+// Guards against a response that the server sends twice and that is taken for the response to the next request.
+TEST_CASE("a second response to a request is not the response to the next request")
+{
+    ManualClock clock;
+    EventLoop loop(clock);
+    LoopHttpClient client(loop);
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1";
+    const std::vector<std::string> parts { response + response, response };
+    const auto server = std::make_shared<SlowServer>(loop, parts, Milliseconds(100));
+    const std::string address = server->listen();
+    int firstResponses = 0;
+    Failures failures; // of the second request, to which the server does not respond
+    client.send(address, plainRequest(), [&](const Result<ClientResponse>& first) {
+        firstResponses += first.has_value() ? 1 : 0;
+        client.send(address, plainRequest(), failures.handler());
+    });
+    runPastTimeout(loop, clock);
+    CHECK(firstResponses == 1);
+    CHECK(failures.errors.size() == 1);
+}
+
 } // namespace rosemarylink::reactor
