Owner: a tick that throws an exception does not end the tick

An owner whose tick threw once kept its lease and went on with everything else, but never again noticed that a worker's lease had expired, that a gang was incomplete or that a worker had left. The only line was "[loop] Event handler threw an exception". The tasks on an unresponsive worker then stood still for good.

Cause: the tick scheduled the next one as its last statement. The new class Duty repeats such a piece of work whichever way its last turn ended: by an exception, by a failed call, or without a response within a limit; a second or late response is ignored. It logs "[duty] Duty ended with an exception; it is started again" or "[duty] Duty got no response; it is started again" and counts restarts by duty and cause, and it tells when it last succeeded. The tick is the first to use it; the others follow. Plans are now scheduled before the diagnostic lines of a tick, so that a fault there does not delay them.

The stand-ins of the tests can now make a call of one instance throw, lose its response or get it twice (SimFaults). SimWorld lets exceptions pass as before unless a test demands that they are ignored as by the event loop.

--- a/include/rosemarylink/jobs/JobMetrics.h
+++ b/include/rosemarylink/jobs/JobMetrics.h
@@ -20,6 +20,10 @@
     void countRefusedStart(CommandOutcome);
     void countWithheldStep(const std::string& reason);
 
+    // The name and the cause are from small fixed sets. The age is the time since the duty last succeeded.
+    void countDutyRestart(const std::string& duty, const std::string& cause);
+    void setDutyAge(const std::string& duty, Milliseconds age);
+
     Counter& ownerships; // times that this instance became the owner
     Counter& silentWorkers; // times that a worker stopped responding
     Counter& lostRuns; // runs whose worker restarted, left or did not respond until its lease expired
--- a/src/jobs/JobMetrics.cpp
+++ b/src/jobs/JobMetrics.cpp
@@ -78,4 +78,21 @@
         .add();
 }
 
+void JobMetrics::countDutyRestart(const std::string& duty, const std::string& cause)
+{
+    registry_
+        .counter("rosemarylink_duty_restarts_total",
+            "Times that a duty of the owner was started again after an exception or a call without a response.",
+            { { "duty", duty }, { "cause", cause } })
+        .add();
+}
+
+void JobMetrics::setDutyAge(const std::string& duty, Milliseconds age)
+{
+    registry_
+        .gauge("rosemarylink_duty_age_seconds",
+            "Time since a duty of the owner last succeeded; 0 if this instance is not the owner.", { { "duty", duty } })
+        .set(static_cast<double>(age.count()) / 1000);
+}
+
 } // namespace rosemarylink::jobs
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -6,6 +6,7 @@
 #include "PreemptionPatience.h"
 #include "UrgentHeadroom.h"
 #include "rosemarylink/base/RunTimePredictor.h"
+#include "rosemarylink/jobs/Duty.h"
 #include "rosemarylink/jobs/PoolOwner.h"
 
 #include <deque>
@@ -119,6 +120,7 @@
     void runAfter(Milliseconds delay, const std::function<void()>& task) { owner_.timers_.after(delay, guarded(task)); }
     Milliseconds now() const { return owner_.clock_.monotonic(); }
     void tick();
+    void updateDutyMetrics() const;
 
     // OwnerSessionRecovery.cpp: state of the previous owner, submissions and registrations of workers.
     void loadProgress();
@@ -237,6 +239,7 @@
     PoolOwner& owner_;
     FencingToken token_;
     Milliseconds startedAt_;
+    Duty tickDuty_;
     std::map<JobId, Job> jobs_;
     std::map<JobId, std::pair<JobState, Milliseconds>> finalJobs_; // jobs in a final state, and when they ended
     std::map<JobId, std::pair<std::string, Revision>> loadedProgress_; // until the job's submission is read
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -31,17 +31,19 @@
     : owner_(owner)
     , token_(token)
     , startedAt_(owner.clock_.monotonic())
+    , tickDuty_({ "tick", { tickInterval, tickInterval } }, owner.timers_, owner.clock_, owner.metrics_)
 {
 }
 
 void OwnerSession::start()
 {
     loadProgress();
-    tick();
+    tickDuty_.start(weak_from_this(), [this] { tick(); });
 }
 
 void OwnerSession::tick()
 {
+    updateDutyMetrics();
     const Milliseconds time = now();
     for (auto& [id, worker] : workers_) {
         if (worker.runs.empty() || time < worker.leaseExpiresAt)
@@ -54,12 +56,13 @@
     checkRecovered();
     removeDepartedWorkers();
     removeExpiredRecords();
+    schedulePlan();
     logStepActivity();
     logHeldBackWork();
-    schedulePlan();
-    runAfter(tickInterval, [this] { tick(); });
 }
 
+void OwnerSession::updateDutyMetrics() const { tickDuty_.updateMetrics(); }
+
 // Loads progress before submissions. Both are written in one batch, so the progress of a submission is found unless it
 // was written between the two reads.
 void OwnerSession::loadProgress()
--- a/tests/jobs/SimCluster.cpp
+++ b/tests/jobs/SimCluster.cpp
@@ -44,12 +44,14 @@
     : timers(world)
     , store(world, simStore)
     , workers(world, fleet)
+    , faultyStore(store)
+    , faultyWorkers(workers)
     , metrics(registry)
-    , config(store, catalog, timers, world.clock())
-    , ownership(store, timers, world.clock(), name, acquisitionDelayFor(capacity))
-    , owner(store, workers, catalog, config, ownership, timers, world.clock(), metrics,
+    , config(faultyStore, catalog, timers, world.clock())
+    , ownership(faultyStore, timers, world.clock(), name, acquisitionDelayFor(capacity))
+    , owner(faultyStore, faultyWorkers, catalog, config, ownership, timers, world.clock(), metrics,
           { Milliseconds(6000), Milliseconds(3000), Milliseconds(400), Milliseconds(3000), Milliseconds(240000) })
-    , admission(store, config, catalog, timers, world.clock(), metrics)
+    , admission(faultyStore, config, catalog, timers, world.clock(), metrics)
 {
     config.start();
     ownership.start(
--- a/tests/jobs/SimCluster.h
+++ b/tests/jobs/SimCluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "SimFaults.h"
 #include "SimFleet.h"
 #include "SimStore.h"
 #include "SimWorld.h"
@@ -63,6 +64,8 @@
     SimTimers timers;
     SimStoreClient store;
     SimWorkerClient workers;
+    SimFaultyStore faultyStore; // on top of `store`
+    SimFaultyWorkers faultyWorkers; // on top of `workers`
     MetricsRegistry registry;
     JobMetrics metrics;
     ConfigView config;
--- /dev/null
+++ b/tests/jobs/SimFaults.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "rosemarylink/jobs/RecordStore.h"
+#include "rosemarylink/jobs/WorkerPort.h"
+
+#include <functional>
+#include <string>
+
+namespace rosemarylink::jobs {
+
+// Ways in which a call breaks the promise that its handler is called exactly once, after the call has returned.
+enum class CallFault { None, Throws, NoResponse, TwoResponses };
+
+enum class StoreCall { Commit, Read, List, Watch, GrantLease, KeepLease, EndLease };
+
+// Passes the calls of an instance on to its client of the store, except for injected faults.
+class SimFaultyStore final : public RecordStore {
+public:
+    explicit SimFaultyStore(RecordStore& store)
+        : store_(store)
+    {
+    }
+
+    // Decides on the fault of each call. The key is the prefix of a list or watch, the first key that a batch writes,
+    // or empty.
+    std::function<CallFault(StoreCall, const std::string& key)> faultFor;
+
+    void commit(const Batch&, Milliseconds timeout, StoreHandler) override;
+    void read(const std::string& key, Milliseconds timeout, StoreHandler) override;
+    void list(const std::string& prefix, Milliseconds timeout, StoreHandler) override;
+    void watch(const std::string& prefix, Revision after, Milliseconds wait, StoreHandler) override;
+    void grantLease(Milliseconds ttl, Milliseconds timeout, StoreHandler) override;
+    void keepLease(StoreLeaseId, Milliseconds timeout, StoreHandler) override;
+    void endLease(StoreLeaseId, Milliseconds timeout, StoreHandler) override;
+
+private:
+    StoreHandler faulty(StoreCall, const std::string& key, StoreHandler) const;
+
+    RecordStore& store_;
+};
+
+enum class WorkerCall { Start, Stop, Poll };
+
+// Passes the calls of an instance on to its client of the workers, except for injected faults.
+class SimFaultyWorkers final : public WorkerPort {
+public:
+    explicit SimFaultyWorkers(WorkerPort& workers)
+        : workers_(workers)
+    {
+    }
+
+    // Decides on the fault of each call.
+    std::function<CallFault(WorkerCall, const WorkerId&)> faultFor;
+
+    // Changes each report before it is delivered.
+    std::function<void(const WorkerId&, WorkerReport&)> changeReport;
+
+    void start(const WorkerEntry&, const StartCommand&, Milliseconds leaseEnd, FencingToken,
+        std::function<void(const CommandResponse&)>) override;
+    void stop(const WorkerEntry&, const TaskKey&, int run, FencingToken,
+        std::function<void(const CommandResponse&)>) override;
+    void poll(const WorkerEntry&, Milliseconds leaseEnd, FencingToken, std::int64_t acknowledged, Milliseconds wait,
+        std::function<void(Result<WorkerReport>)>) override;
+
+private:
+    CallFault faultOf(WorkerCall, const WorkerEntry&) const;
+
+    WorkerPort& workers_;
+};
+
+} // namespace rosemarylink::jobs
--- a/tests/jobs/SimWorld.h
+++ b/tests/jobs/SimWorld.h
@@ -3,6 +3,7 @@
 #include "rosemarylink/base/Clock.h"
 #include "rosemarylink/jobs/Timers.h"
 
+#include <exception>
 #include <functional>
 #include <map>
 #include <utility>
@@ -12,6 +13,9 @@
 // Simulated time and event queue. Events run in the order of their due times, with the clock set to the due time.
 class SimWorld final : public Timers {
 public:
+    // Whether an exception in an event is ignored, as the event loop of a process does. Otherwise it leaves run().
+    bool ignoresExceptions = false;
+
     const Clock& clock() const { return clock_; }
     Milliseconds now() const { return clock_.monotonic(); }
 
@@ -41,12 +45,22 @@
             events_.erase(events_.begin());
             if (event.first.first > now())
                 clock_.advance(event.first.first - now());
-            event.second();
+            runEvent(event.second);
         }
         clock_.advance(end - now());
     }
 
 private:
+    void runEvent(const std::function<void()>& event) const
+    {
+        try {
+            event();
+        } catch (const std::exception&) {
+            if (!ignoresExceptions)
+                throw;
+        }
+    }
+
     ManualClock clock_;
     std::map<std::pair<Milliseconds, Id>, std::function<void()>> events_;
     Id lastId_ = 0;
