Owner: the list of workers is repeated after an exception or a lost response

An owner could go on without ever learning of a worker that joined, left or drained: nothing was logged but, at most, one "[loop] Event handler threw an exception", and new work waited with reason=no-room beside an idle worker.

Cause: each list of the workers scheduled the next one when its response had been handled. An exception in the call, in parsing one registration or in handling it, or a response that never came, ended that for good; a response that came twice doubled the number of lists from then on. The list is now a Duty. A registration whose handling throws is logged by its key and skipped, so that one entry cannot keep the others from being read.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -132,6 +132,7 @@
     void handleSubmission(const JobId&, const Record&);
     void handleCancellation(const JobId&);
     void handleWorkers(const std::vector<Record>&);
+    void handleWorkerRecord(const Record&, std::set<WorkerId>& present);
     void handleWorkerEntry(const WorkerEntry&);
     void markUnlisted(const WorkerId&);
     void removeDepartedWorkers();
@@ -240,6 +241,7 @@
     FencingToken token_;
     Milliseconds startedAt_;
     Duty tickDuty_;
+    Duty workerListDuty_;
     std::map<JobId, Job> jobs_;
     std::map<JobId, std::pair<JobState, Milliseconds>> finalJobs_; // jobs in a final state, and when they ended
     std::map<JobId, std::pair<std::string, Revision>> loadedProgress_; // until the job's submission is read
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -9,6 +9,9 @@
     constexpr Milliseconds listTimeout { 1500 };
     constexpr Milliseconds retryDelay { 200 };
 
+    // A list takes longer than its timeout while its pages keep arriving. A second call beside it would only slow both.
+    constexpr Milliseconds longestList { 10000 };
+
     // A connection may go silent permanently, so that a watch ends without a response. Submissions are seen again after
     // this time plus the store client's margin, well within the time in which guaranteed work must start (2.9 s).
     constexpr Milliseconds watchWait { 1000 };
@@ -32,6 +35,8 @@
     , token_(token)
     , startedAt_(owner.clock_.monotonic())
     , tickDuty_({ "tick", { tickInterval, tickInterval } }, owner.timers_, owner.clock_, owner.metrics_)
+    , workerListDuty_(
+          { "worker-list", { workerListInterval, retryDelay } }, owner.timers_, owner.clock_, owner.metrics_)
 {
 }
 
@@ -61,7 +66,11 @@
     logHeldBackWork();
 }
 
-void OwnerSession::updateDutyMetrics() const { tickDuty_.updateMetrics(); }
+void OwnerSession::updateDutyMetrics() const
+{
+    tickDuty_.updateMetrics();
+    workerListDuty_.updateMetrics();
+}
 
 // Loads progress before submissions. Both are written in one batch, so the progress of a submission is found unless it
 // was written between the two reads.
@@ -124,9 +133,8 @@
                 handleIncoming(record);
         }
         // Cancellations are handled before the first response to this call, hence before any worker is polled, so that
-        // no run is stopped before it has been seen. The list of workers is repeated by itself from then on.
-        if (!incomingLoaded_)
-            loadWorkers();
+        // no run is stopped before it has been seen.
+        workerListDuty_.start(weak_from_this(), [this] { loadWorkers(); });
         for (const Record& record : response.records) {
             if (record.key.compare(0, keys::cancellations.size(), keys::cancellations) == 0)
                 handleIncoming(record);
@@ -204,25 +212,38 @@
 
 void OwnerSession::loadWorkers()
 {
-    owner_.store_.list(owner_.catalog_.workerPrefix(), listTimeout, guarded([this](const StoreResponse& response) {
-        if (!response.done()) {
-            runAfter(retryDelay, [this] { loadWorkers(); });
-            return;
-        }
-        std::set<WorkerId> present;
-        for (const Record& record : response.records) {
-            if (auto entry = owner_.catalog_.parseWorker(record)) {
-                present.insert(entry.value().id);
-                handleWorkerEntry(entry.value());
-            }
-        }
-        for (auto& [id, worker] : workers_) {
-            if (worker.listed && present.count(id) == 0)
-                markUnlisted(id);
+    owner_.store_.list(owner_.catalog_.workerPrefix(), listTimeout,
+        workerListDuty_.await(longestList, [this](const StoreResponse& response) {
+            if (!response.done())
+                return Duty::Outcome::Failed;
+            handleWorkers(response.records);
+            return Duty::Outcome::Succeeded;
+        }));
+}
+
+void OwnerSession::handleWorkers(const std::vector<Record>& records)
+{
+    std::set<WorkerId> present;
+    for (const Record& record : records)
+        handleWorkerRecord(record, present);
+    for (auto& [id, worker] : workers_) {
+        if (worker.listed && present.count(id) == 0)
+            markUnlisted(id);
+    }
+    writeFleet();
+}
+
+// Handles one registration. An exception does not keep the others from being handled.
+void OwnerSession::handleWorkerRecord(const Record& record, std::set<WorkerId>& present)
+{
+    try {
+        if (const auto entry = owner_.catalog_.parseWorker(record)) {
+            present.insert(entry.value().id);
+            handleWorkerEntry(entry.value());
         }
-        writeFleet();
-        runAfter(workerListInterval, [this] { loadWorkers(); });
-    }));
+    } catch (const std::exception& problem) {
+        logger.error("Worker's registration was not handled", { { "key", record.key }, { "reason", problem.what() } });
+    }
 }
 
 void OwnerSession::handleWorkerEntry(const WorkerEntry& entry)
--- a/tests/jobs/OwnerDutiesTest.cpp
+++ b/tests/jobs/OwnerDutiesTest.cpp
@@ -32,10 +32,26 @@
                   };
         }
 
+        // Whether a job that is submitted now completes within the time.
+        bool completes(const std::string& id, const JobSpec& job, Milliseconds time)
+        {
+            if (cluster.submit("batch", id, job).outcome != AdmissionOutcome::Accepted)
+                return false;
+            run(time);
+            return cluster.storedState(id) == JobState::Completed;
+        }
+
         SimCluster cluster { 1 };
         SimInstance& instance;
     };
 
+    JobSpec shortJob() { return oneStep(2, 1, Milliseconds(300), /*gang=*/false); }
+
+    // An owner notices a call that gets no response, and repeats it, within this time.
+    constexpr Milliseconds restartTime { 12000 };
+
+    constexpr int always = 1000000000;
+
 } // namespace
 
 // Guards against an owner that no longer notices leases that have expired, because its tick ended with an exception.
@@ -55,4 +71,47 @@
     CHECK(faulty.cluster.storedState("a") == JobState::Completed);
 }
 
+// Guards against an owner that no longer learns of workers that join or leave, because one list of them failed.
+TEST_CASE("a worker that joins is used although an earlier list of workers threw or got no response")
+{
+    const CallFault fault = GENERATE(CallFault::Throws, CallFault::NoResponse);
+    CAPTURE(fault);
+    FaultyCluster faulty;
+    faulty.run(startTime);
+    faulty.failStoreCalls(StoreCall::List, faulty.instance.catalog.workerPrefix(), fault);
+    faulty.run(restartTime);
+    faulty.cluster.fleet.add(WorkerId("new"), "r9", { 32000, 64000, 8 });
+    faulty.run(Milliseconds(1500));
+    JobSpec job = shortJob();
+    job.steps[0].workerLabel = "r9";
+    CHECK(faulty.completes("a", job, Milliseconds(2000)));
+}
+
+// The same for an exception while the list is handled.
+TEST_CASE("a worker that joins is used although the registration of another threw an exception")
+{
+    FaultyCluster faulty;
+    faulty.run(startTime);
+    faulty.instance.catalog.throwsFor = "workers/w0-0";
+    faulty.run(Milliseconds(2000));
+    faulty.cluster.fleet.add(WorkerId("new"), "r9", { 32000, 64000, 8 });
+    faulty.run(Milliseconds(1500));
+    JobSpec job = shortJob();
+    job.steps[0].workerLabel = "r9";
+    CHECK(faulty.completes("a", job, Milliseconds(2000)));
+}
+
+// Guards against an owner that lists its workers twice as often after each response that came twice.
+TEST_CASE("the list of workers is requested once per interval although its responses come twice")
+{
+    FaultyCluster faulty;
+    faulty.run(startTime);
+    const std::string prefix = faulty.instance.catalog.workerPrefix();
+    faulty.failStoreCalls(StoreCall::List, prefix, CallFault::TwoResponses, always);
+    const int listsBefore = faulty.instance.store.lists[prefix];
+    faulty.run(Milliseconds(8000));
+    CHECK(faulty.instance.store.lists[prefix] - listsBefore <= 8);
+    CHECK(faulty.completes("a", shortJob(), Milliseconds(2000)));
+}
+
 } // namespace rosemarylink::jobs
--- a/tests/jobs/SimCluster.cpp
+++ b/tests/jobs/SimCluster.cpp
@@ -23,6 +23,8 @@
 
 Result<WorkerEntry> SimCatalog::parseWorker(const Record& record) const
 {
+    if (record.key == throwsFor)
+        throw std::runtime_error("injected fault");
     const nlohmann::json json = nlohmann::json::parse(record.value, nullptr, /*allow_exceptions=*/false);
     if (!json.is_object() || !json.contains("rack") || !json.contains("born"))
         return invalidArgument("the worker's registration is malformed");
--- a/tests/jobs/SimCluster.h
+++ b/tests/jobs/SimCluster.h
@@ -23,6 +23,8 @@
     Result<Configuration> parseConfiguration(const Record&) const override;
     std::string workerPrefix() const override { return "workers/"; }
     Result<WorkerEntry> parseWorker(const Record&) const override;
+
+    std::string throwsFor; // key of the registration whose parsing throws an exception
 };
 
 // Timers of one instance. None fires after `killed` has been set, or before `pausedUntil`.
