Owner: submissions are followed after an exception or a lost response

Accepted jobs were lost without a line about them after "Job accepted": the owner kept its lease and ran what it knew, but no longer saw submissions and cancellations. If it happened during its first reads, it never finished its takeover.

Cause: the reads of the progress, the fleet record and the submissions and the watch were a chain in which each response handler made the next call. An exception in one of them or a response that never came ended it for good; a response that came twice doubled the watches from then on. The four steps are now turns of one Duty. Records are handled one by one: a record whose handling throws is logged by its key and tried again with the next response, and later records of its job wait for it, so that a cancellation is not handled before its submission.

Before, no job started after a watch that threw or got no response, nor after such a first read of the progress, the fleet record or the submissions; with responses that come twice there were 255 watches in 8 s instead of 9.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -123,11 +123,13 @@
     void updateDutyMetrics() const;
 
     // OwnerSessionRecovery.cpp: state of the previous owner, submissions and registrations of workers.
+    void followSubmissions();
     void loadProgress();
     void loadIncoming();
     void loadFleet();
     void loadWorkers();
-    void watchIncoming(Revision after);
+    void watchIncoming();
+    void handleIncoming(const std::vector<Record>&);
     void handleIncoming(const Record&);
     void handleSubmission(const JobId&, const Record&);
     void handleCancellation(const JobId&);
@@ -242,6 +244,7 @@
     Milliseconds startedAt_;
     Duty tickDuty_;
     Duty workerListDuty_;
+    Duty submissionsDuty_;
     std::map<JobId, Job> jobs_;
     std::map<JobId, std::pair<JobState, Milliseconds>> finalJobs_; // jobs in a final state, and when they ended
     std::map<JobId, std::pair<std::string, Revision>> loadedProgress_; // until the job's submission is read
@@ -249,8 +252,11 @@
     std::set<WorkerId> unconfirmedWorkers_; // in the loaded fleet record, not reconciled yet, lease may be valid
     std::set<WorkerId> recordedWorkers_; // in the stored fleet record
     Revision fleetRevision_ { 0 };
+    bool progressLoaded_ = false;
     bool fleetLoaded_ = false;
     bool incomingLoaded_ = false;
+    std::optional<Revision> watchedRevision_; // of the store; later submissions are still to be watched for
+    std::vector<Record> unhandledIncoming_; // records whose handling threw an exception, in order
     bool fleetWriting_ = false;
     std::map<std::tuple<JobId, int, int>, std::set<WorkerId>>
         reservedWorkers_; // by job, occurrence and step; reservations of the last plan
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -2,6 +2,8 @@
 
 #include "rosemarylink/base/Log.h"
 
+#include <algorithm>
+
 namespace rosemarylink::jobs::internal {
 
 namespace {
@@ -15,6 +17,7 @@
     // A connection may go silent permanently, so that a watch ends without a response. Submissions are seen again after
     // this time plus the store client's margin, well within the time in which guaranteed work must start (2.9 s).
     constexpr Milliseconds watchWait { 1000 };
+    constexpr Milliseconds longestWatch { 2000 };
 
     // Registrations change with every heartbeat, so a watch would cost one call per heartbeat. Listing them once per
     // second detects a leaving worker well within the time after which it must get no more work (2.5 s).
@@ -37,12 +40,13 @@
     , tickDuty_({ "tick", { tickInterval, tickInterval } }, owner.timers_, owner.clock_, owner.metrics_)
     , workerListDuty_(
           { "worker-list", { workerListInterval, retryDelay } }, owner.timers_, owner.clock_, owner.metrics_)
+    , submissionsDuty_({ "submissions", { Milliseconds(0), retryDelay } }, owner.timers_, owner.clock_, owner.metrics_)
 {
 }
 
 void OwnerSession::start()
 {
-    loadProgress();
+    submissionsDuty_.start(weak_from_this(), [this] { followSubmissions(); });
     tickDuty_.start(weak_from_this(), [this] { tick(); });
 }
 
@@ -70,6 +74,21 @@
 {
     tickDuty_.updateMetrics();
     workerListDuty_.updateMetrics();
+    submissionsDuty_.updateMetrics();
+}
+
+// Reads what the previous owner has stored and the submissions, one call after the other, and then watches for further
+// submissions.
+void OwnerSession::followSubmissions()
+{
+    if (!progressLoaded_)
+        loadProgress();
+    else if (!fleetLoaded_)
+        loadFleet();
+    else if (!watchedRevision_)
+        loadIncoming();
+    else
+        watchIncoming();
 }
 
 // Loads progress before submissions. Both are written in one batch, so the progress of a submission is found unless it
@@ -77,11 +96,9 @@
 void OwnerSession::loadProgress()
 {
     // For a job submitted between the two reads, the revision of its submission is used as that of its progress.
-    owner_.store_.list(keys::progressPrefix, listTimeout, guarded([this](const StoreResponse& response) {
-        if (!response.done()) {
-            runAfter(retryDelay, [this] { loadProgress(); });
-            return;
-        }
+    const auto handle = [this](const StoreResponse& response) {
+        if (!response.done())
+            return Duty::Outcome::Failed;
         for (const Record& record : response.records) {
             const JobId id(record.key.substr(keys::progressPrefix.size()));
             const auto state = parseProgressState(record.value);
@@ -92,17 +109,17 @@
             else
                 loadedProgress_[id] = { record.value, record.revision };
         }
-        loadFleet();
-    }));
+        progressLoaded_ = true;
+        return Duty::Outcome::Succeeded;
+    };
+    owner_.store_.list(keys::progressPrefix, listTimeout, submissionsDuty_.await(longestList, handle));
 }
 
 void OwnerSession::loadFleet()
 {
-    owner_.store_.read(keys::fleet, listTimeout, guarded([this](const StoreResponse& response) {
-        if (response.outcome != StoreOutcome::NotFound && !response.done()) {
-            runAfter(retryDelay, [this] { loadFleet(); });
-            return;
-        }
+    const auto handle = [this](const StoreResponse& response) {
+        if (response.outcome != StoreOutcome::NotFound && !response.done())
+            return Duty::Outcome::Failed;
         if (response.done()) {
             fleetRevision_ = response.records.front().revision;
             const nlohmann::json fleet
@@ -116,49 +133,66 @@
             recordedWorkers_ = unconfirmedWorkers_;
         }
         fleetLoaded_ = true;
-        loadIncoming();
-    }));
+        return Duty::Outcome::Succeeded;
+    };
+    owner_.store_.read(keys::fleet, listTimeout, submissionsDuty_.await(longestList, handle));
 }
 
 void OwnerSession::loadIncoming()
 {
-    owner_.store_.list(keys::incoming, listTimeout, guarded([this](const StoreResponse& response) {
-        if (!response.done()) {
-            runAfter(retryDelay, [this] { loadIncoming(); });
-            return;
-        }
+    const auto handle = [this](const StoreResponse& response) {
+        if (!response.done())
+            return Duty::Outcome::Failed;
         // Jobs are handled before cancellations, although their keys sort after them.
-        for (const Record& record : response.records) {
-            if (record.key.compare(0, keys::jobs.size(), keys::jobs) == 0)
-                handleIncoming(record);
-        }
-        // Cancellations are handled before the first response to this call, hence before any worker is polled, so that
-        // no run is stopped before it has been seen.
+        std::vector<Record> records = response.records;
+        std::stable_partition(records.begin(), records.end(),
+            [](const Record& record) { return record.key.compare(0, keys::jobs.size(), keys::jobs) == 0; });
+        handleIncoming(records);
+        // Workers are polled only after all cancellations have been handled, so that no run is stopped before it has
+        // been seen.
         workerListDuty_.start(weak_from_this(), [this] { loadWorkers(); });
-        for (const Record& record : response.records) {
-            if (record.key.compare(0, keys::cancellations.size(), keys::cancellations) == 0)
-                handleIncoming(record);
-        }
         incomingLoaded_ = true;
-        watchIncoming(response.revision);
-    }));
+        watchedRevision_ = response.revision;
+        return Duty::Outcome::Succeeded;
+    };
+    owner_.store_.list(keys::incoming, listTimeout, submissionsDuty_.await(longestList, handle));
 }
 
-void OwnerSession::watchIncoming(Revision after)
+void OwnerSession::watchIncoming()
 {
-    owner_.store_.watch(keys::incoming, after, watchWait, guarded([this, after](const StoreResponse& response) {
-        if (response.outcome == StoreOutcome::HistoryGone) {
-            runAfter(retryDelay, [this] { loadIncoming(); });
-            return;
-        }
-        if (!response.done()) {
-            runAfter(retryDelay, [this, after] { watchIncoming(after); });
-            return;
+    const auto handle = [this](const StoreResponse& response) {
+        if (response.outcome == StoreOutcome::HistoryGone)
+            watchedRevision_.reset();
+        if (!response.done())
+            return Duty::Outcome::Failed;
+        handleIncoming(response.records);
+        watchedRevision_ = std::max(*watchedRevision_, response.revision);
+        return Duty::Outcome::Succeeded;
+    };
+    owner_.store_.watch(keys::incoming, *watchedRevision_, watchWait, submissionsDuty_.await(longestWatch, handle));
+}
+
+// Handles each record by itself, so that one whose handling throws an exception does not keep the others from being
+// handled. It is tried again with the next records; later records of its job wait for it.
+void OwnerSession::handleIncoming(const std::vector<Record>& records)
+{
+    std::vector<Record> pending = std::exchange(unhandledIncoming_, {});
+    pending.insert(pending.end(), records.begin(), records.end());
+    std::set<std::string> failedJobs;
+    for (const Record& record : pending) {
+        const std::string job = record.key.substr(record.key.rfind('/') + 1);
+        try {
+            if (failedJobs.count(job) == 0) {
+                handleIncoming(record);
+                continue;
+            }
+        } catch (const std::exception& problem) {
+            logger.error("Submission or cancellation was not handled; it is tried again",
+                { { "key", record.key }, { "reason", problem.what() } });
+            failedJobs.insert(job);
         }
-        for (const Record& record : response.records)
-            handleIncoming(record);
-        watchIncoming(std::max(after, response.revision));
-    }));
+        unhandledIncoming_.push_back(record);
+    }
 }
 
 void OwnerSession::handleIncoming(const Record& record)
--- a/tests/jobs/OwnerDutiesTest.cpp
+++ b/tests/jobs/OwnerDutiesTest.cpp
@@ -114,4 +114,52 @@
     CHECK(faulty.completes("a", shortJob(), Milliseconds(2000)));
 }
 
+// Guards against an owner that never sees another submission, because one watch of them failed.
+TEST_CASE("a job starts although an earlier watch of submissions threw or got no response")
+{
+    const CallFault fault = GENERATE(CallFault::Throws, CallFault::NoResponse);
+    CAPTURE(fault);
+    FaultyCluster faulty;
+    faulty.run(startTime);
+    faulty.failStoreCalls(StoreCall::Watch, keys::incoming, fault);
+    faulty.run(Milliseconds(1500)); // the watch that was on its way has ended
+    // Within the time after which the platform counts a ready job as lost.
+    CHECK(faulty.completes("a", shortJob(), Milliseconds(3000)));
+    CHECK(faulty.completes("b", shortJob(), Milliseconds(1000)));
+}
+
+// Guards against an owner that keeps its lease without ever finishing its takeover, because one of its first reads
+// failed.
+TEST_CASE("a job starts although a first read of the owner threw or got no response")
+{
+    struct FirstRead {
+        StoreCall call;
+        std::string key;
+    };
+    const FirstRead read = GENERATE(values<FirstRead>({ { StoreCall::List, keys::progressPrefix },
+        { StoreCall::Read, keys::fleet }, { StoreCall::List, keys::incoming } }));
+    const CallFault fault = GENERATE(CallFault::Throws, CallFault::NoResponse);
+    CAPTURE(read.key, fault);
+    FaultyCluster faulty;
+    faulty.failStoreCalls(read.call, read.key, fault);
+    faulty.run(startTime + restartTime);
+    CHECK(faulty.completes("a", shortJob(), Milliseconds(1000)));
+}
+
+// Guards against an owner that watches twice as often after each response that came twice.
+TEST_CASE("submissions are watched once at a time although responses come twice")
+{
+    FaultyCluster faulty;
+    faulty.run(startTime);
+    int watches = 0;
+    faulty.instance.faultyStore.faultFor = [&watches](StoreCall call, const std::string& key) {
+        const bool watch = call == StoreCall::Watch && key == keys::incoming;
+        watches += watch ? 1 : 0;
+        return watch ? CallFault::TwoResponses : CallFault::None;
+    };
+    faulty.run(Milliseconds(8000));
+    CHECK(watches <= 9);
+    CHECK(faulty.completes("a", shortJob(), Milliseconds(1000)));
+}
+
 } // namespace rosemarylink::jobs
