Owner: a worker is polled again after an exception or a lost response

The tasks of one worker stood still for good, or their ends were learned of only with the end of its lease: the owner no longer polled that worker, renewed no lease there and started the finished tasks again elsewhere. Nothing named the worker.

Cause: the next poll was sent by the handler of the last one, and the mark of a poll on its way was cleared only by its response. An exception in the call or while the report was handled, or a response that never came, left the worker without polls. A poll that throws is now repeated after the retry delay, and the tick repeats one that has had no response for 3.5 s, 900 ms after the client's own limit and within the lease. The lines name the worker; the metrics count all workers as the duty "poll". A second response to a poll is ignored.

Before, "a job completes although a poll of its worker threw or got no response" and "... handling a report of its worker threw an exception" ended with the job incomplete and nine starts of eight tasks. "workers are polled once at a time although responses come twice" passed before as well; it rules out that cause.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -40,6 +40,9 @@
 // A task that crashes its workers does so at once, so that a run is not to blame if its worker lived on for this long.
 inline constexpr Milliseconds survivalTime { 300 };
 
+// Name of the polls of all workers in metrics.
+inline constexpr const char* pollDuty = "poll";
+
 using RunKey = std::pair<TaskKey, int>; // a task and the number of its run
 
 // A run that occupies resources of a worker, from its start command until its end is known.
@@ -88,6 +91,7 @@
     std::int64_t acknowledged = 0; // number up to which the worker has received acknowledgments
     std::deque<PendingEnd> pendingEnds;
     bool pollInFlight = false;
+    Milliseconds pollSentAt { 0 }; // time of the newest poll
     bool skipWait = false; // the next poll must return immediately instead of waiting for an end
     std::uint64_t lastPoll = 0; // number of the newest poll; reports of older polls are used but trigger no new poll
     std::uint64_t incarnation = 0; // incremented at each restart, so that responses of an earlier process are ignored
@@ -101,6 +105,9 @@
 class OwnerSession : public std::enable_shared_from_this<OwnerSession> {
 public:
     OwnerSession(PoolOwner&, FencingToken);
+    ~OwnerSession();
+    OwnerSession(const OwnerSession&) = delete;
+    OwnerSession& operator=(const OwnerSession&) = delete;
 
     void start();
     void flush(const std::function<void()>& done);
@@ -143,6 +150,11 @@
 
     // OwnerSessionWorkers.cpp: polling of workers and their reports.
     void poll(Worker&);
+    void sendPoll(Worker&);
+    void handlePollResponse(
+        const WorkerId&, std::uint64_t number, const std::function<void(Worker&, bool newest)>& handle);
+    void repeatMissingPolls();
+    Milliseconds longestPollAge() const;
     void scheduleImmediatePoll(const WorkerId&, Milliseconds delay);
     void schedulePoll(const WorkerId&, Milliseconds delay);
     void handleReport(const WorkerId&, Milliseconds sentAt, Milliseconds leaseEnd, const WorkerReport&, bool newest);
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -44,6 +44,8 @@
 {
 }
 
+OwnerSession::~OwnerSession() { owner_.metrics_.setDutyAge(pollDuty, Milliseconds(0)); }
+
 void OwnerSession::start()
 {
     submissionsDuty_.start(weak_from_this(), [this] { followSubmissions(); });
@@ -61,6 +63,7 @@
         worker.undecidedRuns.insert(worker.undecidedRuns.end(), undecided.begin(), undecided.end());
         endLostRuns(worker, "the worker's lease has expired");
     }
+    repeatMissingPolls();
     stopIncompleteGangs();
     checkRecovered();
     removeDepartedWorkers();
@@ -75,6 +78,7 @@
     tickDuty_.updateMetrics();
     workerListDuty_.updateMetrics();
     submissionsDuty_.updateMetrics();
+    owner_.metrics_.setDutyAge(pollDuty, longestPollAge());
 }
 
 // Reads what the previous owner has stored and the submissions, one call after the other, and then watches for further
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -13,6 +13,10 @@
     // so that two consecutive polls may be lost before the lease expires.
     constexpr Milliseconds pollWait { 1900 };
 
+    // A poll without a response is repeated after this time, which the client's own limit is below. Together with the
+    // poll before it, that is less than the lease.
+    constexpr Milliseconds longestPoll { 3500 };
+
     // While ends cannot be stored, workers are polled at this interval without waiting, because the pending ends would
     // end every wait immediately.
     constexpr Milliseconds pendingEndsPollInterval { 1000 };
@@ -92,11 +96,25 @@
         schedulePoll(worker.entry.id, retryDelay);
         return;
     }
+    try {
+        sendPoll(worker);
+    } catch (const std::exception& problem) {
+        logger.error("Poll ended with an exception; it is repeated",
+            { { "worker", worker.entry.id }, { "reason", problem.what() } });
+        owner_.metrics_.countDutyRestart(pollDuty, "exception");
+        worker.pollInFlight = false;
+        schedulePoll(worker.entry.id, retryDelay);
+    }
+}
+
+void OwnerSession::sendPoll(Worker& worker)
+{
     const std::uint64_t number = ++worker.lastPoll;
     worker.pollInFlight = true;
     const WorkerId id = worker.entry.id;
     const std::uint64_t incarnation = worker.incarnation;
     const Milliseconds sentAt = now();
+    worker.pollSentAt = sentAt;
     // The acknowledgment cursor is sent only until the worker has received it, and only if the worker has reported so
     // recently that it cannot have restarted since; otherwise its report is requested first. A restarted worker numbers
     // its ends anew, and an old cursor would make it discard ends that have not been seen.
@@ -113,22 +131,67 @@
         && !std::exchange(worker.skipWait, false);
     const Milliseconds wait = waitsForEnd ? pollWait : Milliseconds(0);
     owner_.workers_.poll(worker.entry, leaseEnd, token_, cursor, wait,
-        guarded([this, id, incarnation, sentAt, leaseEnd, number, cursor](const Result<WorkerReport>& report) {
-            Worker* const current = find(id);
-            if (!current || current->incarnation != incarnation)
+        guarded([this, id, incarnation, sentAt, leaseEnd, number, cursor, responded = std::make_shared<bool>(false)](
+                    const Result<WorkerReport>& report) {
+            const Worker* const polled = find(id);
+            if (std::exchange(*responded, true) || !polled || polled->incarnation != incarnation)
                 return;
-            const bool newest = number == current->lastPoll;
-            if (newest)
-                current->pollInFlight = false;
-            if (report && (report.value().startTimeMs == 0 || report.value().startTimeMs == current->entry.startTimeMs))
-                current->acknowledged = std::max(current->acknowledged, cursor);
-            if (report)
-                handleReport(id, sentAt, leaseEnd, report.value(), newest);
-            else if (newest)
-                handlePollFailure(id, report.error());
+            handlePollResponse(id, number, [&](Worker& current, bool newest) {
+                if (report
+                    && (report.value().startTimeMs == 0 || report.value().startTimeMs == current.entry.startTimeMs))
+                    current.acknowledged = std::max(current.acknowledged, cursor);
+                if (report)
+                    handleReport(id, sentAt, leaseEnd, report.value(), newest);
+                else if (newest)
+                    handlePollFailure(id, report.error());
+            });
         }));
 }
 
+// Handles the response to a poll. If that throws, the worker is polled again.
+void OwnerSession::handlePollResponse(
+    const WorkerId& id, std::uint64_t number, const std::function<void(Worker&, bool newest)>& handle)
+{
+    Worker& worker = *find(id);
+    const bool newest = number == worker.lastPoll;
+    if (newest)
+        worker.pollInFlight = false;
+    try {
+        handle(worker, newest);
+    } catch (const std::exception& problem) {
+        logger.error(
+            "Poll ended with an exception; it is repeated", { { "worker", id }, { "reason", problem.what() } });
+        owner_.metrics_.countDutyRestart(pollDuty, "exception");
+        schedulePoll(id, retryDelay);
+    }
+}
+
+// Repeats the polls whose responses have not come within the client's limit. A late response counts as that of an older
+// poll.
+void OwnerSession::repeatMissingPolls()
+{
+    for (auto& [id, worker] : workers_) {
+        if (!worker.pollInFlight || now() - worker.pollSentAt < longestPoll)
+            continue;
+        logger.error("Poll got no response; it is repeated",
+            { { "worker", id }, { "runs", worker.runs.size() }, { "limitMs", longestPoll.count() } });
+        owner_.metrics_.countDutyRestart(pollDuty, "no-response");
+        worker.pollInFlight = false;
+        poll(worker);
+    }
+}
+
+// Time since the oldest poll that has no response yet.
+Milliseconds OwnerSession::longestPollAge() const
+{
+    Milliseconds longest { 0 };
+    for (const auto& [id, worker] : workers_) {
+        if (worker.pollInFlight)
+            longest = std::max(longest, now() - worker.pollSentAt);
+    }
+    return longest;
+}
+
 void OwnerSession::handlePollFailure(const WorkerId& id, const Error& error)
 {
     Worker& worker = *find(id);
--- a/tests/jobs/OwnerDutiesTest.cpp
+++ b/tests/jobs/OwnerDutiesTest.cpp
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace rosemarylink::jobs {
 
@@ -162,4 +163,63 @@
     CHECK(faulty.completes("a", shortJob(), Milliseconds(1000)));
 }
 
+// Guards against a worker whose ends are never learned of, because one poll of it failed: its tasks stay active for
+// good, and its lease is no longer renewed.
+TEST_CASE("a job completes although a poll of its worker threw or got no response")
+{
+    const CallFault fault = GENERATE(CallFault::Throws, CallFault::NoResponse);
+    CAPTURE(fault);
+    FaultyCluster faulty;
+    faulty.run(startTime);
+    faulty.cluster.submit("batch", "a", oneStep(8, 8, Milliseconds(9000), /*gang=*/false));
+    faulty.run(Milliseconds(3000));
+    REQUIRE(faulty.cluster.fleet.runningOn(WorkerId("w0-0")) == 1);
+    int faults = 0;
+    faulty.instance.faultyWorkers.faultFor = [&faults, fault](WorkerCall call, const WorkerId& worker) {
+        return call == WorkerCall::Poll && worker == WorkerId("w0-0") && faults++ == 0 ? fault : CallFault::None;
+    };
+    faulty.run(Milliseconds(10000));
+    CHECK(faults > 1);
+    CHECK(faulty.cluster.storedState("a") == JobState::Completed);
+    CHECK(faulty.cluster.fleet.startsOf(JobId("a")) == 8);
+    CHECK(faulty.cluster.fleet.violations().empty());
+}
+
+// The same for an exception while a report is handled: here, the command to stop an unknown run in it throws.
+TEST_CASE("a job completes although handling a report of its worker threw an exception")
+{
+    FaultyCluster faulty;
+    faulty.run(startTime);
+    faulty.cluster.submit("batch", "a", oneStep(8, 8, Milliseconds(9000), /*gang=*/false));
+    faulty.run(Milliseconds(3000));
+    bool injected = false;
+    faulty.instance.faultyWorkers.changeReport = [&injected](const WorkerId& worker, WorkerReport& report) {
+        if (worker == WorkerId("w0-0") && !std::exchange(injected, true))
+            report.running.push_back({ { JobId("unknown"), 0, 0, 0 }, 1, "", 0 });
+    };
+    faulty.instance.faultyWorkers.faultFor = [](WorkerCall call, const WorkerId&) {
+        return call == WorkerCall::Stop ? CallFault::Throws : CallFault::None;
+    };
+    faulty.run(Milliseconds(10000));
+    CHECK(injected);
+    CHECK(faulty.cluster.storedState("a") == JobState::Completed);
+    CHECK(faulty.cluster.fleet.startsOf(JobId("a")) == 8);
+}
+
+// Guards against polls that multiply, and against ends that are handled twice.
+TEST_CASE("workers are polled once at a time although responses come twice")
+{
+    FaultyCluster faulty;
+    faulty.run(startTime);
+    int polls = 0;
+    faulty.instance.faultyWorkers.faultFor = [&polls](WorkerCall call, const WorkerId&) {
+        polls += call == WorkerCall::Poll ? 1 : 0;
+        return call == WorkerCall::Poll ? CallFault::TwoResponses : CallFault::None;
+    };
+    CHECK(faulty.completes("a", oneStep(8, 8, Milliseconds(4000), /*gang=*/false), Milliseconds(6000)));
+    CHECK(polls <= 8 * 8);
+    CHECK(faulty.cluster.fleet.startsOf(JobId("a")) == 8);
+    CHECK(faulty.cluster.fleet.violations().empty());
+}
+
 } // namespace rosemarylink::jobs
