Owner: give up the ownership if submissions or workers cannot be followed

An owner renews its lease whatever else works. If its reads of the submissions or of the workers kept failing while renewals succeeded, it stayed the owner for good, no other instance could take over, and accepted jobs were not started.

An owner that could follow neither for 15 s in which its store lease was valid now gives its ownership up and ends the lease, so that another instance acquires it at once; it leaves the record to the others for 2 s. The line names what failed: "[owner] Ownership lost reason=submissions could not be read for 15073 ms in which the store lease was renewed: no response". Time in which the lease was not renewed does not count, because another owner could do no better then. A list that may take 10 s is repeated before the limit.

The case in which renewals fail as well is covered by "the time in which the store lease was not renewed does not count against an owner", which checks the new limit.

--- a/include/rosemarylink/jobs/Ownership.h
+++ b/include/rosemarylink/jobs/Ownership.h
@@ -55,6 +55,10 @@
     // Must be called when the precondition fails or a worker rejects the fencing token; drops the ownership.
     void reportConflict();
 
+    // Drops the ownership, which the store would still renew, so that an instance that can do an owner's work acquires
+    // it. This instance leaves the record to the others for a while.
+    void giveUp(const std::string& reason);
+
 private:
     void checkRecord();
     void watchRecord(Revision after);
@@ -82,6 +86,7 @@
     bool held_ = false;
     bool acquiring_ = false;
     bool resigning_ = false;
+    bool gaveUp_ = false; // the last ownership
     std::uint64_t epoch_ = 0; // incremented when ownership is gained or lost, so that delayed responses are ignored
 };
 
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -128,6 +128,8 @@
     Milliseconds now() const { return owner_.clock_.monotonic(); }
     void tick();
     void updateDutyMetrics() const;
+    // Gives up the ownership if submissions or workers cannot be followed. Returns whether it is still held.
+    bool checkDuties();
 
     // OwnerSessionRecovery.cpp: state of the previous owner, submissions and registrations of workers.
     void followSubmissions();
@@ -254,6 +256,7 @@
     PoolOwner& owner_;
     FencingToken token_;
     Milliseconds startedAt_;
+    Milliseconds leaseInvalidAt_; // when the store lease was last not known to be valid; initially the start
     Duty tickDuty_;
     Duty workerListDuty_;
     Duty submissionsDuty_;
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -26,6 +26,10 @@
     // Interval at which time limits are checked; the shortest of them is a few hundred milliseconds.
     constexpr Milliseconds tickInterval { 100 };
 
+    // An owner gives up its ownership if it could not follow submissions or workers for this long. A list that takes as
+    // long as it may and fails is repeated before.
+    constexpr Milliseconds longestUnfollowed { 15000 };
+
     // Added to the end of a lease to allow for a command that was in flight when the previous owner lost ownership.
     constexpr Milliseconds leaseMargin { 250 };
 
@@ -37,6 +41,7 @@
     : owner_(owner)
     , token_(token)
     , startedAt_(owner.clock_.monotonic())
+    , leaseInvalidAt_(startedAt_)
     , tickDuty_({ "tick", { tickInterval, tickInterval } }, owner.timers_, owner.clock_, owner.metrics_)
     , workerListDuty_(
           { "worker-list", { workerListInterval, retryDelay } }, owner.timers_, owner.clock_, owner.metrics_)
@@ -55,6 +60,8 @@
 void OwnerSession::tick()
 {
     updateDutyMetrics();
+    if (!checkDuties())
+        return;
     const Milliseconds time = now();
     for (auto& [id, worker] : workers_) {
         if (worker.runs.empty() || time < worker.leaseExpiresAt)
@@ -81,6 +88,26 @@
     owner_.metrics_.setDutyAge(pollDuty, longestPollAge());
 }
 
+bool OwnerSession::checkDuties()
+{
+    // While the lease cannot be renewed either, another owner could do no better.
+    if (!owner_.ownership_.valid()) {
+        leaseInvalidAt_ = now();
+        return owner_.ownership_.held();
+    }
+    const std::pair<const Duty*, const char*> followed[]
+        = { { &submissionsDuty_, "submissions" }, { &workerListDuty_, "the list of workers" } };
+    for (const auto& [duty, name] : followed) {
+        const Milliseconds unfollowed = std::min(duty->sinceSuccess(), now() - leaseInvalidAt_);
+        if (unfollowed < longestUnfollowed)
+            continue;
+        owner_.ownership_.giveUp(std::string(name) + " could not be read for " + std::to_string(unfollowed.count())
+            + " ms in which the store lease was renewed: " + duty->lastError());
+        return false;
+    }
+    return true;
+}
+
 // Reads what the previous owner has stored and the submissions, one call after the other, and then watches for further
 // submissions.
 void OwnerSession::followSubmissions()
--- a/src/jobs/Ownership.cpp
+++ b/src/jobs/Ownership.cpp
@@ -32,6 +32,10 @@
     // watch event, read, lease and write across regions. In a rolling restart the others are stopped next.
     constexpr Milliseconds earlierStartDelay { 150 };
 
+    // How long an instance that has given up its ownership leaves a free record to the others. It exceeds the other
+    // delays together.
+    constexpr Milliseconds givenUpDelay { 2000 };
+
     const Logger logger("owner");
 
 } // namespace
@@ -95,7 +99,8 @@
 {
     if (!unownedSince_)
         unownedSince_ = clock_.monotonic();
-    const Milliseconds delay = acquisitionDelay_ + (lastOwner_ > startRevision_ ? earlierStartDelay : Milliseconds(0));
+    const Milliseconds delay = acquisitionDelay_ + (lastOwner_ > startRevision_ ? earlierStartDelay : Milliseconds(0))
+        + (gaveUp_ ? givenUpDelay : Milliseconds(0));
     const Milliseconds remaining = delay - (clock_.monotonic() - *unownedSince_);
     if (remaining <= Milliseconds(0))
         acquire();
@@ -157,6 +162,7 @@
         return;
     }
     held_ = true;
+    gaveUp_ = false;
     ++epoch_;
     lease_ = lease;
     token_ = FencingToken(revision.value());
@@ -197,6 +203,15 @@
 
 void Ownership::reportConflict() { loseOwnership("another instance is the owner"); }
 
+void Ownership::giveUp(const std::string& reason)
+{
+    if (!held_)
+        return;
+    gaveUp_ = true;
+    loseOwnership(reason);
+    store_.endLease(lease_, callTimeout, [](const StoreResponse&) {});
+}
+
 void Ownership::loseOwnership(const std::string& reason)
 {
     if (!held_)
--- a/tests/jobs/OwnerDutiesTest.cpp
+++ b/tests/jobs/OwnerDutiesTest.cpp
@@ -194,8 +194,12 @@
     faulty.run(Milliseconds(3000));
     bool injected = false;
     faulty.instance.faultyWorkers.changeReport = [&injected](const WorkerId& worker, WorkerReport& report) {
-        if (worker == WorkerId("w0-0") && !std::exchange(injected, true))
-            report.running.push_back({ { JobId("unknown"), 0, 0, 0 }, 1, "", 0 });
+        if (worker != WorkerId("w0-0") || std::exchange(injected, true))
+            return;
+        RunningRun unknown;
+        unknown.task.job = JobId("unknown");
+        unknown.run = 1;
+        report.running.push_back(unknown);
     };
     faulty.instance.faultyWorkers.faultFor = [](WorkerCall call, const WorkerId&) {
         return call == WorkerCall::Stop ? CallFault::Throws : CallFault::None;
@@ -222,4 +226,48 @@
     CHECK(faulty.cluster.fleet.violations().empty());
 }
 
+// Guards against an owner that renews its lease for good although it cannot follow submissions or workers.
+TEST_CASE("an owner that can no longer follow submissions or workers gives up its ownership")
+{
+    struct Followed {
+        StoreCall call;
+        std::string key;
+    };
+    const Followed followed
+        = GENERATE(values<Followed>({ { StoreCall::Watch, keys::incoming }, { StoreCall::List, "workers/" } }));
+    const CallFault fault = GENERATE(CallFault::Throws, CallFault::NoResponse);
+    CAPTURE(followed.key, fault);
+    FaultyCluster faulty;
+    faulty.run(startTime);
+    REQUIRE(faulty.instance.ownership.valid());
+    SimInstance& other = faulty.cluster.addInstance();
+    faulty.failStoreCalls(followed.call, followed.key, fault, always);
+    faulty.run(Milliseconds(10000));
+    CHECK(faulty.instance.ownership.valid());
+    faulty.run(Milliseconds(10000));
+    CHECK(!faulty.instance.ownership.held());
+    CHECK(other.ownership.valid());
+    CHECK(faulty.completes("a", shortJob(), Milliseconds(1000)));
+}
+
+// Guards against owners that take turns while the store serves nobody: the next one could not follow either.
+TEST_CASE("the time in which the store lease was not renewed does not count against an owner")
+{
+    FaultyCluster faulty;
+    faulty.run(startTime);
+    const FencingToken token = faulty.instance.ownership.token();
+    faulty.failStoreCalls(StoreCall::Watch, keys::incoming, CallFault::Throws, always);
+    faulty.run(Milliseconds(13000));
+    faulty.cluster.store.mode = SimStore::Mode::Refusing;
+    for (int turn = 0; turn < 100 && faulty.instance.ownership.valid(); ++turn)
+        faulty.run(Milliseconds(20));
+    faulty.run(Milliseconds(100)); // until the owner's next tick; the store keeps the lease for 300 ms
+    faulty.cluster.store.mode = SimStore::Mode::Up;
+    faulty.run(Milliseconds(10000));
+    CHECK(faulty.instance.ownership.valid());
+    CHECK(faulty.instance.ownership.token() == token);
+    faulty.run(Milliseconds(7000));
+    CHECK(faulty.instance.ownership.token() != token);
+}
+
 } // namespace rosemarylink::jobs
