Owner: progress is stored after a write that threw or got no response

Callers waited for jobs whose tasks had all ended: from one moment on an owner stored no progress, acknowledged no end of a run and removed no record, without a line about it, until another instance took over.

Cause: a write of progress marks itself as being on its way, and only its response clears the mark. After a call that threw or a response that never came, each later write waited for it. A write that throws is now repeated after the retry delay, and the tick repeats one without a response after 2 s, twice the client's own limit. The repeated write has the same preconditions, as after a response that leaves the outcome open, and responses to earlier writes are ignored. The metrics show it as the duty "flush".

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -40,8 +40,9 @@
 // A task that crashes its workers does so at once, so that a run is not to blame if its worker lived on for this long.
 inline constexpr Milliseconds survivalTime { 300 };
 
-// Name of the polls of all workers in metrics.
+// Names in metrics of the polls of all workers and of the writes of progress.
 inline constexpr const char* pollDuty = "poll";
+inline constexpr const char* flushDuty = "flush";
 
 using RunKey = std::pair<TaskKey, int>; // a task and the number of its run
 
@@ -241,6 +242,10 @@
     // OwnerSessionRecords.cpp
     void scheduleFlush(Milliseconds delay);
     void flushNow();
+    void storeProgress();
+    void handleFlushException(const std::exception&);
+    void repeatMissingFlush();
+    Milliseconds flushAge() const;
     std::vector<const Job*> dirtyJobs() const;
     void handleFlushResponse(
         const std::vector<std::pair<JobId, std::int64_t>>& written, const StoreResponse&, bool complete);
@@ -300,6 +305,8 @@
     JobId lastStored_;
     bool flushPending_ = false;
     bool flushing_ = false;
+    std::uint64_t lastFlush_ = 0; // number of the newest write; responses to earlier ones are ignored
+    Milliseconds flushSentAt_ { 0 };
     std::vector<std::function<void()>> flushWaiters_;
 };
 
--- a/src/jobs/OwnerSessionRecords.cpp
+++ b/src/jobs/OwnerSessionRecords.cpp
@@ -9,6 +9,9 @@
 namespace {
 
     constexpr Milliseconds commitTimeout { 1000 };
+
+    // A write of progress without a response is repeated after this time.
+    constexpr Milliseconds longestFlush { 2000 };
     constexpr Milliseconds retryDelay { 150 };
 
     const Logger logger("records");
@@ -70,6 +73,15 @@
     flushPending_ = false;
     if (flushing_)
         return; // what is not in the batch on its way is stored after it
+    try {
+        storeProgress();
+    } catch (const std::exception& problem) {
+        handleFlushException(problem);
+    }
+}
+
+void OwnerSession::storeProgress()
+{
     Batch batch;
     batch.preconditions.push_back(owner_.ownership_.condition());
     std::vector<std::pair<JobId, std::int64_t>> written;
@@ -90,14 +102,44 @@
         return;
     }
     flushing_ = true;
-    const Milliseconds sentAt = now();
+    flushSentAt_ = now();
     owner_.store_.commit(
-        batch, commitTimeout, guarded([this, written, sentAt, complete](const StoreResponse& response) {
-            owner_.metrics_.storeWrite.record(static_cast<double>((now() - sentAt).count()));
-            handleFlushResponse(written, response, complete);
+        batch, commitTimeout, guarded([this, written, complete, number = ++lastFlush_](const StoreResponse& response) {
+            if (!flushing_ || number != lastFlush_)
+                return;
+            owner_.metrics_.storeWrite.record(static_cast<double>((now() - flushSentAt_).count()));
+            try {
+                handleFlushResponse(written, response, complete);
+            } catch (const std::exception& problem) {
+                handleFlushException(problem);
+            }
         }));
 }
 
+void OwnerSession::handleFlushException(const std::exception& problem)
+{
+    logger.error("Write of progress ended with an exception; it is repeated", { { "reason", problem.what() } });
+    owner_.metrics_.countDutyRestart(flushDuty, "exception");
+    flushing_ = false;
+    flushPending_ = false;
+    scheduleFlush(retryDelay);
+}
+
+// Repeats a write whose response has not come. The repeated write has the same preconditions, as after a response that
+// leaves the outcome open.
+void OwnerSession::repeatMissingFlush()
+{
+    if (flushAge() < longestFlush)
+        return;
+    logger.error("Write of progress got no response; it is repeated", { { "limitMs", longestFlush.count() } });
+    owner_.metrics_.countDutyRestart(flushDuty, "no-response");
+    flushing_ = false;
+    scheduleFlush(Milliseconds(0));
+}
+
+// Time since the write that has no response yet was sent; 0 if there is none.
+Milliseconds OwnerSession::flushAge() const { return flushing_ ? now() - flushSentAt_ : Milliseconds(0); }
+
 void OwnerSession::handleFlushResponse(
     const std::vector<std::pair<JobId, std::int64_t>>& written, const StoreResponse& response, bool complete)
 {
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -49,7 +49,11 @@
 {
 }
 
-OwnerSession::~OwnerSession() { owner_.metrics_.setDutyAge(pollDuty, Milliseconds(0)); }
+OwnerSession::~OwnerSession()
+{
+    owner_.metrics_.setDutyAge(pollDuty, Milliseconds(0));
+    owner_.metrics_.setDutyAge(flushDuty, Milliseconds(0));
+}
 
 void OwnerSession::start()
 {
@@ -71,6 +75,7 @@
         endLostRuns(worker, "the worker's lease has expired");
     }
     repeatMissingPolls();
+    repeatMissingFlush();
     stopIncompleteGangs();
     checkRecovered();
     removeDepartedWorkers();
@@ -86,6 +91,7 @@
     workerListDuty_.updateMetrics();
     submissionsDuty_.updateMetrics();
     owner_.metrics_.setDutyAge(pollDuty, longestPollAge());
+    owner_.metrics_.setDutyAge(flushDuty, flushAge());
 }
 
 bool OwnerSession::checkDuties()
--- a/tests/jobs/OwnerDutiesTest.cpp
+++ b/tests/jobs/OwnerDutiesTest.cpp
@@ -270,4 +270,18 @@
     CHECK(faulty.instance.ownership.token() != token);
 }
 
+// Guards against a job whose end is never stored, so that its caller waits for good, because one write of progress
+// failed.
+TEST_CASE("the end of a job is stored although an earlier write of progress threw, got no response or two")
+{
+    const CallFault fault = GENERATE(CallFault::Throws, CallFault::NoResponse, CallFault::TwoResponses);
+    CAPTURE(fault);
+    FaultyCluster faulty;
+    faulty.run(startTime);
+    faulty.failStoreCalls(StoreCall::Commit, keys::progress(JobId("a")), fault);
+    CHECK(faulty.completes("a", shortJob(), Milliseconds(5000)));
+    CHECK(faulty.completes("b", shortJob(), Milliseconds(1000)));
+    CHECK(faulty.cluster.fleet.violations().empty());
+}
+
 } // namespace rosemarylink::jobs
