Owner: the store lease is renewed after a renewal that threw or got no response

An owner whose renewal threw once, or whose renewal never ended, let its lease expire although the store served it: another instance took over after 1.8 s, and this one never competed for the ownership again, because it still counted as its holder. With no other instance there was no owner at all.

Cause: each renewal scheduled the next one when its response had been handled. It is now a Duty with a limit of 900 ms, after which the lease is still valid when it is renewed again. The duty exists while the record is held, which replaces the count of ownerships that marked delayed responses; its age is the metric of the duty "renewal".

--- a/apps/rosemarylink-edge/EdgeProcess.cpp
+++ b/apps/rosemarylink-edge/EdgeProcess.cpp
@@ -34,7 +34,7 @@
     , store_(http_, settings.storeAddress, registry_)
     , workers_(http_)
     , config_(store_, catalog_, timers_, clock_)
-    , ownership_(store_, timers_, clock_, settings.nodeName, jobs::acquisitionDelayFor(settings.capacity))
+    , ownership_(store_, timers_, clock_, jobMetrics_, settings.nodeName, jobs::acquisitionDelayFor(settings.capacity))
     , owner_(store_, workers_, catalog_, config_, ownership_, timers_, clock_, jobMetrics_, settings.limits)
     , admission_(store_, config_, catalog_, timers_, clock_, jobMetrics_)
 {
--- a/include/rosemarylink/jobs/Ownership.h
+++ b/include/rosemarylink/jobs/Ownership.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include "rosemarylink/base/Clock.h"
+#include "rosemarylink/jobs/Duty.h"
+#include "rosemarylink/jobs/JobMetrics.h"
 #include "rosemarylink/jobs/RecordStore.h"
 #include "rosemarylink/jobs/Timers.h"
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -31,7 +34,7 @@
 
     // Acquires the record only after it has been free for `acquisitionDelay`, and a little later where the last owner
     // acquired it after this instance was started.
-    Ownership(RecordStore&, Timers&, const Clock&, std::string instance, Milliseconds acquisitionDelay);
+    Ownership(RecordStore&, Timers&, const Clock&, JobMetrics&, std::string instance, Milliseconds acquisitionDelay);
 
     // Watches the record and acquires it whenever it is free. Must be called once.
     void start(Listener);
@@ -49,6 +52,9 @@
     bool mayCommand() const { return held_ && (valid() || (failedRenewalAt_ && *failedRenewalAt_ >= validUntil_)); }
     FencingToken token() const { return token_; }
 
+    // Sets the metric for the time since the lease was last renewed.
+    void updateMetrics() const;
+
     // Precondition that every write of the owner must include. It fails once another instance is the owner.
     Precondition condition() const;
 
@@ -72,6 +78,7 @@
     RecordStore& store_;
     Timers& timers_;
     const Clock& clock_;
+    JobMetrics& metrics_;
     std::string instance_;
     std::string nonce_;
     Milliseconds acquisitionDelay_;
@@ -87,7 +94,7 @@
     bool acquiring_ = false;
     bool resigning_ = false;
     bool gaveUp_ = false; // the last ownership
-    std::uint64_t epoch_ = 0; // incremented when ownership is gained or lost, so that delayed responses are ignored
+    std::shared_ptr<Duty> renewal_; // of the lease; null unless the record is held
 };
 
 } // namespace rosemarylink::jobs
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -92,6 +92,7 @@
     submissionsDuty_.updateMetrics();
     owner_.metrics_.setDutyAge(pollDuty, longestPollAge());
     owner_.metrics_.setDutyAge(flushDuty, flushAge());
+    owner_.ownership_.updateMetrics();
 }
 
 bool OwnerSession::checkDuties()
--- a/src/jobs/Ownership.cpp
+++ b/src/jobs/Ownership.cpp
@@ -17,6 +17,7 @@
     constexpr Milliseconds validityMargin { 300 };
 
     constexpr Milliseconds callTimeout { 700 };
+    constexpr Milliseconds longestRenewal { 900 }; // the lease is still valid when it is renewed again after that
     constexpr Milliseconds watchWait { 3000 }; // bounds the delay if the connection goes silent
     constexpr Milliseconds retryDelay { 200 };
 
@@ -46,11 +47,12 @@
                                                                                         : lowCapacityDelay;
 }
 
-Ownership::Ownership(
-    RecordStore& store, Timers& timers, const Clock& clock, std::string instance, Milliseconds acquisitionDelay)
+Ownership::Ownership(RecordStore& store, Timers& timers, const Clock& clock, JobMetrics& metrics, std::string instance,
+    Milliseconds acquisitionDelay)
     : store_(store)
     , timers_(timers)
     , clock_(clock)
+    , metrics_(metrics)
     , instance_(std::move(instance))
     , nonce_(instance_ + " " + randomHex128())
     , acquisitionDelay_(acquisitionDelay)
@@ -163,42 +165,41 @@
     }
     held_ = true;
     gaveUp_ = false;
-    ++epoch_;
     lease_ = lease;
     token_ = FencingToken(revision.value());
     validUntil_ = grantedAt + ttl - validityMargin;
     failedRenewalAt_.reset();
     logger.info(
         "Ownership gained", { { "token", token_ }, { "validForMs", (validUntil_ - clock_.monotonic()).count() } });
+    const Duty::Options renewal { "renewal", { renewInterval, retryDelay } };
+    renewal_ = std::make_shared<Duty>(renewal, timers_, clock_, metrics_);
+    renewal_->start(renewal_, [this] { renew(); });
     listener_.gained(token_);
-    renew();
+}
+
+void Ownership::updateMetrics() const
+{
+    if (renewal_)
+        renewal_->updateMetrics();
 }
 
 void Ownership::renew()
 {
-    if (!held_)
-        return;
-    const Milliseconds sentAt = clock_.monotonic();
-    const std::uint64_t epoch = epoch_;
-    store_.keepLease(lease_, callTimeout, [this, sentAt, epoch](const StoreResponse& response) {
-        if (!held_ || epoch != epoch_)
-            return;
+    const auto handle = [this, sentAt = clock_.monotonic()](const StoreResponse& response) {
         if (response.outcome == StoreOutcome::NotFound) {
             loseOwnership("the store lease has expired");
-            return;
+            return Duty::Outcome::Failed;
         }
-        if (response.done())
+        if (response.done()) {
             validUntil_ = std::max(validUntil_, sentAt + response.leaseTtl - validityMargin);
-        else {
-            failedRenewalAt_ = sentAt;
-            logger.warning("Store lease was not renewed; retrying",
-                { { "token", token_ }, { "validForMs", (validUntil_ - clock_.monotonic()).count() } });
+            return Duty::Outcome::Succeeded;
         }
-        timers_.after(response.done() ? renewInterval : retryDelay, [this, epoch] {
-            if (epoch == epoch_)
-                renew();
-        });
-    });
+        failedRenewalAt_ = sentAt;
+        logger.warning("Store lease was not renewed; retrying",
+            { { "token", token_ }, { "validForMs", (validUntil_ - clock_.monotonic()).count() } });
+        return Duty::Outcome::Failed;
+    };
+    store_.keepLease(lease_, callTimeout, renewal_->await(longestRenewal, handle));
 }
 
 void Ownership::reportConflict() { loseOwnership("another instance is the owner"); }
@@ -217,7 +218,7 @@
     if (!held_)
         return;
     held_ = false;
-    ++epoch_;
+    renewal_.reset();
     logger.warning("Ownership lost", { { "token", token_ }, { "reason", reason } });
     listener_.lost(reason);
     timers_.after(retryDelay, [this] { checkRecord(); });
@@ -229,7 +230,7 @@
     if (!held_)
         return;
     held_ = false;
-    ++epoch_;
+    renewal_.reset();
     logger.info("Ownership released", { { "token", token_ } });
     store_.endLease(lease_, callTimeout, [](const StoreResponse&) {});
 }
--- a/tests/jobs/OwnerDutiesTest.cpp
+++ b/tests/jobs/OwnerDutiesTest.cpp
@@ -284,4 +284,18 @@
     CHECK(faulty.cluster.fleet.violations().empty());
 }
 
+// Guards against an owner whose lease ends, and which never competes for it again, because one renewal failed.
+TEST_CASE("the store lease is renewed although an earlier renewal threw, got no response or two")
+{
+    const CallFault fault = GENERATE(CallFault::Throws, CallFault::NoResponse, CallFault::TwoResponses);
+    CAPTURE(fault);
+    FaultyCluster faulty;
+    faulty.run(startTime);
+    const FencingToken token = faulty.instance.ownership.token();
+    faulty.failStoreCalls(StoreCall::KeepLease, "", fault);
+    faulty.run(Milliseconds(10000));
+    CHECK(faulty.instance.ownership.valid());
+    CHECK(faulty.instance.ownership.token() == token);
+}
+
 } // namespace rosemarylink::jobs
--- a/tests/jobs/SimCluster.cpp
+++ b/tests/jobs/SimCluster.cpp
@@ -50,7 +50,7 @@
     , faultyWorkers(workers)
     , metrics(registry)
     , config(faultyStore, catalog, timers, world.clock())
-    , ownership(faultyStore, timers, world.clock(), name, acquisitionDelayFor(capacity))
+    , ownership(faultyStore, timers, world.clock(), metrics, name, acquisitionDelayFor(capacity))
     , owner(faultyStore, faultyWorkers, catalog, config, ownership, timers, world.clock(), metrics,
           { Milliseconds(6000), Milliseconds(3000), Milliseconds(400), Milliseconds(3000), Milliseconds(240000) })
     , admission(faultyStore, config, catalog, timers, world.clock(), metrics)
