--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -7,6 +7,7 @@
 #include "PreemptionPatience.h"
 #include "UrgentHeadroom.h"
 #include "rosemarylink/base/RunTimePredictor.h"
+#include "rosemarylink/jobs/Duty.h"
 #include "rosemarylink/jobs/PoolOwner.h"
 
 #include <deque>
@@ -44,6 +45,10 @@
 // A task that crashes its workers does so at once, so that a run is not to blame if its worker lived on for this long.
 inline constexpr Milliseconds survivalTime { 300 };
 
+// Names in metrics of the polls of all workers and of the writes of progress.
+inline constexpr const char* pollDuty = "poll";
+inline constexpr const char* flushDuty = "flush";
+
 using RunKey = std::pair<TaskKey, int>; // a task and the number of its run
 
 // A run that occupies resources of a worker, from its start command until its end is known.
@@ -92,6 +97,7 @@
     std::int64_t acknowledged = 0; // number up to which the worker has received acknowledgments
     std::deque<PendingEnd> pendingEnds;
     bool pollInFlight = false;
+    Milliseconds pollSentAt { 0 }; // time of the newest poll
     bool skipWait = false; // the next poll must return immediately instead of waiting for an end
     std::uint64_t lastPoll = 0; // number of the newest poll; reports of older polls are used but trigger no new poll
     std::uint64_t incarnation = 0; // incremented at each restart, so that responses of an earlier process are ignored
@@ -111,6 +117,9 @@
 class OwnerSession : public std::enable_shared_from_this<OwnerSession> {
 public:
     OwnerSession(PoolOwner&, FencingToken);
+    ~OwnerSession();
+    OwnerSession(const OwnerSession&) = delete;
+    OwnerSession& operator=(const OwnerSession&) = delete;
 
     void start();
     void flush(const std::function<void()>& done);
@@ -130,16 +139,23 @@
     void runAfter(Milliseconds delay, const std::function<void()>& task) { owner_.timers_.after(delay, guarded(task)); }
     Milliseconds now() const { return owner_.clock_.monotonic(); }
     void tick();
+    void updateDutyMetrics() const;
+    // Gives up the ownership if submissions or workers cannot be followed. Returns whether it is still held.
+    bool checkDuties();
 
     // OwnerSessionRecovery.cpp: state of the previous owner, submissions and registrations of workers.
+    void followSubmissions();
     void loadProgress();
     void loadIncoming();
     void loadFleet();
     void loadWorkers();
-    void watchIncoming(Revision after);
+    void watchIncoming();
+    void handleIncoming(const std::vector<Record>&);
     void handleIncoming(const Record&);
     void handleSubmission(const JobId&, const Record&);
     void handleCancellation(const JobId&);
+    void handleWorkers(const std::vector<Record>&);
+    void handleWorkerRecord(const Record&, std::set<WorkerId>& present, std::map<std::string, std::string>& refused);
     void logRefusedEntries(std::map<std::string, std::string> reasons);
     void handleWorkerEntry(const WorkerEntry&);
     void markUnlisted(const WorkerId&);
@@ -151,6 +167,11 @@
 
     // OwnerSessionWorkers.cpp: polling of workers and their reports.
     void poll(Worker&);
+    void sendPoll(Worker&);
+    void handlePollResponse(
+        const WorkerId&, std::uint64_t number, const std::function<void(Worker&, bool newest)>& handle);
+    void repeatMissingPolls();
+    Milliseconds longestPollAge() const;
     void scheduleImmediatePoll(const WorkerId&, Milliseconds delay);
     void schedulePoll(const WorkerId&, Milliseconds delay);
     void handleReport(const WorkerId&, Milliseconds sentAt, Milliseconds leaseEnd, const WorkerReport&, bool newest);
@@ -235,6 +256,10 @@
     // OwnerSessionRecords.cpp
     void scheduleFlush(Milliseconds delay);
     void flushNow();
+    void storeProgress();
+    void handleFlushException(const std::exception&);
+    void repeatMissingFlush();
+    Milliseconds flushAge() const;
     std::vector<const Job*> dirtyJobs() const;
     void handleFlushResponse(
         const std::vector<std::pair<JobId, std::int64_t>>& written, const StoreResponse&, bool complete);
@@ -256,6 +281,10 @@
     PoolOwner& owner_;
     FencingToken token_;
     Milliseconds startedAt_;
+    Milliseconds leaseInvalidAt_; // when the store lease was last not known to be valid; initially the start
+    Duty tickDuty_;
+    Duty workerListDuty_;
+    Duty submissionsDuty_;
     std::map<JobId, Job> jobs_;
     std::map<JobId, std::pair<JobState, Milliseconds>> finalJobs_; // jobs in a final state, and when they ended
     std::map<JobId, std::pair<std::string, Revision>> loadedProgress_; // until the job's submission is read
@@ -265,8 +294,11 @@
     Milliseconds fleetWrittenAt_ { 0 };
     std::map<std::string, std::string> refusedEntries_; // reasons by key, of the last list of workers
     Revision fleetRevision_ { 0 };
+    bool progressLoaded_ = false;
     bool fleetLoaded_ = false;
     bool incomingLoaded_ = false;
+    std::optional<Revision> watchedRevision_; // of the store; later submissions are still to be watched for
+    std::vector<Record> unhandledIncoming_; // records whose handling threw an exception, in order
     bool fleetWriting_ = false;
     std::map<std::tuple<JobId, int, int>, std::set<WorkerId>>
         reservedWorkers_; // by job, occurrence and step; reservations of the last plan
@@ -295,6 +327,8 @@
     JobId lastStored_;
     bool flushPending_ = false;
     bool flushing_ = false;
+    std::uint64_t lastFlush_ = 0; // number of the newest write; responses to earlier ones are ignored
+    Milliseconds flushSentAt_ { 0 };
     std::vector<std::function<void()>> flushWaiters_;
 };
 
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -13,9 +13,13 @@
     constexpr Milliseconds listTimeout { 1500 };
     constexpr Milliseconds retryDelay { 200 };
 
+    // A list takes longer than its timeout while its pages keep arriving. A second call beside it would only slow both.
+    constexpr Milliseconds longestList { 10000 };
+
     // A connection may go silent permanently, so that a watch ends without a response. Submissions are seen again after
     // this time plus the store client's margin, well within the time in which guaranteed work must start (2.9 s).
     constexpr Milliseconds watchWait { 1000 };
+    constexpr Milliseconds longestWatch { 2000 };
 
     // Registrations change with every heartbeat, so a watch would cost one call per heartbeat. Listing them once per
     // second detects a leaving worker well within the time after which it must get no more work (2.5 s).
@@ -24,6 +28,10 @@
     // Interval at which time limits are checked; the shortest of them is a few hundred milliseconds.
     constexpr Milliseconds tickInterval { 100 };
 
+    // An owner gives up its ownership if it could not follow submissions or workers for this long. A list that takes as
+    // long as it may and fails is repeated before.
+    constexpr Milliseconds longestUnfollowed { 15000 };
+
     // Added to the end of a lease to allow for a command that was in flight when the previous owner lost ownership.
     constexpr Milliseconds leaseMargin { 250 };
 
@@ -47,18 +55,32 @@
     : owner_(owner)
     , token_(token)
     , startedAt_(owner.clock_.monotonic())
+    , leaseInvalidAt_(startedAt_)
+    , tickDuty_({ "tick", { tickInterval, tickInterval } }, owner.timers_, owner.clock_, owner.metrics_)
+    , workerListDuty_(
+          { "worker-list", { workerListInterval, retryDelay } }, owner.timers_, owner.clock_, owner.metrics_)
+    , submissionsDuty_({ "submissions", { Milliseconds(0), retryDelay } }, owner.timers_, owner.clock_, owner.metrics_)
     , fleetWrittenAt_(startedAt_)
 {
 }
 
+OwnerSession::~OwnerSession()
+{
+    owner_.metrics_.setDutyAge(pollDuty, Milliseconds(0));
+    owner_.metrics_.setDutyAge(flushDuty, Milliseconds(0));
+}
+
 void OwnerSession::start()
 {
-    loadProgress();
-    tick();
+    submissionsDuty_.start(weak_from_this(), [this] { followSubmissions(); });
+    tickDuty_.start(weak_from_this(), [this] { tick(); });
 }
 
 void OwnerSession::tick()
 {
+    updateDutyMetrics();
+    if (!checkDuties())
+        return;
     const Milliseconds time = now();
     for (auto& [id, worker] : workers_) {
         if (worker.runs.empty() || time < worker.leaseExpiresAt)
@@ -67,15 +89,60 @@
         worker.undecidedRuns.insert(worker.undecidedRuns.end(), undecided.begin(), undecided.end());
         endLostRuns(worker, "the worker's lease has expired");
     }
+    repeatMissingPolls();
+    repeatMissingFlush();
     stopIncompleteGangs();
     checkRecovered();
     noteSilentWorkers();
     removeDepartedWorkers();
     removeExpiredRecords();
+    schedulePlan();
     logStepActivity();
     logHeldBackWork();
-    schedulePlan();
-    runAfter(tickInterval, [this] { tick(); });
+}
+
+void OwnerSession::updateDutyMetrics() const
+{
+    tickDuty_.updateMetrics();
+    workerListDuty_.updateMetrics();
+    submissionsDuty_.updateMetrics();
+    owner_.metrics_.setDutyAge(pollDuty, longestPollAge());
+    owner_.metrics_.setDutyAge(flushDuty, flushAge());
+    owner_.ownership_.updateMetrics();
+}
+
+bool OwnerSession::checkDuties()
+{
+    // While the lease cannot be renewed either, another owner could do no better.
+    if (!owner_.ownership_.valid()) {
+        leaseInvalidAt_ = now();
+        return owner_.ownership_.held();
+    }
+    const std::pair<const Duty*, const char*> followed[]
+        = { { &submissionsDuty_, "submissions" }, { &workerListDuty_, "the list of workers" } };
+    for (const auto& [duty, name] : followed) {
+        const Milliseconds unfollowed = std::min(duty->sinceSuccess(), now() - leaseInvalidAt_);
+        if (unfollowed < longestUnfollowed)
+            continue;
+        owner_.ownership_.giveUp(std::string(name) + " could not be read for " + std::to_string(unfollowed.count())
+            + " ms in which the store lease was renewed: " + duty->lastError());
+        return false;
+    }
+    return true;
+}
+
+// Reads what the previous owner has stored and the submissions, one call after the other, and then watches for further
+// submissions.
+void OwnerSession::followSubmissions()
+{
+    if (!progressLoaded_)
+        loadProgress();
+    else if (!fleetLoaded_)
+        loadFleet();
+    else if (!watchedRevision_)
+        loadIncoming();
+    else
+        watchIncoming();
 }
 
 // Loads progress before submissions. Both are written in one batch, so the progress of a submission is found unless it
@@ -83,11 +150,9 @@
 void OwnerSession::loadProgress()
 {
     // For a job submitted between the two reads, the revision of its submission is used as that of its progress.
-    owner_.store_.list(keys::progressPrefix, listTimeout, guarded([this](const StoreResponse& response) {
-        if (!response.done()) {
-            runAfter(retryDelay, [this] { loadProgress(); });
-            return;
-        }
+    const auto handle = [this](const StoreResponse& response) {
+        if (!response.done())
+            return Duty::Outcome::Failed;
         for (const Record& record : response.records) {
             const JobId id(record.key.substr(keys::progressPrefix.size()));
             const auto state = parseProgressState(record.value);
@@ -98,17 +163,17 @@
             else
                 loadedProgress_[id] = { record.value, record.revision };
         }
-        loadFleet();
-    }));
+        progressLoaded_ = true;
+        return Duty::Outcome::Succeeded;
+    };
+    owner_.store_.list(keys::progressPrefix, listTimeout, submissionsDuty_.await(longestList, handle));
 }
 
 void OwnerSession::loadFleet()
 {
-    owner_.store_.read(keys::fleet, listTimeout, guarded([this](const StoreResponse& response) {
-        if (response.outcome != StoreOutcome::NotFound && !response.done()) {
-            runAfter(retryDelay, [this] { loadFleet(); });
-            return;
-        }
+    const auto handle = [this](const StoreResponse& response) {
+        if (response.outcome != StoreOutcome::NotFound && !response.done())
+            return Duty::Outcome::Failed;
         if (response.done()) {
             fleetRevision_ = response.records.front().revision;
             const auto fleet = parseFleetRecord(response.records.front().value);
@@ -127,50 +192,66 @@
             }
         }
         fleetLoaded_ = true;
-        loadIncoming();
-    }));
+        return Duty::Outcome::Succeeded;
+    };
+    owner_.store_.read(keys::fleet, listTimeout, submissionsDuty_.await(longestList, handle));
 }
 
 void OwnerSession::loadIncoming()
 {
-    owner_.store_.list(keys::incoming, listTimeout, guarded([this](const StoreResponse& response) {
-        if (!response.done()) {
-            runAfter(retryDelay, [this] { loadIncoming(); });
-            return;
-        }
+    const auto handle = [this](const StoreResponse& response) {
+        if (!response.done())
+            return Duty::Outcome::Failed;
         // Jobs are handled before cancellations, although their keys sort after them.
-        for (const Record& record : response.records) {
-            if (record.key.compare(0, keys::jobs.size(), keys::jobs) == 0)
-                handleIncoming(record);
-        }
-        // Cancellations are handled before the first response to this call, hence before any worker is polled, so that
-        // no run is stopped before it has been seen. The list of workers is repeated by itself from then on.
-        if (!incomingLoaded_)
-            loadWorkers();
-        for (const Record& record : response.records) {
-            if (record.key.compare(0, keys::cancellations.size(), keys::cancellations) == 0)
-                handleIncoming(record);
-        }
+        std::vector<Record> records = response.records;
+        std::stable_partition(records.begin(), records.end(),
+            [](const Record& record) { return record.key.compare(0, keys::jobs.size(), keys::jobs) == 0; });
+        handleIncoming(records);
+        // Workers are polled only after all cancellations have been handled, so that no run is stopped before it has
+        // been seen.
+        workerListDuty_.start(weak_from_this(), [this] { loadWorkers(); });
         incomingLoaded_ = true;
-        watchIncoming(response.revision);
-    }));
+        watchedRevision_ = response.revision;
+        return Duty::Outcome::Succeeded;
+    };
+    owner_.store_.list(keys::incoming, listTimeout, submissionsDuty_.await(longestList, handle));
 }
 
-void OwnerSession::watchIncoming(Revision after)
+void OwnerSession::watchIncoming()
 {
-    owner_.store_.watch(keys::incoming, after, watchWait, guarded([this, after](const StoreResponse& response) {
-        if (response.outcome == StoreOutcome::HistoryGone) {
-            runAfter(retryDelay, [this] { loadIncoming(); });
-            return;
-        }
-        if (!response.done()) {
-            runAfter(retryDelay, [this, after] { watchIncoming(after); });
-            return;
+    const auto handle = [this](const StoreResponse& response) {
+        if (response.outcome == StoreOutcome::HistoryGone)
+            watchedRevision_.reset();
+        if (!response.done())
+            return Duty::Outcome::Failed;
+        handleIncoming(response.records);
+        watchedRevision_ = std::max(*watchedRevision_, response.revision);
+        return Duty::Outcome::Succeeded;
+    };
+    owner_.store_.watch(keys::incoming, *watchedRevision_, watchWait, submissionsDuty_.await(longestWatch, handle));
+}
+
+// Handles each record by itself, so that one whose handling throws an exception does not keep the others from being
+// handled. It is tried again with the next records; later records of its job wait for it.
+void OwnerSession::handleIncoming(const std::vector<Record>& records)
+{
+    std::vector<Record> pending = std::exchange(unhandledIncoming_, {});
+    pending.insert(pending.end(), records.begin(), records.end());
+    std::set<std::string> failedJobs;
+    for (const Record& record : pending) {
+        const std::string job = record.key.substr(record.key.rfind('/') + 1);
+        try {
+            if (failedJobs.count(job) == 0) {
+                handleIncoming(record);
+                continue;
+            }
+        } catch (const std::exception& problem) {
+            logger.error("Submission or cancellation was not handled; it is tried again",
+                { { "key", record.key }, { "reason", problem.what() } });
+            failedJobs.insert(job);
         }
-        for (const Record& record : response.records)
-            handleIncoming(record);
-        watchIncoming(std::max(after, response.revision));
-    }));
+        unhandledIncoming_.push_back(record);
+    }
 }
 
 void OwnerSession::handleIncoming(const Record& record)
@@ -224,29 +305,43 @@
 
 void OwnerSession::loadWorkers()
 {
-    owner_.store_.list(owner_.catalog_.workerPrefix(), listTimeout, guarded([this](const StoreResponse& response) {
-        if (!response.done()) {
-            runAfter(retryDelay, [this] { loadWorkers(); });
-            return;
-        }
-        std::set<WorkerId> present;
-        std::map<std::string, std::string> refused;
-        for (const Record& record : response.records) {
-            if (auto entry = owner_.catalog_.parseWorker(record)) {
-                present.insert(entry.value().id);
-                handleWorkerEntry(entry.value());
-            } else {
-                refused[record.key] = entry.error().message;
-            }
-        }
-        logRefusedEntries(std::move(refused));
-        for (auto& [id, worker] : workers_) {
-            if (worker.listed && present.count(id) == 0)
-                markUnlisted(id);
+    owner_.store_.list(owner_.catalog_.workerPrefix(), listTimeout,
+        workerListDuty_.await(longestList, [this](const StoreResponse& response) {
+            if (!response.done())
+                return Duty::Outcome::Failed;
+            handleWorkers(response.records);
+            return Duty::Outcome::Succeeded;
+        }));
+}
+
+void OwnerSession::handleWorkers(const std::vector<Record>& records)
+{
+    std::set<WorkerId> present;
+    std::map<std::string, std::string> refused; // reasons by key
+    for (const Record& record : records)
+        handleWorkerRecord(record, present, refused);
+    logRefusedEntries(std::move(refused));
+    for (auto& [id, worker] : workers_) {
+        if (worker.listed && present.count(id) == 0)
+            markUnlisted(id);
+    }
+    writeFleet();
+}
+
+// Handles one registration. An exception does not keep the others from being handled.
+void OwnerSession::handleWorkerRecord(
+    const Record& record, std::set<WorkerId>& present, std::map<std::string, std::string>& refused)
+{
+    try {
+        if (const auto entry = owner_.catalog_.parseWorker(record)) {
+            present.insert(entry.value().id);
+            handleWorkerEntry(entry.value());
+        } else {
+            refused[record.key] = entry.error().message;
         }
-        writeFleet();
-        runAfter(workerListInterval, [this] { loadWorkers(); });
-    }));
+    } catch (const std::exception& problem) {
+        logger.error("Worker's registration was not handled", { { "key", record.key }, { "reason", problem.what() } });
+    }
 }
 
 // Logs each refused entry when it appears and when the reason changes.
--- a/tests/jobs/SimCluster.h
+++ b/tests/jobs/SimCluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "SimFaults.h"
 #include "SimFleet.h"
 #include "SimStore.h"
 #include "SimWorld.h"
@@ -22,6 +23,8 @@
     Result<Configuration> parseConfiguration(const Record&) const override;
     std::string workerPrefix() const override { return "workers/"; }
     Result<WorkerEntry> parseWorker(const Record&) const override;
+
+    std::string throwsFor; // key of the registration whose parsing throws an exception
 };
 
 // Timers of one instance. None fires after `killed` has been set, or before `pausedUntil`.
@@ -63,6 +66,8 @@
     SimTimers timers;
     SimStoreClient store;
     SimWorkerClient workers;
+    SimFaultyStore faultyStore; // on top of `store`
+    SimFaultyWorkers faultyWorkers; // on top of `workers`
     MetricsRegistry registry;
     JobMetrics metrics;
     ConfigView config;
