Takeover: what the fleet record says of a silent worker holds, and idle workers delay nobody

- Two runs of a task at a time: a start that had waited behind the command window, or that was repeated, extended the lease of a worker after the record had limited it; the next owner trusted the limit. 8 of 12 cases of the new test broke.
Such a start is withdrawn now.
- Jobs stood still for a lease after a takeover because of a worker that had no runs: it is not polled, so it may be gone unnoticed (no start in 3.5 s in both cases).
A worker without runs whose lease is over is recorded as one without jobs, and is written again before it gets work, once a step waits.
- Refused writes of the record multiplied, one more chain of retries each tick.
One retry at a time.
- Runs of a worker that had come back lapsed while the store refused writes (3 of 4 cases): a write that was refused took the permission to renew with it.
It is given back, and an entry without a limit never takes it.

Jobs and limits that cannot be read count as unknown.

Evidence: tests/jobs/SilentWorkersTest.cpp, 4 of 5 cases failed before (14 of 45 checks), all pass.

--- a/src/jobs/FleetRecord.cpp
+++ b/src/jobs/FleetRecord.cpp
@@ -3,6 +3,9 @@
 #include "rosemarylink/base/JsonReader.h"
 #include "rosemarylink/base/Log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace rosemarylink::jobs::internal {
 
 namespace {
@@ -25,19 +28,39 @@
     SilentWorker silentFromJson(const nlohmann::json& json)
     {
         SilentWorker silent;
-        if (json.contains("leaseMs"))
+        if (json.contains("leaseMs") && json["leaseMs"].is_number_unsigned())
             silent.leaseLimit = Milliseconds(json["leaseMs"].get<std::int64_t>());
-        if (json.contains("jobs")) {
-            silent.jobs.emplace();
+        if (json.contains("jobs") && json["jobs"].is_array()) {
+            std::set<JobId> jobs;
             for (const nlohmann::json& job : json["jobs"])
-                silent.jobs->insert(JobId(job.get<std::string>()));
+                jobs.insert(JobId(job.get<std::string>()));
+            silent.jobs = std::move(jobs);
         }
         return silent;
     }
 
 } // namespace
 
-// The ids come first, as in records of earlier versions, which ignore the rest and wait for the longest lease.
+bool FleetRecord::hasLimits() const
+{
+    return std::any_of(
+        silent.begin(), silent.end(), [](const auto& entry) { return entry.second.leaseLimit.has_value(); });
+}
+
+void FleetRecord::restrictTo(const FleetRecord& next)
+{
+    for (auto id = workers.begin(); id != workers.end();) {
+        if (!next.allowsRenewal(*id)) {
+            silent.erase(*id);
+            id = workers.erase(id);
+            continue;
+        }
+        if (!next.allowsWork(*id))
+            silent.emplace(*id, SilentWorker());
+        ++id;
+    }
+}
+
 std::string fleetRecordText(const FleetRecord& record)
 {
     nlohmann::json json = nlohmann::json::array();
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -266,6 +266,8 @@
     void updateRevisions(const std::vector<Record>&);
     bool appendToBatch(Batch&, const Job&) const;
     bool mayHoldRuns(const Worker&) const;
+    bool mayRenewLease(const Worker&) const;
+    bool isIdle(const Worker&) const;
     std::optional<SilentWorker> silentWorker(const Worker&) const;
     FleetRecord currentFleet() const;
     bool needsFleetWrite(const FleetRecord&) const;
@@ -290,7 +292,8 @@
     std::map<JobId, std::pair<std::string, Revision>> loadedProgress_; // until the job's submission is read
     std::map<WorkerId, Worker> workers_;
     std::map<WorkerId, UnconfirmedWorker> unconfirmedWorkers_; // of the loaded fleet record, not reconciled yet
-    FleetRecord storedFleet_;
+    // The stored fleet record as far as it is certain: less what writes on their way may take away.
+    FleetRecord permittedFleet_;
     Milliseconds fleetWrittenAt_ { 0 };
     std::map<std::string, std::string> refusedEntries_; // reasons by key, of the last list of workers
     Revision fleetRevision_ { 0 };
@@ -300,6 +303,8 @@
     std::optional<Revision> watchedRevision_; // of the store; later submissions are still to be watched for
     std::vector<Record> unhandledIncoming_; // records whose handling threw an exception, in order
     bool fleetWriting_ = false;
+    bool fleetRetryPending_ = false;
+    std::optional<Milliseconds> capacityWantedAt_; // when a step last waited for capacity
     std::map<std::tuple<JobId, int, int>, std::set<WorkerId>>
         reservedWorkers_; // by job, occurrence and step; reservations of the last plan
     std::map<ServiceId, WaitReasons> loggedWaitReasons_;
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -108,6 +108,10 @@
             if (!input.running.empty())
                 plan = makePlan(input);
         }
+        if (!plan.waiting.empty()) {
+            capacityWantedAt_ = now();
+            writeFleet(); // so that idle workers may get work
+        }
         for (const WaitingStep& waiting : plan.waiting)
             urgentWaits_ = urgentWaits_ || input.steps[waiting.step].priority == 0;
         applyPlan(pool, input, plan);
@@ -157,7 +161,7 @@
     }
     std::sort(row.expectedEnds.begin(), row.expectedEnds.end(),
         [](const ExpectedEnd& a, const ExpectedEnd& b) { return a.at < b.at; });
-    row.schedulable = worker.reconciled && storedFleet_.allowsWork(worker.entry.id) && worker.clock
+    row.schedulable = worker.reconciled && permittedFleet_.allowsWork(worker.entry.id) && worker.clock
         && !worker.entry.draining && !worker.unresponsiveSince;
     row.suspect = worker.avoidUntil > now() || isRecentlyCrashed(worker);
     return row;
--- a/src/jobs/OwnerSessionRecords.cpp
+++ b/src/jobs/OwnerSessionRecords.cpp
@@ -17,6 +17,9 @@
     // A worker that has not reported for this long although it was polled is called silent in the fleet record.
     constexpr Milliseconds silentAfter { 500 };
 
+    // Workers without runs are called idle in the fleet record once no step has waited for this long.
+    constexpr Milliseconds idleAfter { 5000 };
+
     // While a takeover waits for workers, the remaining limits of their leases are stored at this interval, so that
     // owners that follow each other quickly do not wait for them anew.
     constexpr Milliseconds leaseLimitInterval { 1000 };
@@ -231,16 +234,31 @@
     return !worker.runs.empty() || now() < worker.leaseExpiresAt || (worker.firstReportAt && !worker.unresponsiveSince);
 }
 
-// What the next owner may rely on if it does not reach the worker either; nullopt if the worker responds.
+// Whether a worker that does not respond is still kept from losing its runs.
+bool OwnerSession::mayRenewLease(const Worker& worker) const
+{
+    return !worker.unresponsiveSince || now() - worker.reportedAt <= silentRenewalLimit;
+}
+
+// Whether the worker has no runs, and no step needs it at present. A worker that is not polled may be gone unnoticed.
+bool OwnerSession::isIdle(const Worker& worker) const
+{
+    return worker.reconciled && worker.runs.empty() && now() >= worker.leaseExpiresAt
+        && (!capacityWantedAt_ || now() - *capacityWantedAt_ >= idleAfter);
+}
+
+// What the next owner may rely on if it does not reach the worker either; nullopt if the worker may get work.
 std::optional<SilentWorker> OwnerSession::silentWorker(const Worker& worker) const
 {
+    if (isIdle(worker))
+        return SilentWorker { std::nullopt, std::set<JobId>() };
     if (!worker.reconciled || !worker.unresponsiveSince || now() - worker.reportedAt < silentAfter)
         return std::nullopt;
     SilentWorker silent;
     silent.jobs.emplace();
     for (const auto& [key, run] : worker.runs)
         silent.jobs->insert(key.first.job);
-    if (now() - worker.reportedAt > silentRenewalLimit)
+    if (!mayRenewLease(worker))
         silent.leaseLimit = std::max(Milliseconds(0), worker.leaseExpiresAt - now());
     return silent;
 }
@@ -267,24 +285,24 @@
 
 bool OwnerSession::needsFleetWrite(const FleetRecord& fleet) const
 {
-    if (fleet.workers != storedFleet_.workers || fleet.silent.size() != storedFleet_.silent.size())
+    if (fleet.workers != permittedFleet_.workers || fleet.silent.size() != permittedFleet_.silent.size())
         return true;
     for (const auto& [id, silent] : fleet.silent) {
-        const auto stored = storedFleet_.silent.find(id);
-        if (stored == storedFleet_.silent.end() || stored->second.jobs.has_value() != silent.jobs.has_value()
+        const auto stored = permittedFleet_.silent.find(id);
+        if (stored == permittedFleet_.silent.end() || stored->second.jobs.has_value() != silent.jobs.has_value()
             || stored->second.leaseLimit.has_value() != silent.leaseLimit.has_value())
             return true;
     }
     // Limits fall all the time. A later owner that reads old ones waits longer than it has to, which adds up only where
     // owners follow each other during their takeovers.
-    return !recovered_ && !fleet.silent.empty() && now() - fleetWrittenAt_ >= leaseLimitInterval;
+    return !recovered_ && fleet.hasLimits() && now() - fleetWrittenAt_ >= leaseLimitInterval;
 }
 
 void OwnerSession::noteSilentWorkers()
 {
     const bool anySilent = std::any_of(
         workers_.begin(), workers_.end(), [this](const auto& entry) { return silentWorker(entry.second).has_value(); });
-    if (anySilent || !storedFleet_.silent.empty())
+    if (anySilent || !permittedFleet_.silent.empty())
         writeFleet();
 }
 
@@ -292,7 +310,7 @@
 // record.
 void OwnerSession::writeFleet()
 {
-    if (fleetWriting_ || !fleetLoaded_)
+    if (fleetWriting_ || fleetRetryPending_ || !fleetLoaded_)
         return;
     const FleetRecord fleet = currentFleet();
     if (!needsFleetWrite(fleet))
@@ -301,24 +319,29 @@
     batch.preconditions = { owner_.ownership_.condition(), { keys::fleet, fleetRevision_ } };
     batch.puts = { { keys::fleet, fleetRecordText(fleet) } };
     fleetWriting_ = true;
-    // The write may take effect without a response, so a worker that it leaves out gets no work from now on.
-    for (auto id = storedFleet_.workers.begin(); id != storedFleet_.workers.end();)
-        id = fleet.allowsWork(*id) ? std::next(id) : storedFleet_.workers.erase(id);
-    owner_.store_.commit(batch, commitTimeout, guarded([this, fleet](const StoreResponse& response) {
+    const FleetRecord before = permittedFleet_;
+    permittedFleet_.restrictTo(fleet);
+    owner_.store_.commit(batch, commitTimeout, guarded([this, fleet, before](const StoreResponse& response) {
         fleetWriting_ = false;
         if (response.done()) {
             fleetRevision_ = response.revision;
-            storedFleet_ = fleet;
+            permittedFleet_ = fleet;
             fleetWrittenAt_ = now();
             schedulePlan();
             writeFleet();
             return;
         }
+        if (response.outcome == StoreOutcome::Refused)
+            permittedFleet_ = before; // the record is unchanged
         if (response.outcome == StoreOutcome::Conflict)
             updateRevisions(response.records);
         else
             logger.warning("Fleet record was not stored; retrying", { { "workers", fleet.workers.size() } });
-        runAfter(retryDelay, [this] { writeFleet(); });
+        fleetRetryPending_ = true;
+        runAfter(retryDelay, [this] {
+            fleetRetryPending_ = false;
+            writeFleet();
+        });
     }));
 }
 
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -179,12 +179,12 @@
             const auto fleet = parseFleetRecord(response.records.front().value);
             if (!fleet)
                 logger.error("Fleet record is malformed", { { "revision", fleetRevision_ } });
-            storedFleet_ = fleet.value_or(FleetRecord());
-            for (const WorkerId& id : storedFleet_.workers) {
+            permittedFleet_ = fleet.value_or(FleetRecord());
+            for (const WorkerId& id : permittedFleet_.workers) {
                 UnconfirmedWorker& unconfirmed = unconfirmedWorkers_[id];
                 unconfirmed.runsEndBy = startedAt_ + longestLease();
-                const auto silent = storedFleet_.silent.find(id);
-                if (silent == storedFleet_.silent.end())
+                const auto silent = permittedFleet_.silent.find(id);
+                if (silent == permittedFleet_.silent.end())
                     continue;
                 unconfirmed.jobs = silent->second.jobs;
                 if (silent->second.leaseLimit)
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -333,6 +333,11 @@
         const auto run = worker->runs.find(key);
         if (run == worker->runs.end() || !run->second.isQueued())
             continue;
+        if (!permittedFleet_.allowsWork(id)) {
+            // The worker fell silent while the command waited; a start would extend a lease that the record limits.
+            stopTask(*job, key.first);
+            continue;
+        }
         // The wait in the queue does not count as run time, nor for the time limits of starts.
         job->task(key.first).startedAt = now();
         run->second.startedAt = now();
@@ -381,7 +386,7 @@
         if (!worker || worker->incarnation != incarnation || worker->runs.count(key) == 0
             || worker->runs.at(key).phase != TaskPhase::Starting)
             return;
-        if (!mayRepeatStart(key, *worker))
+        if (!mayRepeatStart(key, *worker) || !permittedFleet_.allowsRenewal(id))
             abandonStart(key, *worker);
         else if (owner_.ownership_.valid())
             sendStart(*find(key.first.job), key, *worker);
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -118,9 +118,8 @@
     const bool sameIncarnation = now() - worker.reportedAt <= minimumRestartTime;
     const std::int64_t cursor = pending && sameIncarnation ? acknowledgeableEnd(worker) : 0;
     worker.skipWait = worker.skipWait || (pending && !sameIncarnation);
-    const bool silent = worker.unresponsiveSince && now() - worker.reportedAt > silentRenewalLimit;
-    const bool renewsLease
-        = worker.clock && !worker.runs.empty() && !silent && storedFleet_.allowsRenewal(worker.entry.id);
+    const bool renewsLease = worker.clock && !worker.runs.empty() && mayRenewLease(worker)
+        && permittedFleet_.allowsRenewal(worker.entry.id);
     const Milliseconds leaseEnd = renewsLease ? leaseEndFor(worker) : Milliseconds(0);
     if (renewsLease)
         extendLease(worker, leaseEnd);
@@ -246,7 +245,7 @@
     resolveAbsentRuns(worker, report, sentAt);
     if (!worker.reconciled)
         updateReconciled(worker, sentAt);
-    if (!storedFleet_.allowsWork(id))
+    if (!permittedFleet_.allowsWork(id))
         writeFleet();
     schedulePlan();
     if (!newest)
