Planner: a step starts anywhere only after nothing of it has run for 2 s, and on suspect workers last

The time now counts from when a run of the step was last seen, the ordinary search comes first, and only a step that it does not place is placed anywhere, suspect workers last. Gangs that are known not to fit are not searched again.

Not fixed: small gangs may pass a wide one again and again in a half-empty pool.

--- a/include/rosemarylink/jobs/JobProgress.h
+++ b/include/rosemarylink/jobs/JobProgress.h
@@ -40,6 +40,7 @@
     std::vector<TaskProgress> tasks;
     int done = 0; // number of tasks in phase Done
     std::optional<Milliseconds> readyAt; // monotonic time since which the steps that it depends on are complete
+    std::optional<Milliseconds> activeAt; // monotonic time at which this owner last saw a run of the step; not stored
     std::set<WorkerId> failedOn; // workers on which this owner has seen a run fail; not stored
     std::set<int> gangFailedRuns; // failed runs of a gang; a run counts once even if several members report a failure
 
--- a/src/jobs/OwnerSessionDiagnosis.cpp
+++ b/src/jobs/OwnerSessionDiagnosis.cpp
@@ -78,7 +78,8 @@
     if (progress.complete() || !job.dependenciesComplete(occurrence, step))
         return;
     const Milliseconds readyAt = progress.readyAt.value_or(std::max(startedAt_, *dueTime(job, occurrence)));
-    if (now() - readyAt < reportedAfter)
+    const Milliseconds idleSince = std::max(readyAt, progress.activeAt.value_or(readyAt));
+    if (now() - idleSince < reportedAfter)
         return;
     PlanStep waiting;
     waiting.spec = &job.spec.steps[step];
@@ -91,15 +92,15 @@
         else if (task.phase != TaskPhase::Done)
             ++waiting.activeTasks[task.worker];
     }
-    const std::size_t startable = fleet.countStartable(waiting);
-    if (waiting.tasks.empty() || startable < roomFactor * waiting.tasks.size())
+    const std::size_t enough = roomFactor * waiting.tasks.size();
+    if (waiting.tasks.empty() || fleet.countAnywhere(waiting, enough) < enough)
         return;
     const std::string reason = withheldReason(job, occurrence, step);
     owner_.metrics_.countWithheldStep(reason);
     logger.warning("Ready step does not start although capacity is free",
         { { "job", job.spec.id }, { "occurrence", occurrence }, { "step", step }, { "reason", reason },
-            { "readyForMs", (now() - readyAt).count() }, { "tasks", waiting.tasks.size() }, { "startable", startable },
-            { "gang", waiting.spec->gang }, { "rackLocal", waiting.spec->rackLocal },
+            { "idleForMs", (now() - idleSince).count() }, { "readyForMs", (now() - readyAt).count() },
+            { "tasks", waiting.tasks.size() }, { "gang", waiting.spec->gang }, { "rackLocal", waiting.spec->rackLocal },
             { "dataRack", waiting.spec->dataRack }, { "label", waiting.spec->workerLabel }, { "token", token_ } });
 }
 
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -247,6 +247,8 @@
                 continue;
             if (!progress.readyAt)
                 progress.readyAt = spec.dependencies.empty() ? dueAt : input.now;
+            if (progress.anyActive())
+                progress.activeAt = input.now;
             if (spec.gang && progress.anyActive())
                 continue;
             PlanStep step;
@@ -272,6 +274,7 @@
                 step.reservedWorkers = reserved->second;
             step.arrivedAt = dueAt;
             step.readyAt = *progress.readyAt;
+            step.idleSince = std::max(step.readyAt, progress.activeAt.value_or(step.readyAt));
             step.expectedRunTime = expectedRunTime(job.spec, number);
             step.remaining = criticalPath(job.spec, number);
             const Milliseconds chain = criticalPath(job.spec, 0);
--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -51,7 +51,6 @@
             plannedStep_ = static_cast<std::size_t>(&step - input_.steps.data());
             const std::size_t placedBefore = plan_.placements.size();
             const std::size_t reservationsBefore = plan_.reservations.size();
-            fleet_.beginStep(step);
             const bool spreadAllowed = maySpread(step);
             bool held = false;
             if (step.spec->gang)
@@ -71,8 +70,9 @@
             plan_.waiting.push_back({ plannedStep_, step.tasks.size() - placed, reason });
         }
 
-        // Marks enough workers as not schedulable to keep the urgent headroom free. It takes all free accelerators of a
-        // worker, first from workers with the most urgent work, then from those with the most free accelerators.
+        // Marks enough workers as kept for urgent work to leave the urgent headroom free. It takes all free
+        // accelerators of a worker, first from workers with the most urgent work, then from those with the most free
+        // accelerators.
         void excludeHeadroom()
         {
             if (input_.urgentHeadroom <= 0)
@@ -93,7 +93,7 @@
 
         bool maySpread(const PlanStep& step) const
         {
-            if ((!step.spec->rackLocal && step.spec->dataRack.empty()) || fleet_.mustStart())
+            if (!step.spec->rackLocal && step.spec->dataRack.empty())
                 return true;
             if (step.spec->rackLocal && !fleet_.fitsAnyEmptyRack(step))
                 return true;
@@ -145,12 +145,16 @@
         {
             const bool preferRack = step.spec->rackLocal || !step.spec->dataRack.empty();
             FleetWorkers chosen;
-            if (fleet_.mustStart() || !isKnown(withoutCapacity_, step, spread)) {
+            if (!isKnown(withoutCapacity_, step, spread)) {
                 chosen = selectForGang(step, preferRack, spread, /*includeReleasing=*/false);
                 if (!chosen.empty()) {
                     place(step, chosen);
                     return false;
                 }
+            }
+            if (placeAnywhere(step))
+                return false;
+            if (!isKnown(withoutCapacity_, step, spread)) {
                 // Reserves capacity that is already being freed instead of preempting more work.
                 chosen = selectForGang(step, preferRack, spread, /*includeReleasing=*/true);
                 if (!chosen.empty()) {
@@ -175,6 +179,18 @@
             return true;
         }
 
+        // Places a step that must start wherever there is room. Returns whether it does.
+        bool placeAnywhere(const PlanStep& step)
+        {
+            if (step.tasks.empty() || isKnown(withoutRoom_, step, /*spread=*/true) || !fleet_.mustStart(step))
+                return false;
+            const FleetWorkers chosen = fleet_.selectAnywhere(step, step.tasks.size());
+            if (chosen.empty())
+                remember(withoutRoom_, step, /*spread=*/true);
+            place(step, chosen);
+            return !chosen.empty();
+        }
+
         void planTasks(const PlanStep& step, bool otherRacksAllowed)
         {
             FleetWorkers candidates;
@@ -191,6 +207,8 @@
             const FleetWorkers chosen
                 = fleet_.select(step, candidates, std::min(fitting, step.tasks.size()), /*includeReleasing=*/false);
             place(step, chosen);
+            if (chosen.empty() && step.activeTasks.empty() && placeAnywhere(step))
+                return;
             if (step.priority != 0 || chosen.size() == step.tasks.size())
                 return;
             PlanStep remaining = step;
@@ -314,6 +332,7 @@
         const PlanInput& input_;
         PlannerFleet fleet_;
         std::vector<GangSize> withoutCapacity_; // gangs that do not fit
+        std::vector<GangSize> withoutRoom_; // steps that must start and do not fit anywhere
         std::vector<GangSize> withoutVictims_; // gangs that are not urgent and do not fit with preemptions either
         GangReservations gangReservations_;
         PreemptionChooser preemptions_;
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -45,6 +45,7 @@
     std::set<WorkerId> reservedWorkers; // workers on which the previous plan reserved capacity for the step
     Milliseconds arrivedAt { 0 }; // arrival of the job, or due time of its occurrence
     Milliseconds readyAt { 0 }; // time since which the step has been ready to start
+    Milliseconds idleSince { 0 }; // time since which nothing of the step has run
     Milliseconds objectiveAt { 0 }; // objective for the job's completion time
     Milliseconds lateDeadline { 0 }; // completion after the objective still has value until this time
     Milliseconds remaining { 0 }; // estimated length of the critical path from this step on
--- a/src/jobs/PlannerFleet.cpp
+++ b/src/jobs/PlannerFleet.cpp
@@ -89,10 +89,10 @@
         countFittingOne(perTask.accelerators, available.accelerators) });
 }
 
-void PlannerFleet::beginStep(const PlanStep& step)
+bool PlannerFleet::mustStart(const PlanStep& step) const
 {
-    mustStart_ = mostlyFree_ && input_.now - step.readyAt >= longestHoldBack
-        && countStartable(step) >= roomFactor * step.tasks.size();
+    const std::size_t enough = roomFactor * step.tasks.size();
+    return mostlyFree_ && input_.now - step.idleSince >= longestHoldBack && countAnywhere(step, enough) >= enough;
 }
 
 bool PlannerFleet::mayRun(const PlanStep& step, const FleetWorker& worker)
@@ -125,12 +125,12 @@
 
 int PlannerFleet::capacityOn(const PlanStep& step, const FleetWorker& worker, bool includeReleasing) const
 {
-    if (mustStart_ ? !mayRun(step, worker) : worker.keptForUrgent || !worker.schedulable || isTooRisky(step, worker))
+    if (!worker.schedulable || worker.keptForUrgent || isTooRisky(step, worker))
         return 0;
     Resources available = worker.free;
     if (includeReleasing)
         available += worker.releasing;
-    if (!mustStart_ && worker.hold && (worker.hold->againstPeers || step.priority > worker.hold->priority)) {
+    if (worker.hold && (worker.hold->againstPeers || step.priority > worker.hold->priority)) {
         const auto longestRun
             = static_cast<std::int64_t>(static_cast<double>(step.expectedRunTime.count()) * runTimeMargin);
         if (input_.now + Milliseconds(longestRun) > worker.hold->from)
@@ -142,32 +142,31 @@
     return applySpreadLimit(step, worker, fitting);
 }
 
-FleetWorkers PlannerFleet::select(
-    const PlanStep& step, const FleetWorkers& candidates, std::size_t count, bool includeReleasing) const
+struct PlannerFleet::Candidate {
+    std::tuple<bool, bool, bool, bool, std::int64_t, std::int64_t, std::int64_t> order;
+    FleetWorker* worker;
+    int capacity;
+};
+
+// If reservations moved with every plan, smaller work would take the capacity that was freed for the step. Urgent work
+// is packed onto few workers; spread over all of them, it would leave none that can be emptied for a guaranteed task
+// that needs a whole worker.
+PlannerFleet::Candidate PlannerFleet::rank(const PlanStep& step, FleetWorker* worker, int capacity) const
+{
+    const bool reserved = !step.reservedWorkers.empty() && step.reservedWorkers.count(worker->row->id) > 0;
+    const bool failedBefore = step.failedOn && step.failedOn->count(worker->row->id) > 0;
+    const bool remote = !step.spec->dataRack.empty() && worker->row->rack != step.spec->dataRack;
+    const std::int64_t urgent = step.priority == 0 ? -worker->row->urgentAccelerators : 0;
+    return { { failedBefore, !reserved, worker->row->suspect, remote, urgent, worker->free.accelerators,
+                 worker->free.milliCores },
+        worker, capacity };
+}
+
+FleetWorkers PlannerFleet::chooseBest(std::vector<Candidate>& fitting, std::size_t count)
 {
-    struct Candidate {
-        std::tuple<bool, bool, bool, bool, std::int64_t, std::int64_t, std::int64_t> order;
-        FleetWorker* worker;
-        int capacity;
-    };
-    std::vector<Candidate> fitting;
     std::size_t available = 0;
-    for (FleetWorker* worker : candidates) {
-        const int capacity = capacityOn(step, *worker, includeReleasing);
-        if (capacity <= 0)
-            continue;
-        available += static_cast<std::size_t>(capacity);
-        // If reservations moved with every plan, smaller work would take the capacity that was freed for the step.
-        // Urgent work is packed onto few workers; spread over all of them, it would leave none that can be emptied for
-        // a guaranteed task that needs a whole worker.
-        const bool reserved = !step.reservedWorkers.empty() && step.reservedWorkers.count(worker->row->id) > 0;
-        const bool failedBefore = step.failedOn && step.failedOn->count(worker->row->id) > 0;
-        const bool remote = !step.spec->dataRack.empty() && worker->row->rack != step.spec->dataRack;
-        const std::int64_t urgent = step.priority == 0 ? -worker->row->urgentAccelerators : 0;
-        fitting.push_back({ { failedBefore, !reserved, worker->row->suspect, remote, urgent, worker->free.accelerators,
-                                worker->free.milliCores },
-            worker, capacity });
-    }
+    for (const Candidate& candidate : fitting)
+        available += static_cast<std::size_t>(candidate.capacity);
     if (available < count)
         return {};
     std::stable_sort(
@@ -183,6 +182,49 @@
     return chosen;
 }
 
+FleetWorkers PlannerFleet::select(
+    const PlanStep& step, const FleetWorkers& candidates, std::size_t count, bool includeReleasing) const
+{
+    std::vector<Candidate> fitting;
+    for (FleetWorker* worker : candidates) {
+        const int capacity = capacityOn(step, *worker, includeReleasing);
+        if (capacity > 0)
+            fitting.push_back(rank(step, worker, capacity));
+    }
+    return chooseBest(fitting, count);
+}
+
+int PlannerFleet::capacityAnywhere(const PlanStep& step, const FleetWorker& worker)
+{
+    if (!mayRun(step, worker))
+        return 0;
+    // A task without any demand would fit without limit.
+    const int fitting = std::min(countFitting(step.spec->perTask, worker.free), step.spec->taskCount);
+    return applySpreadLimit(step, worker, fitting);
+}
+
+FleetWorkers PlannerFleet::selectAnywhere(const PlanStep& step, std::size_t count) const
+{
+    std::vector<Candidate> fitting;
+    for (FleetWorker* worker : all_) {
+        const int capacity = capacityAnywhere(step, *worker);
+        if (capacity > 0)
+            fitting.push_back(rank(step, worker, capacity));
+    }
+    return chooseBest(fitting, count);
+}
+
+std::size_t PlannerFleet::countAnywhere(const PlanStep& step, std::size_t enough) const
+{
+    std::size_t count = 0;
+    for (const FleetWorker* worker : all_) {
+        count += static_cast<std::size_t>(capacityAnywhere(step, *worker));
+        if (count >= enough)
+            return enough;
+    }
+    return count;
+}
+
 FleetWorkers PlannerFleet::selectInOneRack(const PlanStep& step, bool includeReleasing) const
 {
     FleetWorkers best;
@@ -221,16 +263,4 @@
     });
 }
 
-std::size_t PlannerFleet::countStartable(const PlanStep& step) const
-{
-    std::size_t count = 0;
-    for (const FleetWorker* worker : all_) {
-        if (!mayRun(step, *worker))
-            continue;
-        const int fitting = applySpreadLimit(step, *worker, countFitting(step.spec->perTask, worker->row->free));
-        count += static_cast<std::size_t>(std::min(fitting, step.spec->taskCount));
-    }
-    return count;
-}
-
 } // namespace rosemarylink::jobs::internal
--- a/src/jobs/PlannerFleet.h
+++ b/src/jobs/PlannerFleet.h
@@ -40,11 +40,9 @@
     const FleetWorkers& all() const { return all_; }
     const std::vector<FleetWorkers>& racks() const { return racks_; }
 
-    // Must be called before a step is placed. Decides whether it must start wherever there is room: it has been ready
-    // for a while, less than half of the pool is in use, and there is room for more than its tasks. Then neither a
-    // preferred rack nor a hold, a suspicion or the capacity that is kept for urgent work holds it back.
-    void beginStep(const PlanStep&);
-    bool mustStart() const { return mustStart_; }
+    // Whether the step must start wherever there is room: nothing of it has run for a while, the pool is mostly free,
+    // and there is room for more than its tasks.
+    bool mustStart(const PlanStep&) const;
 
     // Number of tasks of this size that fit into the available resources.
     static int countFitting(const Resources& perTask, const Resources& available);
@@ -71,6 +69,13 @@
     FleetWorkers select(
         const PlanStep&, const FleetWorkers& candidates, std::size_t count, bool includeReleasing) const;
 
+    // Selects workers for `count` tasks wherever there is room, also on workers that are held for others, suspect or
+    // kept for urgent work, but on those last. Returns an empty vector if the tasks do not all fit.
+    FleetWorkers selectAnywhere(const PlanStep&, std::size_t count) const;
+
+    // Number of the step's tasks that selectAnywhere() finds room for, or `enough` if there are at least as many.
+    std::size_t countAnywhere(const PlanStep&, std::size_t enough) const;
+
     // Selects workers for all of the step's tasks in one rack: the rack that already has a reservation for the step,
     // otherwise the fitting one with the fewest free accelerators.
     FleetWorkers selectInOneRack(const PlanStep&, bool includeReleasing) const;
@@ -78,9 +83,6 @@
     // Whether some rack could hold all of the step's tasks if nothing ran there.
     bool fitsAnyEmptyRack(const PlanStep&) const;
 
-    // Number of the step's tasks for which there is room beside what runs, whatever this plan puts or holds there.
-    std::size_t countStartable(const PlanStep&) const;
-
     // Whether about half or less of the accelerators, or of the cores of a pool without accelerators, is in use on
     // workers that may be given work.
     bool isMostlyFree() const { return mostlyFree_; }
@@ -89,13 +91,18 @@
     static int applySpreadLimit(const PlanStep&, const FleetWorker&, int count);
 
 private:
+    struct Candidate;
+
+    Candidate rank(const PlanStep&, FleetWorker*, int capacity) const;
+    static FleetWorkers chooseBest(std::vector<Candidate>& fitting, std::size_t count);
+    static int capacityAnywhere(const PlanStep&, const FleetWorker&);
+
     const PlanInput& input_;
     std::vector<FleetWorker> workers_;
     FleetWorkers all_;
     std::vector<FleetWorkers> racks_;
     bool fewSuspects_ = false;
     bool mostlyFree_ = false;
-    bool mustStart_ = false; // the step that is being placed
 };
 
 } // namespace rosemarylink::jobs::internal
