--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -108,6 +108,10 @@
             if (!input.running.empty())
                 plan = makePlan(input);
         }
+        if (!plan.waiting.empty()) {
+            capacityWantedAt_ = now();
+            writeFleet(); // so that idle workers may get work
+        }
         for (const WaitingStep& waiting : plan.waiting)
             urgentWaits_ = urgentWaits_ || input.steps[waiting.step].priority == 0;
         applyPlan(pool, input, plan);
@@ -157,7 +161,7 @@
     }
     std::sort(row.expectedEnds.begin(), row.expectedEnds.end(),
         [](const ExpectedEnd& a, const ExpectedEnd& b) { return a.at < b.at; });
-    row.schedulable = worker.reconciled && storedFleet_.allowsWork(worker.entry.id) && worker.clock
+    row.schedulable = worker.reconciled && permittedFleet_.allowsWork(worker.entry.id) && worker.clock
         && !worker.entry.draining && !worker.unresponsiveSince;
     row.suspect = worker.avoidUntil > now() || isRecentlyCrashed(worker);
     return row;
@@ -243,6 +247,8 @@
                 continue;
             if (!progress.readyAt)
                 progress.readyAt = spec.dependencies.empty() ? dueAt : input.now;
+            if (progress.anyActive())
+                progress.activeAt = input.now;
             if (spec.gang && progress.anyActive())
                 continue;
             PlanStep step;
@@ -268,6 +274,7 @@
                 step.reservedWorkers = reserved->second;
             step.arrivedAt = dueAt;
             step.readyAt = *progress.readyAt;
+            step.idleSince = std::max(step.readyAt, progress.activeAt.value_or(step.readyAt));
             step.expectedRunTime = expectedRunTime(job.spec, number);
             step.remaining = criticalPath(job.spec, number);
             const Milliseconds chain = criticalPath(job.spec, 0);
