Owner: a worker that cannot be connected to and is not registered keeps its runs until its lease ends

Cause: OwnerSession::handlePollFailure() took a poll that failed before it was sent and an absent registration for proof that the worker's process had ended. A connect that times out gives the same verdict as a refused one, and a worker that is cut off shows both signs while its lease lasts.

Ruled out: a takeover, a lease that was over.

Change: RunEvidence states what proves that a run is gone, and everything that ends a run without its listed end asks it. WorkerLease takes an extension back if its call is known not to have reached the worker, so that the lease of a worker that has ended is not moved on by renewals that never arrive.

Why it works: nothing that a cut can bring about ends a run any more; only the lease, measured on the slowest clock, does.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -5,7 +5,10 @@
 #include "Planner.h"
 #include "PlannerFleet.h"
 #include "PreemptionPatience.h"
+#include "RunEvidence.h"
 #include "UrgentHeadroom.h"
+#include "WorkerLease.h"
+#include "WorkerRun.h"
 #include "rosemarylink/base/RunTimePredictor.h"
 #include "rosemarylink/jobs/Duty.h"
 #include "rosemarylink/jobs/PoolOwner.h"
@@ -49,29 +52,6 @@
 inline constexpr const char* pollDuty = "poll";
 inline constexpr const char* flushDuty = "flush";
 
-using RunKey = std::pair<TaskKey, int>; // a task and the number of its run
-
-// A run that occupies resources of a worker, from its start command until its end is known.
-struct WorkerRun {
-    Resources resources;
-    TaskPhase phase = TaskPhase::Starting;
-    int priority = 0; // of its job
-    Milliseconds startedAt { 0 };
-    std::optional<Milliseconds> expectedEndAt; // absent if the task runs until its job is cancelled
-    std::string checkpoint; // from which the run starts
-    bool adopted = false; // was started by a previous owner
-    int startAttempts = 0; // start commands sent for this run
-    // Until then, an unanswered start command for this run may still be executed; absent if none is unanswered.
-    std::optional<Milliseconds> strayStartUntil;
-    std::optional<Milliseconds> confirmedAt; // when the worker first confirmed the run
-    std::optional<Milliseconds> confirmedClock; // reading of the worker's clock when it first confirmed the run
-    std::optional<Milliseconds> stopAcceptedAt; // when the worker accepted the stop; the run cannot start afterwards
-    Milliseconds stopSentAt { 0 };
-
-    // Whether no command has been sent for it yet.
-    bool isQueued() const { return phase == TaskPhase::Starting && startAttempts == 0 && !adopted && !confirmedAt; }
-};
-
 // An end that a worker has reported and that must be stored before it is acknowledged.
 struct PendingEnd {
     std::int64_t number = 0;
@@ -89,7 +69,7 @@
     Milliseconds clockReadAt { 0 }; // when that reading was received
     Milliseconds reportedAt { 0 }; // when the last report was received
     Milliseconds aliveAt { 0 }; // when the newest poll that got a report was sent
-    Milliseconds leaseExpiresAt { 0 }; // all runs on the worker, known or not, have ended by then
+    WorkerLease lease; // all runs on the worker, known or not, have ended by its end
     std::map<RunKey, WorkerRun> runs;
     // Runs that ended with the lease of an unresponsive worker, which may have crashed under them or been cut off.
     std::vector<RunKey> undecidedRuns;
@@ -104,6 +84,7 @@
     std::set<JobId> recentFailures; // jobs with a failed run on the worker since its last successful run
     Milliseconds avoidUntil { 0 }; // the planner prefers other workers until then
     std::optional<Milliseconds> unresponsiveSince;
+    bool refusesConnections = false; // no connection could be established for the newest poll
 };
 
 // A worker on which runs of a previous owner may exist.
@@ -176,16 +157,18 @@
     void schedulePoll(const WorkerId&, Milliseconds delay);
     void handleReport(const WorkerId&, Milliseconds sentAt, Milliseconds leaseEnd, const WorkerReport&, bool newest);
     void updateReconciled(Worker&, Milliseconds sentAt);
-    void handlePollFailure(const WorkerId&, const Error&);
+    void handlePollFailure(const WorkerId&, Milliseconds sentAt, const Error&);
     void updateClock(Worker&, Milliseconds clock);
     Milliseconds leaseEndFor(const Worker&) const;
-    void extendLease(Worker&, Milliseconds leaseEnd);
+    // Upper limit on when the lease ends on the owner's clock if it ends at `leaseEnd` on the worker's clock.
+    static Milliseconds latestLeaseEnd(const Worker&, Milliseconds leaseEnd);
     void handleRunning(Worker&, const RunningRun&, Milliseconds sentAt);
     void resolveAbsentRuns(Worker&, const WorkerReport&, Milliseconds sentAt);
     void adoptRun(Worker&, Job&, const RunningRun&);
     void handleRestart(Worker&);
-    void endLostRuns(Worker&, const std::string& reason);
-    void endCrashedRuns(Worker&, const std::string& reason);
+    void handleLeaseOver(Worker&);
+    // Ends the runs that are proven gone.
+    void endGoneRuns(Worker&, const RunEvidence&, const std::string& reason);
     std::int64_t acknowledgeableEnd(Worker&);
 
     // OwnerSessionCrashes.cpp: tasks under which workers crash.
--- a/src/jobs/OwnerSessionRecords.cpp
+++ b/src/jobs/OwnerSessionRecords.cpp
@@ -231,7 +231,7 @@
 // has none: it gets no work before its first report.
 bool OwnerSession::mayHoldRuns(const Worker& worker) const
 {
-    return !worker.runs.empty() || now() < worker.leaseExpiresAt || (worker.firstReportAt && !worker.unresponsiveSince);
+    return !worker.runs.empty() || !worker.lease.isOver(now()) || (worker.firstReportAt && !worker.unresponsiveSince);
 }
 
 // Whether a worker that does not respond is still kept from losing its runs.
@@ -243,7 +243,7 @@
 // Whether the worker has no runs, and no step needs it at present. A worker that is not polled may be gone unnoticed.
 bool OwnerSession::isIdle(const Worker& worker) const
 {
-    return worker.reconciled && worker.runs.empty() && now() >= worker.leaseExpiresAt
+    return worker.reconciled && worker.runs.empty() && worker.lease.isOver(now())
         && (!capacityWantedAt_ || now() - *capacityWantedAt_ >= idleAfter);
 }
 
@@ -259,7 +259,7 @@
     for (const auto& [key, run] : worker.runs)
         silent.jobs->insert(key.first.job);
     if (!mayRenewLease(worker))
-        silent.leaseLimit = std::max(Milliseconds(0), worker.leaseExpiresAt - now());
+        silent.leaseLimit = std::max(Milliseconds(0), worker.lease.end() - now());
     return silent;
 }
 
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -83,11 +83,8 @@
         return;
     const Milliseconds time = now();
     for (auto& [id, worker] : workers_) {
-        if (worker.runs.empty() || time < worker.leaseExpiresAt)
-            continue;
-        const std::vector<RunKey> undecided = possibleCauses(worker);
-        worker.undecidedRuns.insert(worker.undecidedRuns.end(), undecided.begin(), undecided.end());
-        endLostRuns(worker, "the worker's lease has expired");
+        if (!worker.runs.empty() && worker.lease.isOver(time))
+            handleLeaseOver(worker);
     }
     repeatMissingPolls();
     repeatMissingFlush();
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -317,7 +317,7 @@
         owner_.metrics_.firstStart.record(static_cast<double>((now() - job.arrivedAt).count()));
         markChanged(job, /*urgent=*/false);
     }
-    extendLease(worker, leaseEndFor(worker)); // the run must not count as lost while its command waits
+    worker.lease.extend(latestLeaseEnd(worker, leaseEndFor(worker))); // the run must not count as lost while it waits
     queuedStarts_.emplace_back(runKey, worker.entry.id);
 }
 
@@ -352,13 +352,15 @@
     WorkerRun& run = worker.runs.at(key);
     ++run.startAttempts;
     const Milliseconds leaseEnd = leaseEndFor(worker);
-    extendLease(worker, leaseEnd);
+    const WorkerLease::Extension extension = worker.lease.extendBy(latestLeaseEnd(worker, leaseEnd));
     const WorkerId id = worker.entry.id;
     const std::uint64_t incarnation = worker.incarnation;
     const Milliseconds sentAt = now();
     owner_.workers_.start(worker.entry, { key.first, key.second, job.spec.payload, run.checkpoint }, leaseEnd, token_,
-        guarded([this, key, id, incarnation, sentAt](const CommandResponse& response) {
+        guarded([this, key, id, incarnation, sentAt, extension](const CommandResponse& response) {
             commandWindow_.responded(now(), now() - sentAt);
+            if (Worker* const started = find(id))
+                started->lease.settle(extension, response.outcome != CommandOutcome::Unreachable);
             owner_.metrics_.startResponse.record(static_cast<double>((now() - sentAt).count()));
             if (response.outcome != CommandOutcome::Accepted)
                 owner_.metrics_.countRefusedStart(response.outcome);
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -46,12 +46,9 @@
     return *worker.clock + (now() - worker.clockReadAt) + owner_.limits_.workerLease;
 }
 
-// Records that the lease may have been extended to `leaseEnd`, a time on the worker's clock.
-void OwnerSession::extendLease(Worker& worker, Milliseconds leaseEnd)
+Milliseconds OwnerSession::latestLeaseEnd(const Worker& worker, Milliseconds leaseEnd)
 {
-    const Milliseconds remaining = leaseEnd - *worker.clock;
-    worker.leaseExpiresAt = std::max(
-        worker.leaseExpiresAt, worker.clockReadAt + scaled(remaining, 1.0 / slowestClockRate) + Milliseconds(1));
+    return worker.clockReadAt + scaled(leaseEnd - *worker.clock, 1.0 / slowestClockRate) + Milliseconds(1);
 }
 
 void OwnerSession::updateClock(Worker& worker, Milliseconds clock)
@@ -121,17 +118,19 @@
     const bool renewsLease = worker.clock && !worker.runs.empty() && mayRenewLease(worker)
         && permittedFleet_.allowsRenewal(worker.entry.id);
     const Milliseconds leaseEnd = renewsLease ? leaseEndFor(worker) : Milliseconds(0);
+    WorkerLease::Extension extension = 0;
     if (renewsLease)
-        extendLease(worker, leaseEnd);
+        extension = worker.lease.extendBy(latestLeaseEnd(worker, leaseEnd));
     const bool waitsForEnd = renewsLease && !worker.unresponsiveSince && worker.pendingEnds.empty()
         && !std::exchange(worker.skipWait, false);
     const Milliseconds wait = waitsForEnd ? pollWait : Milliseconds(0);
     owner_.workers_.poll(worker.entry, leaseEnd, token_, cursor, wait,
-        guarded([this, id, incarnation, sentAt, leaseEnd, number, cursor, responded = std::make_shared<bool>(false)](
-                    const Result<WorkerReport>& report) {
-            const Worker* const polled = find(id);
+        guarded([this, id, incarnation, sentAt, leaseEnd, number, cursor, extension,
+                    responded = std::make_shared<bool>(false)](const Result<WorkerReport>& report) {
+            Worker* const polled = find(id);
             if (std::exchange(*responded, true) || !polled || polled->incarnation != incarnation)
                 return;
+            polled->lease.settle(extension, report || report.error().verdict != Verdict::NotRun);
             handlePollResponse(id, number, [&](Worker& current, bool newest) {
                 if (report
                     && (report.value().startTimeMs == 0 || report.value().startTimeMs == current.entry.startTimeMs))
@@ -139,7 +138,7 @@
                 if (report)
                     handleReport(id, sentAt, leaseEnd, report.value(), newest);
                 else if (newest)
-                    handlePollFailure(id, report.error());
+                    handlePollFailure(id, sentAt, report.error());
             });
         }));
 }
@@ -188,7 +187,7 @@
     return longest;
 }
 
-void OwnerSession::handlePollFailure(const WorkerId& id, const Error& error)
+void OwnerSession::handlePollFailure(const WorkerId& id, Milliseconds sentAt, const Error& error)
 {
     Worker& worker = *find(id);
     if (error.code == ErrorCode::Fenced) {
@@ -200,16 +199,14 @@
         owner_.metrics_.silentWorkers.add();
         logger.warning("Worker does not respond",
             { { "worker", id }, { "runs", worker.runs.size() }, { "listed", worker.listed },
-                { "leaseOverInMs", (worker.leaseExpiresAt - now()).count() }, { "reason", error.message } });
+                { "leaseOverInMs", (worker.lease.end() - now()).count() }, { "reason", error.message } });
+    }
+    const bool replaced = error.code == ErrorCode::NotFound;
+    worker.refusesConnections = error.verdict == Verdict::NotRun && !replaced;
+    if (replaced) {
+        handleCrash(worker, "another process is at its address");
+        endGoneRuns(worker, RunEvidence::otherProcess(sentAt), "another process is at its address");
     }
-    // Another process is at the address, or the port is closed and the registration is gone: the worker process has
-    // ended, and all of its runs with it.
-    if (error.verdict == Verdict::NotRun && error.code == ErrorCode::NotFound)
-        endCrashedRuns(worker, "another process is at its address");
-    else if (error.verdict == Verdict::NotRun && !worker.listed && !worker.entry.draining)
-        endCrashedRuns(worker, "its port is closed and it is no longer registered");
-    else if (error.verdict == Verdict::NotRun && !worker.listed)
-        endLostRuns(worker, "the worker has left");
     if (worker.listed || !worker.runs.empty())
         schedulePoll(id, retryDelay);
 }
@@ -229,15 +226,16 @@
             "Worker responds again", { { "worker", id }, { "silentMs", (now() - *worker.unresponsiveSince).count() } });
         worker.unresponsiveSince.reset();
     }
+    worker.refusesConnections = false;
     worker.reportedAt = now();
     worker.aliveAt = std::max(worker.aliveAt, sentAt);
     worker.undecidedRuns.clear(); // the worker was only cut off
     updateClock(worker, report.workerClock);
     // Runs on the worker may have a lease from a previous owner, of the longest duration that the worker grants.
     if (!worker.firstReportAt)
-        extendLease(worker, *worker.clock + owner_.limits_.workerLease);
+        worker.lease.extend(latestLeaseEnd(worker, *worker.clock + owner_.limits_.workerLease));
     if (leaseEnd > Milliseconds(0))
-        extendLease(worker, leaseEnd);
+        worker.lease.extend(latestLeaseEnd(worker, leaseEnd));
     for (const EndedRun& ended : report.ended)
         handleEnd(worker, ended);
     for (const RunningRun& running : report.running)
@@ -360,14 +358,13 @@
     std::set<RunKey> present;
     for (const RunningRun& running : report.running)
         present.insert({ running.task, running.run });
+    const RunEvidence evidence = RunEvidence::absence(sentAt, owner_.limits_.stopTime + stopMargin);
     std::vector<std::pair<RunKey, RunEnd>> absent;
     for (const auto& [key, run] : worker.runs) {
         if (present.count(key) > 0)
             continue;
-        if (run.stopAcceptedAt && *run.stopAcceptedAt + owner_.limits_.stopTime + stopMargin <= sentAt)
-            absent.emplace_back(key, RunEnd::Stopped);
-        else if (run.confirmedAt && *run.confirmedAt < sentAt && run.phase != TaskPhase::Stopping)
-            absent.emplace_back(key, RunEnd::LeaseExpired);
+        if (const auto end = evidence.endOf(run))
+            absent.emplace_back(key, *end);
     }
     for (const auto& [key, end] : absent) {
         logger.info("Run is missing from its worker's report",
@@ -406,7 +403,7 @@
     // The lease end of an unconfirmed start is on the clock of the earlier incarnation, so the new incarnation does not
     // reject it as late.
     const Milliseconds lateness = unconfirmed.empty() ? Milliseconds(0) : longestCommandDelay;
-    worker.leaseExpiresAt = now() + lateness + scaled(owner_.limits_.workerLease, 1.0 / slowestClockRate) + leaseMargin;
+    worker.lease.reset(now() + lateness + scaled(owner_.limits_.workerLease, 1.0 / slowestClockRate) + leaseMargin);
     for (const RunKey& key : unconfirmed) {
         Job* const job = find(key.first.job);
         if (job && job->contains(key.first) && job->task(key.first).run == key.second
@@ -417,24 +414,38 @@
     schedulePoll(worker.entry.id, Milliseconds(0));
 }
 
-void OwnerSession::endCrashedRuns(Worker& worker, const std::string& reason)
+// Whether a worker that is silent until its lease ends has crashed or was cut off cannot be told for certain. The
+// missing registration and the closed port together count as a crash against suspect tasks, which only matters if it
+// repeats.
+void OwnerSession::handleLeaseOver(Worker& worker)
 {
-    handleCrash(worker, reason);
-    endLostRuns(worker, reason);
+    const std::string reason = "the worker's lease has expired";
+    if (worker.refusesConnections && !worker.listed && !worker.entry.draining) {
+        handleCrash(worker, reason);
+    } else {
+        const std::vector<RunKey> undecided = possibleCauses(worker);
+        worker.undecidedRuns.insert(worker.undecidedRuns.end(), undecided.begin(), undecided.end());
+    }
+    endGoneRuns(worker, RunEvidence::leaseOver(), reason);
 }
 
-void OwnerSession::endLostRuns(Worker& worker, const std::string& reason)
+void OwnerSession::endGoneRuns(Worker& worker, const RunEvidence& evidence, const std::string& reason)
 {
-    if (worker.runs.empty())
+    std::vector<std::pair<RunKey, RunEnd>> gone;
+    for (const auto& [key, run] : worker.runs) {
+        if (const auto end = evidence.endOf(run))
+            gone.emplace_back(key, *end);
+    }
+    if (gone.empty())
         return;
     logger.warning("Runs lost with their worker",
-        { { "worker", worker.entry.id }, { "runs", worker.runs.size() }, { "reason", reason } });
-    owner_.metrics_.lostRuns.add(static_cast<std::int64_t>(worker.runs.size()));
-    const auto runs = std::move(worker.runs);
-    worker.runs.clear();
-    for (const auto& [key, run] : runs) {
+        { { "worker", worker.entry.id }, { "runs", gone.size() }, { "left", worker.runs.size() - gone.size() },
+            { "reason", reason } });
+    owner_.metrics_.lostRuns.add(static_cast<std::int64_t>(gone.size()));
+    for (const auto& [key, end] : gone) {
+        worker.runs.erase(key);
         if (Job* const job = find(key.first.job))
-            endRun(*job, key.first, key.second, RunEnd::LeaseExpired, "", worker.entry.id);
+            endRun(*job, key.first, key.second, end, "", worker.entry.id);
     }
     schedulePlan();
 }
--- /dev/null
+++ b/src/jobs/RunEvidence.cpp
@@ -0,0 +1,35 @@
+#include "RunEvidence.h"
+
+namespace rosemarylink::jobs::internal {
+
+RunEvidence RunEvidence::otherProcess(Milliseconds requestedAt)
+{
+    return { Kind::OtherProcess, requestedAt, Milliseconds(0) };
+}
+
+RunEvidence RunEvidence::leaseOver() { return { Kind::LeaseOver, Milliseconds(0), Milliseconds(0) }; }
+
+RunEvidence RunEvidence::absence(Milliseconds requestedAt, Milliseconds longestStop)
+{
+    return { Kind::Absence, requestedAt, longestStop };
+}
+
+std::optional<RunEnd> RunEvidence::endOf(const WorkerRun& run) const
+{
+    const bool confirmedBefore = run.confirmedAt && *run.confirmedAt < requestedAt_;
+    switch (kind_) {
+    case Kind::LeaseOver:
+        return RunEnd::LeaseExpired;
+    case Kind::OtherProcess:
+        return run.startedAt <= requestedAt_ ? std::optional(RunEnd::LeaseExpired) : std::nullopt;
+    case Kind::Absence:
+        if (run.stopAcceptedAt && *run.stopAcceptedAt + longestStop_ <= requestedAt_)
+            return RunEnd::Stopped;
+        if (confirmedBefore && run.phase != TaskPhase::Stopping)
+            return RunEnd::LeaseExpired;
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace rosemarylink::jobs::internal
--- /dev/null
+++ b/src/jobs/RunEvidence.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "WorkerRun.h"
+#include "rosemarylink/jobs/WorkerPort.h"
+
+#include <optional>
+
+// A task starts again only after its earlier run is proven gone. A run that is merely out of sight goes on, and its end
+// is still reported later. A run is proven gone if
+//
+// - the worker has listed its end,
+// - another process has answered at the worker's address after the start command was sent,
+// - the lease of the worker is over, measured on the slowest clock that a worker may have, or
+// - a report that was requested after the run was confirmed, or after its stop must have finished, shows neither the
+//   run nor its end.
+//
+// A call that timed out, a refused connection and a missing registration prove nothing, alone or together: a worker
+// that is cut off from this instance and from the store shows all three while its runs go on.
+namespace rosemarylink::jobs::internal {
+
+// One observation of a worker, and what it proves about runs on it. Everything that ends a run whose end the worker has
+// not listed asks this class. Times are on the owner's monotonic clock.
+class RunEvidence {
+public:
+    // Another process has answered a call to the worker's address that was sent at `requestedAt`.
+    static RunEvidence otherProcess(Milliseconds requestedAt);
+
+    // The lease of all runs on the worker is over.
+    static RunEvidence leaseOver();
+
+    // A report that was requested at `requestedAt` shows neither the run nor its end. A run disappears from reports for
+    // up to `longestStop` while it is being stopped.
+    static RunEvidence absence(Milliseconds requestedAt, Milliseconds longestStop);
+
+    // How the run has ended; nullopt if this does not prove that it has.
+    std::optional<RunEnd> endOf(const WorkerRun&) const;
+
+private:
+    enum class Kind { OtherProcess, LeaseOver, Absence };
+
+    RunEvidence(Kind kind, Milliseconds requestedAt, Milliseconds longestStop)
+        : kind_(kind)
+        , requestedAt_(requestedAt)
+        , longestStop_(longestStop)
+    {
+    }
+
+    Kind kind_;
+    Milliseconds requestedAt_;
+    Milliseconds longestStop_;
+};
+
+} // namespace rosemarylink::jobs::internal
--- /dev/null
+++ b/src/jobs/WorkerRun.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "rosemarylink/base/Units.h"
+#include "rosemarylink/jobs/JobProgress.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace rosemarylink::jobs::internal {
+
+using RunKey = std::pair<TaskKey, int>; // a task and the number of its run
+
+// A run that occupies resources of a worker, from its start command until its end is known.
+struct WorkerRun {
+    Resources resources;
+    TaskPhase phase = TaskPhase::Starting;
+    int priority = 0; // of its job
+    Milliseconds startedAt { 0 };
+    std::optional<Milliseconds> expectedEndAt; // absent if the task runs until its job is cancelled
+    std::string checkpoint; // from which the run starts
+    bool adopted = false; // was started by a previous owner
+    int startAttempts = 0; // start commands sent for this run
+    // Until then, an unanswered start command for this run may still be executed; absent if none is unanswered.
+    std::optional<Milliseconds> strayStartUntil;
+    std::optional<Milliseconds> confirmedAt; // when the worker first confirmed the run
+    std::optional<Milliseconds> confirmedClock; // reading of the worker's clock when it first confirmed the run
+    std::optional<Milliseconds> stopAcceptedAt; // when the worker accepted the stop; the run cannot start afterwards
+    Milliseconds stopSentAt { 0 };
+
+    // Whether no command has been sent for it yet.
+    bool isQueued() const { return phase == TaskPhase::Starting && startAttempts == 0 && !adopted && !confirmedAt; }
+};
+
+} // namespace rosemarylink::jobs::internal
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -421,6 +421,14 @@
     return &position->second;
 }
 
+bool SimWorkerClient::connectFails(const WorkerId& id)
+{
+    if (fleet_.silent.count(id) > 0)
+        return fleet_.cutResets || disconnected_.count(id) > 0;
+    disconnected_.erase(id);
+    return false;
+}
+
 void SimWorkerClient::order(const WorkerId& id, const std::function<CommandResponse(SimFleet::WorkerState&)>& work,
     const std::function<void(const CommandResponse&)>& handler)
 {
@@ -431,7 +439,10 @@
         const auto position = fleet_.workers_.find(id);
         CommandResponse refusal;
         if (position == fleet_.workers_.end() || !position->second.closed || fleet_.silent.count(id) > 0) {
-            respond(commandTimeout, {});
+            if (connectFails(id))
+                refusal.outcome = CommandOutcome::Unreachable;
+            world_.after(commandTimeout, [this, id] { disconnected_.insert(id); });
+            respond(fleet_.cutResets ? oneWay : commandTimeout, refusal);
             return;
         }
         refusal.outcome = position->second.replaced ? CommandOutcome::WrongIncarnation : CommandOutcome::Unreachable;
@@ -496,7 +507,16 @@
         if (!killed && !std::exchange(*responded, true))
             deliver([handler, result] { handler(result); });
     };
-    world_.after(wait + pollMargin, [once] { once(unavailable("no response", Verdict::MayHaveRun)); });
+    if (connectFails(worker.id)) {
+        const Milliseconds delay = fleet_.cutResets ? oneWay : wait + pollMargin;
+        world_.after(delay, [once] { once(unavailable("not connected", Verdict::NotRun)); });
+        return;
+    }
+    world_.after(wait + pollMargin, [this, id = worker.id, responded, once] {
+        if (!*responded)
+            disconnected_.insert(id);
+        once(unavailable("no response", Verdict::MayHaveRun));
+    });
     world_.after(oneWay, [this, id = worker.id, leaseEnd, token, acknowledged, wait, once] {
         SimFleet::WorkerState* const incarnation = findReachable(id);
         if (!incarnation) {
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -43,7 +43,10 @@
     double delayedCommandShare = 0; // share of the commands that get no response and are executed later
     Milliseconds commandDelay { 4000 }; // delay of those commands
     double lostCommandResponseShare = 0; // share of the commands that are executed at once but get no response
-    std::set<WorkerId> silent; // workers that no instance can reach; their runs continue
+    // Workers that no instance can reach; their runs continue. The first calls time out on an open connection and may
+    // have been executed; further ones time out while they connect, or are refused if the cut resets connections.
+    std::set<WorkerId> silent;
+    bool cutResets = false;
     std::set<WorkerId> faulty; // workers on which every run fails soon
     std::map<std::string, int> failuresLeft; // number of next runs that fail, by task name without index
 
@@ -148,12 +151,15 @@
 
 private:
     SimFleet::WorkerState* findReachable(const WorkerId&);
+    // Whether a call that is sent to the worker now cannot have been executed if it gets no response.
+    bool connectFails(const WorkerId&);
     void deliver(const std::function<void()>&);
     void order(const WorkerId&, const std::function<CommandResponse(SimFleet::WorkerState&)>& work,
         const std::function<void(const CommandResponse&)>& handler);
 
     SimWorld& world_;
     SimFleet& fleet_;
+    std::set<WorkerId> disconnected_; // workers to which a call has timed out since the last response
 };
 
 } // namespace rosemarylink::jobs
