Owner: a run is confirmed when its confirmation arrives, not when the report was requested

Cause: a run that is absent from a report counts as gone if the report was requested after `confirmedAt`. handleRunning() set this to the time at which the report that showed the run had been requested, up to 1.9 s before the run began. A report of another poll, requested in between and made before the start, arrived later and "proved" that the run was gone.

In the simulation the order of events is reproduced with fixed delays. Ruled out: a restart or a lease that was over.

Why it works: a report that is requested after a confirmation has arrived is made after it, however responses overtake each other on the way.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -162,7 +162,7 @@
     Milliseconds leaseEndFor(const Worker&) const;
     // Upper limit on when the lease ends on the owner's clock if it ends at `leaseEnd` on the worker's clock.
     static Milliseconds latestLeaseEnd(const Worker&, Milliseconds leaseEnd);
-    void handleRunning(Worker&, const RunningRun&, Milliseconds sentAt);
+    void handleRunning(Worker&, const RunningRun&);
     void resolveAbsentRuns(Worker&, const WorkerReport&, Milliseconds sentAt);
     void adoptRun(Worker&, Job&, const RunningRun&);
     void handleRestart(Worker&);
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -239,7 +239,7 @@
     for (const EndedRun& ended : report.ended)
         handleEnd(worker, ended);
     for (const RunningRun& running : report.running)
-        handleRunning(worker, running, sentAt);
+        handleRunning(worker, running);
     resolveAbsentRuns(worker, report, sentAt);
     if (!worker.reconciled)
         updateReconciled(worker, sentAt);
@@ -274,7 +274,7 @@
     checkRecovered();
 }
 
-void OwnerSession::handleRunning(Worker& worker, const RunningRun& running, Milliseconds sentAt)
+void OwnerSession::handleRunning(Worker& worker, const RunningRun& running)
 {
     const RunKey key { running.task, running.run };
     const auto position = worker.runs.find(key);
@@ -282,7 +282,7 @@
     if (position != worker.runs.end()) {
         WorkerRun& run = position->second;
         if (!run.confirmedAt)
-            run.confirmedAt = sentAt;
+            run.confirmedAt = now();
         if (!run.confirmedClock)
             run.confirmedClock = worker.clock;
         if (run.phase == TaskPhase::Starting)
@@ -315,7 +315,7 @@
     if (job && job->contains(running.task))
         run.resources = job->stepSpec(running.task).perTask;
     run.phase = TaskPhase::Stopping;
-    run.confirmedAt = sentAt;
+    run.confirmedAt = now();
     worker.runs.emplace(key, run);
     stopRun(worker, key);
 }
--- a/src/jobs/WorkerRun.h
+++ b/src/jobs/WorkerRun.h
@@ -23,7 +23,9 @@
     int startAttempts = 0; // start commands sent for this run
     // Until then, an unanswered start command for this run may still be executed; absent if none is unanswered.
     std::optional<Milliseconds> strayStartUntil;
-    std::optional<Milliseconds> confirmedAt; // when the worker first confirmed the run
+    // When the first confirmation of the run by the worker was received. A report that was requested later was made after
+    // the run's start, whatever responses have overtaken each other.
+    std::optional<Milliseconds> confirmedAt;
     std::optional<Milliseconds> confirmedClock; // reading of the worker's clock when it first confirmed the run
     std::optional<Milliseconds> stopAcceptedAt; // when the worker accepted the stop; the run cannot start afterwards
     Milliseconds stopSentAt { 0 };
--- a/tests/jobs/RunEvidenceTest.cpp
+++ b/tests/jobs/RunEvidenceTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+
 namespace rosemarylink::jobs {
 
 // Guards against two runs of a task at a time: a worker that was cut off from the instances and from the store counted
@@ -53,4 +55,68 @@
     CHECK(cluster.fleet.violations().empty());
 }
 
+// Guards against two runs of a task at a time: a report from before a run's start that arrived after one which shows
+// the run counted as proof that the run was gone.
+TEST_CASE("a run is not lost because a report from before its start arrives after one that shows it")
+{
+    const int offset = GENERATE(range(0, 40, 2));
+    CAPTURE(offset);
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.fleet.add(WorkerId("crashing"), "rx", { 32000, 64000, 8 });
+    cluster.world.run(Milliseconds(3000));
+    const auto submitTo = [&cluster](const std::string& label, const std::string& id, Milliseconds runTime) {
+        JobSpec job = oneStep(1, 1, runTime, /*gang=*/false);
+        job.steps[0].workerLabel = label;
+        cluster.submit("batch", id, job);
+    };
+    // After a crash of any worker, accepted starts are followed by immediate polls beside the waiting one.
+    submitTo("rx", "c0", Milliseconds(60000));
+    cluster.world.run(Milliseconds(500));
+    cluster.fleet.crashFor(WorkerId("crashing"), Milliseconds(300));
+    cluster.world.run(Milliseconds(2000));
+    submitTo("r0", "a0", Milliseconds(60000));
+    cluster.world.run(Milliseconds(2500));
+    // Responses to starts are late, and so is that to the immediate poll 520 ms after the start of b0.
+    const Milliseconds submittedAt = cluster.world.now();
+    cluster.instances[0]->faultyWorkers.delayFor = [&](WorkerCall call, const WorkerId& id) {
+        if (call == WorkerCall::Start)
+            return Milliseconds(200);
+        const Milliseconds since = cluster.world.now() - submittedAt;
+        return id == WorkerId("w0-0") && since > Milliseconds(500) && since < Milliseconds(560) ? Milliseconds(150)
+                                                                                                : Milliseconds(0);
+    };
+    submitTo("r0", "b0", Milliseconds(580));
+    cluster.world.run(Milliseconds(480 + offset));
+    submitTo("r0", "d0", Milliseconds(8000));
+    cluster.world.run(Milliseconds(20000));
+    CHECK(cluster.fleet.violations().empty());
+    CHECK(cluster.fleet.startsOf(JobId("d0")) == 1);
+}
+
+// Guards the same, and against runs that are lost or stopped for other reasons of order, in plays with many short tasks
+// in which workers crash one after the other and every response is late by itself.
+TEST_CASE("no task runs twice while responses overtake each other and workers crash in turn")
+{
+    const int seed = GENERATE(range(1, 13));
+    CAPTURE(seed);
+    SimCluster cluster(1);
+    cluster.addWorkers(4, 3);
+    cluster.world.run(Milliseconds(3000));
+    std::mt19937 random(static_cast<unsigned>(seed));
+    const auto draw = [&random](int from, int to) { return std::uniform_int_distribution<>(from, to)(random); };
+    cluster.instances[0]->faultyWorkers.delayFor
+        = [&](WorkerCall, const WorkerId&) { return Milliseconds(draw(0, 150)); };
+    for (int turn = 0; turn < 400; ++turn) {
+        const std::string id = "j" + std::to_string(turn);
+        cluster.submit("batch", id, oneStep(draw(2, 8), draw(1, 2), Milliseconds(draw(150, 900)), /*gang=*/false));
+        if (turn % 40 == 20)
+            cluster.fleet.crashFor(
+                WorkerId("w" + std::to_string(draw(0, 3)) + "-" + std::to_string(draw(0, 2))), Milliseconds(4500));
+        cluster.world.run(Milliseconds(draw(20, 160)));
+    }
+    cluster.world.run(Milliseconds(20000));
+    CHECK(cluster.fleet.violations().empty());
+}
+
 } // namespace rosemarylink::jobs
--- a/tests/jobs/SimCluster.cpp
+++ b/tests/jobs/SimCluster.cpp
@@ -47,7 +47,7 @@
     , store(world, simStore)
     , workers(world, fleet)
     , faultyStore(store)
-    , faultyWorkers(workers)
+    , faultyWorkers(workers, timers)
     , metrics(registry)
     , config(faultyStore, catalog, timers, world.clock())
     , ownership(faultyStore, timers, world.clock(), metrics, name, acquisitionDelayFor(capacity))
--- a/tests/jobs/SimFaults.cpp
+++ b/tests/jobs/SimFaults.cpp
@@ -80,23 +80,36 @@
     return faultFor ? faultFor(call, worker.id) : CallFault::None;
 }
 
+template <typename Response>
+std::function<void(Response)> SimFaultyWorkers::delayed(
+    WorkerCall call, const WorkerEntry& worker, std::function<void(Response)> handler) const
+{
+    if (!delayFor)
+        return handler;
+    const Milliseconds delay = delayFor(call, worker.id);
+    return
+        [this, delay, handler](Response response) { timers_.after(delay, [handler, response] { handler(response); }); };
+}
+
 void SimFaultyWorkers::start(const WorkerEntry& worker, const StartCommand& command, Milliseconds leaseEnd,
     FencingToken token, std::function<void(const CommandResponse&)> handler)
 {
-    workers_.start(
-        worker, command, leaseEnd, token, faultyHandler(faultOf(WorkerCall::Start, worker), std::move(handler)));
+    workers_.start(worker, command, leaseEnd, token,
+        delayed(WorkerCall::Start, worker, faultyHandler(faultOf(WorkerCall::Start, worker), std::move(handler))));
 }
 
 void SimFaultyWorkers::stop(const WorkerEntry& worker, const TaskKey& task, int run, FencingToken token,
     std::function<void(const CommandResponse&)> handler)
 {
-    workers_.stop(worker, task, run, token, faultyHandler(faultOf(WorkerCall::Stop, worker), std::move(handler)));
+    workers_.stop(worker, task, run, token,
+        delayed(WorkerCall::Stop, worker, faultyHandler(faultOf(WorkerCall::Stop, worker), std::move(handler))));
 }
 
 void SimFaultyWorkers::poll(const WorkerEntry& worker, Milliseconds leaseEnd, FencingToken token,
     std::int64_t acknowledged, Milliseconds wait, std::function<void(Result<WorkerReport>)> handler)
 {
-    const auto faulty = faultyHandler(faultOf(WorkerCall::Poll, worker), std::move(handler));
+    const auto faulty
+        = delayed(WorkerCall::Poll, worker, faultyHandler(faultOf(WorkerCall::Poll, worker), std::move(handler)));
     workers_.poll(
         worker, leaseEnd, token, acknowledged, wait, [this, id = worker.id, faulty](Result<WorkerReport> report) {
             if (report && changeReport)
--- a/tests/jobs/SimFaults.h
+++ b/tests/jobs/SimFaults.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rosemarylink/jobs/RecordStore.h"
+#include "rosemarylink/jobs/Timers.h"
 #include "rosemarylink/jobs/WorkerPort.h"
 
 #include <functional>
@@ -44,14 +45,18 @@
 // Passes the calls of an instance on to its client of the workers, except for injected faults.
 class SimFaultyWorkers final : public WorkerPort {
 public:
-    explicit SimFaultyWorkers(WorkerPort& workers)
+    SimFaultyWorkers(WorkerPort& workers, Timers& timers)
         : workers_(workers)
+        , timers_(timers)
     {
     }
 
     // Decides on the fault of each call.
     std::function<CallFault(WorkerCall, const WorkerId&)> faultFor;
 
+    // Decides how much later than it arrives each response is delivered, so that responses may overtake each other.
+    std::function<Milliseconds(WorkerCall, const WorkerId&)> delayFor;
+
     // Changes each report before it is delivered.
     std::function<void(const WorkerId&, WorkerReport&)> changeReport;
 
@@ -64,8 +69,11 @@
 
 private:
     CallFault faultOf(WorkerCall, const WorkerEntry&) const;
+    template <typename Response>
+    std::function<void(Response)> delayed(WorkerCall, const WorkerEntry&, std::function<void(Response)>) const;
 
     WorkerPort& workers_;
+    Timers& timers_;
 };
 
 } // namespace rosemarylink::jobs
