Owner: what a report says of running work counts only if it is the newest

What operators saw: "Worker reports an unexpected run; stopping it" for runs that had ended, and work that waited for the room that these took up until their stops were over.

Cause: the responses to two polls of a worker may overtake each other. The older report was applied after the newer one, so that runs whose ends had been handled came back.

Change: the running list of a report is used only if the worker's clock in it is later than in all earlier ones of the incarnation. Ends are numbered and used from any report.

Before and after: "a report that has been overtaken does not bring back runs that have ended": 80 stops before, 0 after.

--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -238,9 +238,14 @@
         worker.lease.extend(latestLeaseEnd(worker, leaseEnd));
     for (const EndedRun& ended : report.ended)
         handleEnd(worker, ended);
-    for (const RunningRun& running : report.running)
-        handleRunning(worker, running);
-    resolveAbsentRuns(worker, report, sentAt);
+    // Ends are numbered, but what runs is told only by the newest report. Of two from the same millisecond either may
+    // be the older one.
+    if (!worker.reportClock || report.workerClock > *worker.reportClock) {
+        worker.reportClock = report.workerClock;
+        for (const RunningRun& running : report.running)
+            handleRunning(worker, running);
+        resolveAbsentRuns(worker, report, sentAt);
+    }
     if (!worker.reconciled)
         updateReconciled(worker, sentAt);
     if (!permittedFleet_.allowsWork(id))
@@ -386,6 +391,7 @@
     worker.reconciled = false;
     worker.firstReportAt.reset();
     worker.clock.reset();
+    worker.reportClock.reset();
     worker.lastSeenEnd = 0;
     worker.acknowledged = 0;
     worker.pendingEnds.clear();
--- a/src/jobs/WorkerRun.h
+++ b/src/jobs/WorkerRun.h
@@ -23,8 +23,8 @@
     int startAttempts = 0; // start commands sent for this run
     // Until then, an unanswered start command for this run may still be executed; absent if none is unanswered.
     std::optional<Milliseconds> strayStartUntil;
-    // When the first confirmation of the run by the worker was received. A report that was requested later was made after
-    // the run's start, whatever responses have overtaken each other.
+    // When the first confirmation of the run by the worker was received. A report that was requested later was made
+    // after the run's start, whatever responses have overtaken each other.
     std::optional<Milliseconds> confirmedAt;
     std::optional<Milliseconds> confirmedClock; // reading of the worker's clock when it first confirmed the run
     std::optional<Milliseconds> stopAcceptedAt; // when the worker accepted the stop; the run cannot start afterwards
--- a/tests/jobs/RunEvidenceTest.cpp
+++ b/tests/jobs/RunEvidenceTest.cpp
@@ -94,6 +94,39 @@
     CHECK(cluster.fleet.startsOf(JobId("d0")) == 1);
 }
 
+// Guards against stops of runs that have ended: a report that was overtaken by the one with their ends showed them
+// again, and they took up room on their worker until the stops were over.
+TEST_CASE("a report that has been overtaken does not bring back runs that have ended")
+{
+    SimCluster cluster(1);
+    cluster.addWorkers(2, 3);
+    cluster.fleet.add(WorkerId("crashing"), "rx", { 32000, 64000, 8 });
+    cluster.world.run(Milliseconds(3000));
+    JobSpec pinned = oneStep(1, 1, Milliseconds(60000), /*gang=*/false);
+    pinned.steps[0].workerLabel = "rx";
+    cluster.submit("batch", "c0", pinned);
+    cluster.world.run(Milliseconds(500));
+    cluster.fleet.crashFor(WorkerId("crashing"), Milliseconds(300)); // starts are followed by immediate polls
+    cluster.world.run(Milliseconds(2000));
+    std::mt19937 random(1);
+    const auto draw = [&random](int from, int to) { return std::uniform_int_distribution<>(from, to)(random); };
+    SimFaultyWorkers& workers = cluster.instances[0]->faultyWorkers;
+    workers.delayFor = [&](WorkerCall, const WorkerId&) { return Milliseconds(draw(0, 150)); };
+    int stops = 0;
+    workers.faultFor = [&stops](WorkerCall call, const WorkerId&) {
+        stops += call == WorkerCall::Stop ? 1 : 0;
+        return CallFault::None;
+    };
+    for (int turn = 0; turn < 60; ++turn) {
+        const std::string id = "j" + std::to_string(turn);
+        cluster.submit("batch", id, oneStep(draw(2, 8), 1, Milliseconds(draw(150, 900)), /*gang=*/false));
+        cluster.world.run(Milliseconds(draw(20, 160)));
+    }
+    cluster.world.run(Milliseconds(5000));
+    CHECK(stops == 0);
+    CHECK(cluster.fleet.violations().empty());
+}
+
 // Guards the same, and against runs that are lost or stopped for other reasons of order, in plays with many short tasks
 // in which workers crash one after the other and every response is late by itself.
 TEST_CASE("no task runs twice while responses overtake each other and workers crash in turn")
