Admission: a cancellation that finds no job keeps its submission from being stored later

Its submission had waited in the connection of a suspended instance, or was a write that the store executed late.

Cause: readForCancel() answered 410 where the job's record was absent and stored nothing, so that nothing stood against a submission that was still on its way.

Ruled out: an owner that ignores a stored cancellation.

Change: a withdrawal record, stored on the condition that the job's records are absent; a submission requires that there is none. It lives 5 to 10 minutes on a store lease that the withdrawals of an instance share. A cancellation that overlaps its submission now reads the job's state again.

Why it works: both writes are conditional on the absence of the other's record, so that the store's order decides, and the second one sees the first.

--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -27,7 +27,9 @@
     Invalid, // the request is malformed or not supported; it has had no effect
     NoQueue, // no queue matches the host and path
     NoKey, // the key is unknown, or missing where the queue requires one
-    NoJob, // no such job, or a cancellation of a job that has ended
+    // No such job, or a cancellation of a job that has ended. After a cancellation nothing of the job starts, even if
+    // its submission arrives up to Admission::withdrawalLife later.
+    NoJob,
 };
 
 struct AdmissionResponse {
@@ -48,6 +50,11 @@
 // Each handler is called exactly once, possibly before the call returns.
 class Admission {
 public:
+    // A job whose cancellation found nothing is not accepted for this long, up to twice as long. It exceeds the time
+    // for which a submission can be on its way: in the connection of a suspended instance, or in a write that the store
+    // executes late.
+    static constexpr Milliseconds withdrawalLife { 300000 };
+
     Admission(RecordStore&, ConfigView&, const Catalog&, Timers&, const Clock&, JobMetrics&);
 
     // Submissions are idempotent: repeating the id of an accepted job is accepted again and has no effect.
@@ -71,6 +78,7 @@
     void commitUnlessStored(const CallPointer&);
     void commitUnlessReplaced(const CallPointer&, Revision decidedUnder);
     void acceptAgain(const CallPointer&, Revision);
+    void refuseWithdrawn(const CallPointer&);
     void commitSubmission(const CallPointer&);
     void resolveConflict(const CallPointer&, const StoreResponse&, Milliseconds requestedAt);
     // Schedules `retry` if the call's time allows, otherwise calls fail(). `mayHaveWritten` tells whether the last
@@ -84,7 +92,9 @@
     void finishCount(const CallPointer&, std::size_t jobs);
     void readForCancel(const CallPointer&);
     void commitCancel(const CallPointer&, Revision jobRevision);
-    void resolveCancellation(const CallPointer&);
+    void resolveAbsentJob(const CallPointer&);
+    void withdraw(const CallPointer&);
+    void commitWithdrawal(const CallPointer&, StoreLeaseId);
     void finish(const CallPointer&, const AdmissionResponse&);
 
     RecordStore& store_;
@@ -95,12 +105,20 @@
     JobMetrics& metrics_;
     std::size_t inProgress_ = 0;
 
+    // The store lease of the latest withdrawals, which share it so that each costs one write.
+    struct WithdrawalLease {
+        StoreLeaseId id = 0; // 0 if there is none
+        Milliseconds requestedAt { 0 };
+        std::vector<CallPointer> callers; // that wait for the lease that is being granted
+    };
+
     struct WaitingCount {
         std::vector<CallPointer> callers; // of the list that is on its way, if not empty
         std::optional<Milliseconds> requestedAt; // of the last complete list
         std::size_t jobs = 0; // in that list
     };
     std::map<QueueId, WaitingCount> waitingCounts_;
+    WithdrawalLease withdrawalLease_;
 };
 
 } // namespace rosemarylink::jobs
--- a/include/rosemarylink/jobs/Catalog.h
+++ b/include/rosemarylink/jobs/Catalog.h
@@ -37,10 +37,13 @@
         = "in/"; // submissions and cancellations, written by admission and read by the owner
     inline const std::string jobs = "in/job/";
     inline const std::string cancellations = "in/cancel/";
+    // Cancellations of jobs that are not stored. Each keeps a submission that is still on its way from being stored.
+    inline const std::string withdrawals = "withdrawn/";
     inline const std::string progressPrefix = "run/"; // progress and final state of each job
 
     inline std::string job(const JobId& id) { return jobs + id.value(); }
     inline std::string cancellation(const JobId& id) { return cancellations + id.value(); }
+    inline std::string withdrawal(const JobId& id) { return withdrawals + id.value(); }
     inline std::string progress(const JobId& id) { return progressPrefix + id.value(); }
     inline std::string waitingPrefix(const QueueId& queue) { return "wait/" + queue.value() + "/"; }
     inline std::string waitingJob(const QueueId& queue, const JobId& id) { return waitingPrefix(queue) + id.value(); }
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -256,6 +256,16 @@
     finish(call, { AdmissionOutcome::Accepted, "" });
 }
 
+void Admission::refuseWithdrawn(const CallPointer& call)
+{
+    logger.info("Submission is refused because the job was cancelled before it was stored",
+        { { "job", call->job }, { "mayHaveRun", call->mayHaveRun } });
+    if (call->mayHaveRun) // the withdrawal may end before an unresolved write is executed
+        finish(call, { AdmissionOutcome::MayHaveRun, "the job was cancelled; an earlier attempt is not resolved yet" });
+    else
+        finish(call, { AdmissionOutcome::NotRun, "the job was cancelled before it was accepted", withdrawalLife });
+}
+
 void Admission::commitSubmission(const CallPointer& call)
 {
     if (call->finished)
@@ -263,8 +273,9 @@
     // The precondition on the configuration's revision ensures that the job is accepted under the newest one only.
     call->configRevision = config_.revision();
     Batch batch;
-    batch.preconditions = { { catalog_.configurationKey(), call->configRevision },
-        { keys::progress(call->job), Revision(0) }, { keys::job(call->job), Revision(0) } };
+    batch.preconditions
+        = { { catalog_.configurationKey(), call->configRevision }, { keys::progress(call->job), Revision(0) },
+              { keys::job(call->job), Revision(0) }, { keys::withdrawal(call->job), Revision(0) } };
     const nlohmann::json progress = { { "state", jobStateName(JobState::Queued) } };
     batch.puts = { { keys::job(call->job), toJson(call->spec).dump() }, { keys::progress(call->job), progress.dump() },
         { keys::waitingJob(call->spec.policy.queue, call->job), "-" } };
@@ -301,6 +312,12 @@
             return;
         }
     }
+    for (const Record& record : response.records) {
+        if (record.revision != Revision(0) && record.key == keys::withdrawal(call->job)) {
+            refuseWithdrawn(call);
+            return;
+        }
+    }
     for (const Record& record : response.records)
         config_.apply(record, requestedAt);
     // The job's records are absent, so no earlier attempt of this call has taken effect. If the configuration has
@@ -366,11 +383,7 @@
 {
     store_.read(keys::job(call->job), storeTimeout, [this, call](const StoreResponse& response) {
         if (response.outcome == StoreOutcome::NotFound) {
-            // The submission record is absent if the job was never accepted or has ended.
-            if (call->mayHaveRun)
-                resolveCancellation(call);
-            else
-                finish(call, { AdmissionOutcome::NoJob, "no such job, or the job has ended" });
+            resolveAbsentJob(call);
             return;
         }
         if (!response.done()) {
@@ -381,22 +394,82 @@
     });
 }
 
-// Reads how a job ended for which a cancellation got no response from the store.
-void Admission::resolveCancellation(const CallPointer& call)
+// The submission record is absent because the job has ended, or because it is not stored, or not yet.
+void Admission::resolveAbsentJob(const CallPointer& call)
 {
     store_.read(keys::progress(call->job), storeTimeout, [this, call](const StoreResponse& response) {
-        if (!response.done() && response.outcome != StoreOutcome::NotFound) {
-            retryLater(call, /*mayHaveWritten=*/false, [this, call] { resolveCancellation(call); });
+        if (response.outcome == StoreOutcome::NotFound) {
+            withdraw(call);
             return;
         }
-        const auto state = response.done() ? parseProgressState(response.records.front().value) : std::nullopt;
-        if (state == JobState::Cancelled)
+        if (!response.done()) {
+            retryLater(call, /*mayHaveWritten=*/false, [this, call] { resolveAbsentJob(call); });
+            return;
+        }
+        const auto state = parseProgressState(response.records.front().value);
+        if (state && !isFinal(*state)) // it was stored after the submission record was read
+            timers_.after(retryDelay, [this, call] {
+                if (!call->finished)
+                    readForCancel(call);
+            });
+        else if (state == JobState::Cancelled && call->mayHaveRun) // by an attempt of this call without a response
             finish(call, { AdmissionOutcome::Accepted, "" });
         else
             finish(call, { AdmissionOutcome::NoJob, "the job has ended" });
     });
 }
 
+// Sees to it that a submission which is still on its way does not run after the cancellation has been answered.
+void Admission::withdraw(const CallPointer& call)
+{
+    const Milliseconds requestedAt = clock_.monotonic();
+    if (withdrawalLease_.id != 0 && requestedAt - withdrawalLease_.requestedAt < withdrawalLife) {
+        commitWithdrawal(call, withdrawalLease_.id);
+        return;
+    }
+    withdrawalLease_.callers.push_back(call);
+    if (withdrawalLease_.callers.size() > 1)
+        return;
+    store_.grantLease(withdrawalLife * 2, storeTimeout, [this, requestedAt](const StoreResponse& response) {
+        const std::vector<CallPointer> callers = std::exchange(withdrawalLease_.callers, {});
+        if (response.done())
+            withdrawalLease_ = { response.lease, requestedAt, {} };
+        for (const CallPointer& caller : callers) {
+            if (response.done())
+                commitWithdrawal(caller, response.lease);
+            else
+                retryLater(caller, /*mayHaveWritten=*/false, [this, caller] { withdraw(caller); });
+        }
+    });
+}
+
+void Admission::commitWithdrawal(const CallPointer& call, StoreLeaseId lease)
+{
+    if (call->finished)
+        return;
+    Batch batch;
+    batch.preconditions = { { keys::job(call->job), Revision(0) }, { keys::progress(call->job), Revision(0) } };
+    batch.puts = { { keys::withdrawal(call->job), "-", lease } };
+    call->writeInFlight = true;
+    store_.commit(batch, storeTimeout, [this, call, lease](const StoreResponse& response) {
+        call->writeInFlight = false;
+        if (response.done()) {
+            logger.info("Job is cancelled before it is stored",
+                { { "job", call->job }, { "revision", response.revision.value() },
+                    { "refusedForMs", withdrawalLife.count() } });
+            finish(call, { AdmissionOutcome::NoJob, "no such job; its submission is refused from now on" });
+        } else if (response.outcome == StoreOutcome::Conflict) {
+            readForCancel(call);
+        } else if (response.outcome == StoreOutcome::NotFound) { // the lease has ended
+            if (withdrawalLease_.id == lease)
+                withdrawalLease_.id = 0;
+            withdraw(call);
+        } else {
+            retryLater(call, response.outcome == StoreOutcome::Unknown, [this, call] { withdraw(call); });
+        }
+    });
+}
+
 void Admission::commitCancel(const CallPointer& call, Revision jobRevision)
 {
     if (call->finished)
--- a/tests/jobs/AdmissionTest.cpp
+++ b/tests/jobs/AdmissionTest.cpp
@@ -96,6 +96,90 @@
     REQUIRE(cluster.submit("batch", "a1", smallJob).outcome == AdmissionOutcome::MayHaveRun);
 }
 
+// Guards against a job that runs although its cancellation was answered: the submission was still in the connection of
+// an instance that was suspended.
+TEST_CASE("a job that was cancelled before its submission was read is refused and never runs")
+{
+    SimCluster cluster;
+    cluster.addWorkers(1, 2);
+    cluster.world.run(Milliseconds(1200));
+    REQUIRE(cluster.cancel("batch", "a1", 1).outcome == AdmissionOutcome::NoJob);
+    const AdmissionResponse refused = cluster.submit("batch", "a1", smallJob, 0);
+    CHECK(refused.outcome == AdmissionOutcome::NotRun);
+    CHECK(refused.retryAfter >= Milliseconds(60000));
+    cluster.world.run(Milliseconds(10000));
+    CHECK_FALSE(cluster.storedState("a1").has_value());
+    CHECK(cluster.fleet.startsOf(JobId("a1")) == 0);
+    CHECK(cluster.query("batch", "a1").outcome == AdmissionOutcome::NoJob);
+}
+
+// Guards against the same fault where the store executes the write of the submission after the cancellation.
+TEST_CASE("a job that was cancelled before the store executed its submission never runs")
+{
+    SimCluster cluster;
+    cluster.addWorkers(1, 2);
+    cluster.world.run(Milliseconds(1200));
+    cluster.store.lostResponseShare = 1;
+    cluster.store.lostResponseWriteDelay = Milliseconds(6000);
+    REQUIRE(cluster.submit("batch", "a1", smallJob, 0).outcome == AdmissionOutcome::MayHaveRun);
+    cluster.store.lostResponseShare = 0;
+    REQUIRE(cluster.cancel("batch", "a1", 1).outcome == AdmissionOutcome::NoJob);
+    cluster.world.run(Milliseconds(15000));
+    CHECK_FALSE(cluster.storedState("a1").has_value());
+    CHECK(cluster.fleet.startsOf(JobId("a1")) == 0);
+}
+
+// Guards against a cancellation that is answered while the submission takes effect, in whatever order the store
+// executes the two.
+TEST_CASE("a cancellation beside its submission leaves no job that runs")
+{
+    const int offset = GENERATE(range(0, 40, 1));
+    CAPTURE(offset);
+    SimCluster cluster;
+    cluster.addWorkers(1, 2);
+    cluster.world.run(Milliseconds(1200));
+    cluster.instances[0]->store.distance = Milliseconds(15);
+    std::optional<AdmissionOutcome> cancelled;
+    cluster.world.after(Milliseconds(offset), [&] {
+        cluster.instances[1]->admission.cancel({ "host", "/batch/a1", "key", Milliseconds(3000) },
+            [&cancelled](const AdmissionResponse& response) { cancelled = response.outcome; });
+    });
+    cluster.submit("batch", "a1", oneStep(2, 1, Milliseconds(5000), /*gang=*/false), 0);
+    cluster.world.run(Milliseconds(3000));
+    REQUIRE(cancelled.has_value());
+    CHECK((*cancelled == AdmissionOutcome::Accepted || *cancelled == AdmissionOutcome::NoJob));
+    CHECK(cluster.fleet.running() == 0);
+    CHECK(cluster.storedState("a1").value_or(JobState::Cancelled) == JobState::Cancelled);
+}
+
+// Guards against state that grows with each cancellation of an unknown job, and against an id that stays refused.
+TEST_CASE("cancellations of jobs that are not stored are forgotten after a while and cost one write each")
+{
+    SimCluster cluster(1);
+    cluster.world.run(Milliseconds(1200));
+    int grants = 0;
+    int writes = 0;
+    cluster.instances[0]->faultyStore.faultFor = [&](StoreCall call, const std::string& key) {
+        grants += call == StoreCall::GrantLease ? 1 : 0;
+        writes += call == StoreCall::Commit && key.compare(0, keys::withdrawals.size(), keys::withdrawals) == 0 ? 1 : 0;
+        return CallFault::None;
+    };
+    for (int number = 0; number < 50; ++number)
+        REQUIRE(cluster.cancel("batch", "a" + std::to_string(number)).outcome == AdmissionOutcome::NoJob);
+    CHECK(grants == 1);
+    CHECK(writes == 50);
+    CHECK(cluster.store.countWithPrefix(keys::withdrawals) == 50);
+    cluster.world.run(Admission::withdrawalLife - Milliseconds(5000));
+    CHECK(cluster.submit("batch", "a1", smallJob).outcome == AdmissionOutcome::NotRun);
+    cluster.world.run(Admission::withdrawalLife + Milliseconds(10000));
+    CHECK(cluster.submit("batch", "a1", smallJob).outcome == AdmissionOutcome::Accepted);
+    CHECK(cluster.store.countWithPrefix(keys::withdrawals) == 0);
+    // The lease is over by now, so that the next cancellation needs another one.
+    CHECK(cluster.cancel("batch", "b1").outcome == AdmissionOutcome::NoJob);
+    CHECK(cluster.submit("batch", "b1", smallJob).outcome == AdmissionOutcome::NotRun);
+    CHECK(grants == 2);
+}
+
 // Guards against telling a caller that there was nothing to cancel when its own cancellation, whose write got no
 // response, has ended the job.
 TEST_CASE("a cancellation whose write got no response is accepted once the job has been cancelled")
