Planner: preemption follows one strict order, and overlapping occurrences each take their part of a guarantee

Cause: a job's guarantee was counted once, however many of its occurrences overlapped; and guaranteed work could stop guaranteed work that uses less than "the step needs", where the need was that of all waiting tasks and the use that of a single task, so that two wide steps without gangs could each stop the other.

Ruled out: a pool too small for the guarantees.

Change: each due occurrence takes its own part of the guarantee, in the order of due times. Work within a guarantee may stop only guaranteed units that need strictly fewer accelerators at once, counted alike on both sides; with priority and guarantee before it, that is one strict order of all work.

Why it works: a strict order has no cycles.

--- a/include/rosemarylink/jobs/JobProgress.h
+++ b/include/rosemarylink/jobs/JobProgress.h
@@ -74,6 +74,7 @@
     }
     bool contains(const TaskKey&) const;
     bool complete() const;
+    bool complete(int occurrence) const;
     bool anyActive() const;
     bool dirty() const { return changes != storedChanges; }
 
--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -2,6 +2,8 @@
 
 #include "rosemarylink/base/JsonReader.h"
 
+#include <algorithm>
+
 namespace rosemarylink::jobs {
 
 namespace {
@@ -70,15 +72,19 @@
 
 bool Job::complete() const
 {
-    for (const auto& steps : occurrences) {
-        for (const StepProgress& step : steps) {
-            if (!step.complete())
-                return false;
-        }
+    for (int occurrence = 0; occurrence < spec.occurrences; ++occurrence) {
+        if (!complete(occurrence))
+            return false;
     }
     return true;
 }
 
+bool Job::complete(int occurrence) const
+{
+    const std::vector<StepProgress>& steps = occurrences[static_cast<std::size_t>(occurrence)];
+    return std::all_of(steps.begin(), steps.end(), [](const StepProgress& step) { return step.complete(); });
+}
+
 bool Job::anyActive() const
 {
     for (const auto& steps : occurrences) {
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -217,12 +217,14 @@
     void plan();
     PlanInput planInput(const ServiceId& pool);
     PlanWorker planWorker(const Worker&) const;
-    // Calls `visit` with each job of the pool that has not ended, in the order of arrival, and what is left of its
-    // account's guarantee after it.
-    void forEachJob(const ServiceId& pool, const std::function<void(Job&, std::int64_t)>& visit);
+    // The pool's jobs that have not ended, in the order of arrival.
+    std::vector<Job*> unfinishedJobs(const ServiceId& pool);
+    // Jobs and occurrences of the highest priority that are within their account's guarantee.
+    using Guaranteed = std::set<std::pair<JobId, int>>;
+    Guaranteed guaranteedOccurrences(const std::vector<Job*>&) const;
     std::optional<Milliseconds> dueTime(const Job&, int occurrence) const;
-    void addSteps(PlanInput&, Job&, std::int64_t remainingGuarantee);
-    void addRunning(PlanInput&, const Job&, bool guaranteed) const;
+    void addSteps(PlanInput&, Job&, const Guaranteed&);
+    void addRunning(PlanInput&, const Job&, const Guaranteed&) const;
     Milliseconds criticalPath(const JobSpec&, std::size_t from) const;
     Milliseconds expectedRunTime(const JobSpec&, std::size_t step) const;
     void expectEnd(const Job&, const TaskKey&, WorkerRun&, int percent) const;
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -102,9 +102,10 @@
             continue;
         Plan plan = makePlan(input);
         if (plan.wantsPreemption) {
-            forEachJob(pool, [&](const Job& job, std::int64_t left) {
-                addRunning(input, job, job.spec.policy.priority == 0 && left >= 0);
-            });
+            const std::vector<Job*> jobs = unfinishedJobs(pool);
+            const Guaranteed guaranteed = guaranteedOccurrences(jobs);
+            for (const Job* job : jobs)
+                addRunning(input, *job, guaranteed);
             if (!input.running.empty())
                 plan = makePlan(input);
         }
@@ -167,7 +168,7 @@
     return row;
 }
 
-void OwnerSession::forEachJob(const ServiceId& pool, const std::function<void(Job&, std::int64_t)>& visit)
+std::vector<Job*> OwnerSession::unfinishedJobs(const ServiceId& pool)
 {
     std::vector<Job*> byArrival;
     for (auto& [id, job] : jobs_) {
@@ -176,17 +177,40 @@
     }
     std::sort(
         byArrival.begin(), byArrival.end(), [](const Job* a, const Job* b) { return a->arrivedAt < b->arrivedAt; });
+    return byArrival;
+}
+
+// Occurrences that overlap each need what the job needs, so each takes its own part of the guarantee, in the order in
+// which they are due.
+OwnerSession::Guaranteed OwnerSession::guaranteedOccurrences(const std::vector<Job*>& jobs) const
+{
+    std::vector<std::tuple<Milliseconds, const Job*, int>> byDueTime;
+    for (const Job* job : jobs) {
+        if (job->spec.policy.priority != 0)
+            continue;
+        for (int occurrence = 0; occurrence < job->spec.occurrences; ++occurrence) {
+            const std::optional<Milliseconds> due = dueTime(*job, occurrence);
+            if (!due)
+                break;
+            if (!job->complete(occurrence))
+                byDueTime.emplace_back(*due, job, occurrence);
+        }
+    }
+    std::stable_sort(byDueTime.begin(), byDueTime.end(),
+        [](const auto& a, const auto& b) { return std::get<0>(a) < std::get<0>(b); });
     std::map<AccountId, std::int64_t> remainingGuarantee;
     if (const Configuration* configuration = owner_.config_.current()) {
         for (const ClientAccount& account : configuration->accounts)
             remainingGuarantee[account.id] = account.guaranteedAccelerators;
     }
-    for (Job* job : byArrival) {
-        std::int64_t left = -1;
-        if (job->spec.policy.priority == 0)
-            left = remainingGuarantee[job->spec.account] -= peakAccelerators(job->spec);
-        visit(*job, left);
+    Guaranteed guaranteed;
+    for (const auto& [due, job, occurrence] : byDueTime) {
+        std::int64_t& left = remainingGuarantee[job->spec.account];
+        left -= peakAccelerators(job->spec);
+        if (left >= 0)
+            guaranteed.emplace(job->spec.id, occurrence);
     }
+    return guaranteed;
 }
 
 PlanInput OwnerSession::planInput(const ServiceId& pool)
@@ -203,10 +227,12 @@
         urgentDemand += input.workers.back().urgentAccelerators;
         capacity += input.workers.back().capacity.accelerators;
     }
-    forEachJob(pool, [&](Job& job, std::int64_t left) {
-        if (!job.mayHaveUnknownRuns)
-            addSteps(input, job, left);
-    });
+    const std::vector<Job*> jobs = unfinishedJobs(pool);
+    const Guaranteed guaranteed = guaranteedOccurrences(jobs);
+    for (Job* job : jobs) {
+        if (!job->mayHaveUnknownRuns)
+            addSteps(input, *job, guaranteed);
+    }
     for (const PlanStep& step : input.steps) {
         if (step.priority == 0)
             urgentDemand += step.spec->perTask.accelerators * static_cast<std::int64_t>(step.tasks.size());
@@ -233,7 +259,7 @@
     return dueAt;
 }
 
-void OwnerSession::addSteps(PlanInput& input, Job& job, std::int64_t remainingGuarantee)
+void OwnerSession::addSteps(PlanInput& input, Job& job, const Guaranteed& guaranteed)
 {
     for (int occurrence = 0; occurrence < job.spec.occurrences; ++occurrence) {
         const std::optional<Milliseconds> due = dueTime(job, occurrence);
@@ -268,7 +294,7 @@
             step.failedOn = &progress.failedOn;
             step.lastAttempt = isLastAttempt(job, progress, spec.gang);
             step.priority = job.spec.policy.priority;
-            step.guaranteed = step.priority == 0 && remainingGuarantee >= 0;
+            step.guaranteed = guaranteed.count({ job.spec.id, occurrence }) > 0;
             const auto reserved = reservedWorkers_.find({ job.spec.id, occurrence, static_cast<int>(number) });
             if (reserved != reservedWorkers_.end())
                 step.reservedWorkers = reserved->second;
@@ -288,7 +314,7 @@
     }
 }
 
-void OwnerSession::addRunning(PlanInput& input, const Job& job, bool guaranteed) const
+void OwnerSession::addRunning(PlanInput& input, const Job& job, const Guaranteed& guaranteed) const
 {
     for (int occurrence = 0; occurrence < job.spec.occurrences; ++occurrence) {
         for (std::size_t number = 0; number < job.spec.steps.size(); ++number) {
@@ -298,7 +324,8 @@
             const StepProgress& progress = job.occurrences[occurrence][number];
             const double cores = weightedCores(spec.perTask);
             PreemptibleWork gang { job.spec.id, occurrence, static_cast<int>(number), {}, {}, job.spec.policy.priority,
-                guaranteed, 0, 0, Milliseconds(0), Milliseconds(0) };
+                guaranteed.count({ job.spec.id, occurrence }) > 0, unitAccelerators(spec), 0, 0, Milliseconds(0),
+                Milliseconds(0) };
             for (int index = 0; index < spec.taskCount; ++index) {
                 const TaskProgress& task = progress.tasks[index];
                 if (task.phase != TaskPhase::Running && task.phase != TaskPhase::Starting)
--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -350,6 +350,11 @@
         + coresPerAccelerator * static_cast<double>(resources.accelerators);
 }
 
+std::int64_t unitAccelerators(const StepSpec& step)
+{
+    return step.perTask.accelerators * (step.gang ? step.taskCount : 1);
+}
+
 const char* waitReasonName(WaitReason reason)
 {
     switch (reason) {
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -61,6 +61,7 @@
     std::map<WorkerId, Resources> resources; // resources that stopping it would free
     int priority = 0;
     bool guaranteed = false; // within its client account's guarantee
+    std::int64_t unitAccelerators = 0; // of the whole task or gang; see unitAccelerators()
     double cores = 0; // that it uses, where an accelerator counts as several cores
     double lostCoreSeconds = 0; // work that would have to be repeated
     Milliseconds lostTime { 0 }; // the run time of that work
@@ -127,6 +128,9 @@
 // The cores of a resource demand, where an accelerator counts as several.
 double weightedCores(const Resources&);
 
+// The accelerators that a unit of the step needs at once: all tasks of a gang, otherwise one task.
+std::int64_t unitAccelerators(const StepSpec&);
+
 // Decides which tasks of one pool start on which workers and which running work is preempted for them. Has no side
 // effects.
 Plan makePlan(const PlanInput&);
--- a/src/jobs/PreemptionChoice.cpp
+++ b/src/jobs/PreemptionChoice.cpp
@@ -27,14 +27,6 @@
     // fits in anywhere would be stopped and started again all the time.
     constexpr Milliseconds minimumRunForOthers { 1500 };
 
-    std::int64_t acceleratorsOf(const PreemptibleWork& work)
-    {
-        std::int64_t sum = 0;
-        for (const auto& [worker, resources] : work.resources)
-            sum += resources.accelerators;
-        return sum;
-    }
-
     double costOf(const PreemptibleWork& work)
     {
         const double settling = std::max(0.0, settlingSeconds - static_cast<double>(work.ranFor.count()) / 1000.0);
@@ -96,8 +88,7 @@
 
 // Work of a lower priority may always be preempted. A guaranteed step may also preempt work of its own priority, once
 // it has waited for a part of the time in which it must start: work beyond its account's guarantee, and as a last
-// resort guaranteed work that uses fewer accelerators than the step needs and can therefore be placed elsewhere.
-// Limiting this to smaller work prevents two jobs from preempting each other in turn.
+// resort smaller guaranteed units, which can be placed elsewhere.
 bool PreemptionChooser::mayPreempt(const PlanStep& step, std::size_t index) const
 {
     const PreemptibleWork& work = input_.running[index];
@@ -108,8 +99,7 @@
     const Milliseconds minimumWait = work.guaranteed ? input_.urgentRackWait * 3 / 4 : input_.urgentRackWait / 2;
     if (!step.guaranteed || input_.now - step.readyAt < minimumWait)
         return false;
-    const std::int64_t demand = step.spec->perTask.accelerators * static_cast<std::int64_t>(step.tasks.size());
-    return !work.guaranteed || acceleratorsOf(work) < demand;
+    return !work.guaranteed || work.unitAccelerators < unitAccelerators(*step.spec);
 }
 
 int PreemptionChooser::capacityWith(const PlanStep& step, std::size_t worker, const Resources& freed) const
--- a/src/jobs/PreemptionChoice.h
+++ b/src/jobs/PreemptionChoice.h
@@ -9,6 +9,11 @@
 // Load pattern: urgent work arrives faster than running work ends, on workers full of small tasks. What is stopped must
 // make room where the urgent tasks fit: a task that needs a whole worker gains nothing from capacity freed on many. The
 // cheapest way to make room for one more task is therefore found worker by worker.
+//
+// What a step may preempt follows one order of all work, so that no two units of work can ever stop each other in turn:
+// by priority, then work within a guarantee before other work of the highest priority, then, of guaranteed work, by the
+// accelerators that a unit needs at once, larger ones first. A unit is a gang, or a single task that is in none. Only
+// what is strictly later in this order is preempted.
 namespace rosemarylink::jobs::internal {
 
 struct PreemptionChoice {
--- a/tests/jobs/PlanFixtures.h
+++ b/tests/jobs/PlanFixtures.h
@@ -60,6 +60,7 @@
     row.resources[WorkerId(worker)] = { 1000, 1000, 8 };
     row.priority = priority;
     row.guaranteed = guaranteed;
+    row.unitAccelerators = 8;
     return row;
 }
 
--- a/tests/jobs/PlannerTest.cpp
+++ b/tests/jobs/PlannerTest.cpp
@@ -52,6 +52,7 @@
     for (const PlanWorker& worker : input.workers) {
         input.running.push_back(runningWork(worker.id.value(), 0, /*guaranteed=*/true));
         input.running.back().resources[worker.id] = { 1000, 1000, 2 };
+        input.running.back().unitAccelerators = 2;
     }
     input.now = Milliseconds(1000);
     REQUIRE(makePlan(input).preemptions.empty());
--- a/tests/jobs/SimCluster.cpp
+++ b/tests/jobs/SimCluster.cpp
@@ -18,6 +18,7 @@
             configuration.queues.push_back(queue);
     }
     configuration.accounts.push_back({ AccountId("acme"), { json.at("key").get<std::string>() }, 16 });
+    configuration.accounts.push_back({ AccountId("beta"), { "key-of-beta" }, 8 });
     return configuration;
 }
 
@@ -127,22 +128,23 @@
         return *received;
     }
 
-    CallerRequest request(const std::string& queue, const std::string& id, Milliseconds deadline)
+    CallerRequest request(
+        const std::string& queue, const std::string& id, Milliseconds deadline, const std::string& key = "key")
     {
-        return { "host", "/" + queue + "/" + id, "key", deadline };
+        return { "host", "/" + queue + "/" + id, key, deadline };
     }
 
 } // namespace
 
-AdmissionResponse SimCluster::submit(
-    const std::string& queue, const std::string& id, const JobSpec& job, std::size_t instance, Milliseconds deadline)
+AdmissionResponse SimCluster::submit(const std::string& queue, const std::string& id, const JobSpec& job,
+    std::size_t instance, Milliseconds deadline, const std::string& key)
 {
     JobSpec named = job;
     named.id = JobId(id);
     fleet.registerJob(named);
     return await(world, [&](const AdmissionHandler& handler) {
         instances.at(instance)->admission.submit(
-            request(queue, id, deadline), [job]() -> Result<JobSpec> { return job; }, handler);
+            request(queue, id, deadline, key), [job]() -> Result<JobSpec> { return job; }, handler);
     });
 }
 
--- a/tests/jobs/SimCluster.h
+++ b/tests/jobs/SimCluster.h
@@ -82,7 +82,8 @@
     explicit SimCluster(int instances = 2, const SimFleet::Options& = {});
 
     // Writes the next configuration version, with the queues /urgent/, /batch/ and /sweep/ of priorities 0, 1 and 2, or
-    // only the named one, and the client account "acme" with the key.
+    // only the named one, and the client accounts "acme" with the key and a guarantee of 16
+    // accelerators and "beta" with the key "key-of-beta" and 8.
     Revision putConfiguration(const std::string& key = "key", const std::string& onlyQueue = "");
 
     // Size of the part of each configuration written from now on that has no effect, such as routes of other systems.
@@ -94,7 +95,7 @@
     // Each of these sends a request to an instance and runs the simulation until the response. submit() also registers
     // the job with the fleet.
     AdmissionResponse submit(const std::string& queue, const std::string& id, const JobSpec&, std::size_t instance = 0,
-        Milliseconds deadline = Milliseconds(3000));
+        Milliseconds deadline = Milliseconds(3000), const std::string& key = "key");
     AdmissionResponse cancel(const std::string& queue, const std::string& id, std::size_t instance = 0);
     AdmissionResponse query(const std::string& queue, const std::string& id, std::size_t instance = 0);
 
