Soak: workers that are cut off from everything, late answers, and ends that are acknowledged after a second start

The soak now does both, beside its other faults or alone (`--cuts-only`), and has work that is longer than a lease. The simulated workers report a start after an end as done that is acknowledged later.

A check is narrowed: an end that was listed before its worker's lease expired does not count as acknowledged. The check of ends that are acknowledged after a second start is new beside it.

--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace rosemarylink::jobs {
@@ -98,6 +99,7 @@
         std::vector<std::pair<Milliseconds, Resources>> formerCapacities; // each with the time until which it held
         std::map<TaskKey, int> highestRefusedRuns; // runs up to this number cannot start any more
         std::vector<EndedRun> ended;
+        std::int64_t lapsedEnd = 0; // number of the last end before the lease last expired
         std::int64_t lastEnd = 0;
         std::int64_t acknowledged = 0;
         std::vector<std::function<void()>> waiting; // polls that wait for an end
@@ -124,6 +126,10 @@
     std::map<JobId, JobSpec> specs_;
     std::map<WorkerId, WorkerState> workers_;
     std::set<TaskKey> acknowledgedDone_; // tasks whose completion has been acknowledged
+    // An end that a worker lists: the worker, its incarnation and the number of the end.
+    using EndId = std::tuple<WorkerId, std::uint64_t, std::int64_t>;
+    std::map<TaskKey, std::set<EndId>> doneEnds_; // of runs that ended as done, acknowledged or not
+    std::set<EndId> startedAfter_; // of these, ends after which their task has started again
     std::map<JobId, int> starts_;
     std::map<std::string, int> taskStarts_;
     int returned_ = 0; // workers that have come back with a new id
--- a/tests/soak/Proxy.h
+++ b/tests/soak/Proxy.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "rosemarylink/base/Clock.h"
 #include "rosemarylink/reactor/EventLoop.h"
 
 #include <Poco/Net/ServerSocket.h>
 
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 
@@ -13,6 +15,7 @@
 // The fault that a proxy applies to forwarded bytes.
 struct ProxyFault {
     Milliseconds delay { 0 };
+    Milliseconds longestRandomDelay { 0 }; // of each answer by itself, in addition
     bool holdRequests = false; // holds bytes from the client to the server
     bool holdAnswers = false; // holds bytes from the server to the client
 };
@@ -33,17 +36,25 @@
     // nothing is forwarded any more.
     void breakConnections(bool reset);
 
+    // Closes the port, so that connections are refused, or opens it again. What is connected stays so.
+    void setOpen(bool open);
+
 private:
     class Acceptor;
     class Connection;
 
     void accept();
+    void reopen();
 
     reactor::EventLoop& loop_;
+    SystemClock clock_;
     std::string target_;
     Poco::Net::ServerSocket socket_;
     std::string address_;
+    bool open_ = true; // as last set
+    bool listening_ = true;
     ProxyFault fault_;
+    std::mt19937 random_ { 1 };
     std::shared_ptr<Acceptor> acceptor_;
     std::set<std::shared_ptr<Connection>> connections_;
     std::set<std::shared_ptr<Connection>> stalled_;
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -22,6 +22,7 @@
     int instances = 4;
     int workers = 8;
     Milliseconds faults { 12000 }; // how long faults are injected
+    bool cutsOnly = false; // injects nothing but cuts of workers and late answers
 };
 
 // Runs processes of rosemarylink-edge against a simulated platform, injects faults and checks the results that callers
@@ -65,6 +66,7 @@
     void scheduleRestart(EdgeInstance&, Milliseconds);
 
     void submitNext();
+    void add(const std::string& id, const std::string& queue, jobs::JobSpec);
     void submit(const std::string& id);
     void handleSubmissionReply(const std::string& id, const Result<reactor::ClientResponse>&);
     void queryNext();
@@ -78,6 +80,10 @@
     void injectProxyFault(Proxy&);
     void injectStoreFault(int kind);
     void injectWorkerFault(int kind);
+    void cutOffNext();
+    void cutOff(const WorkerId&, bool resets, Milliseconds duration);
+    void delayAnswersNext();
+    void submitLongNext();
     void endFaults();
     void pollUntilDone();
     void checkAtEnd();
@@ -95,6 +101,8 @@
     SoakOptions options_;
     std::mt19937_64 faultRandom_;
     std::mt19937_64 loadRandom_;
+    // For the faults that were added later, so that the sequences of the seeds before stay as they are.
+    std::mt19937_64 cutRandom_;
     std::mt19937_64 random_; // for choices that depend on real time
     SystemClock clock_;
     reactor::EventLoop loop_;
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -11,6 +11,9 @@
     constexpr int minimumPauseMs = 200;
     constexpr int maximumPauseMs = 1200;
 
+    // A registration is removed this long after the last heartbeat of its worker.
+    constexpr Milliseconds registrationLife { 4500 };
+
 } // namespace
 
 void Soak::injectNext()
@@ -143,4 +146,52 @@
     });
 }
 
+// Cuts a share of the workers off from the store and from all instances. They run on.
+void Soak::cutOffNext()
+{
+    if (faultInjectionEnded_)
+        return;
+    ++faultCounts_["workers-cut-off"];
+    const bool resets = randomIndex(cutRandom_, 2) == 0;
+    const Milliseconds duration = randomDuration(cutRandom_, 4700, 8000);
+    for (const auto& [id, member] : workers_) {
+        if (randomIndex(cutRandom_, 4) == 0)
+            cutOff(id, resets, duration);
+    }
+    schedule(duration + randomDuration(cutRandom_, 500, 3000), [this] { cutOffNext(); });
+}
+
+void Soak::cutOff(const WorkerId& id, bool resets, Milliseconds duration)
+{
+    Proxy& link = *workers_.at(id).proxy;
+    link.setOpen(false);
+    link.breakConnections(resets);
+    schedule(registrationLife, [this, id] {
+        if (!faultInjectionEnded_)
+            store_.remove("servers/" + id.value());
+    });
+    schedule(duration, [this, id, &link] {
+        link.setOpen(true);
+        if (fleet_.isUp(id))
+            publishWorker(id);
+    });
+}
+
+// Delays answers of all workers, each by itself, so that they overtake each other.
+void Soak::delayAnswersNext()
+{
+    if (faultInjectionEnded_)
+        return;
+    ++faultCounts_["late-answers"];
+    ProxyFault fault;
+    fault.longestRandomDelay = randomDuration(cutRandom_, 20, 150);
+    for (const auto& [id, member] : workers_)
+        member.proxy->setFault(fault);
+    schedule(randomDuration(cutRandom_, 1000, 4000), [this] {
+        for (const auto& [id, member] : workers_)
+            member.proxy->setFault({});
+    });
+    schedule(randomDuration(cutRandom_, 2000, 8000), [this] { delayAnswersNext(); });
+}
+
 } // namespace rosemarylink::soak
