Owner: a report that does not list all ends proves nothing about runs that are missing from it

Cause: a worker lists at most 500 ends. While the store is slow, more are waiting to be acknowledged, and a run whose end is behind those was in neither list. resolveAbsentRuns() took that for proof that the run was gone.

Ruled out: overtaken reports.

Change: the adapter tells whether a report has all ends, and RunEvidence::absence() asks it. A new owner counts a worker as reconciled only by such a report, for the same reason.

Why it works: absence from a list that is known to be cut proves nothing; the missing ends follow once those before them are acknowledged.

--- a/include/rosemarylink/jobs/WorkerPort.h
+++ b/include/rosemarylink/jobs/WorkerPort.h
@@ -56,7 +56,8 @@
     Milliseconds workerClock { 0 };
     std::int64_t startTimeMs = 0; // 0 if the worker did not report it
     std::vector<RunningRun> running;
-    std::vector<EndedRun> ended; // ends after the acknowledged one; may be limited to the first few hundred
+    std::vector<EndedRun> ended; // ends after the acknowledged one, in the order of their numbers
+    bool endsComplete = true; // false if there may be more ends than those in `ended`, which workers limit
 };
 
 struct StartCommand {
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -246,7 +246,7 @@
             handleRunning(worker, running);
         resolveAbsentRuns(worker, report, sentAt);
     }
-    if (!worker.reconciled)
+    if (!worker.reconciled && report.endsComplete)
         updateReconciled(worker, sentAt);
     if (!permittedFleet_.allowsWork(id))
         writeFleet();
@@ -363,7 +363,7 @@
     std::set<RunKey> present;
     for (const RunningRun& running : report.running)
         present.insert({ running.task, running.run });
-    const RunEvidence evidence = RunEvidence::absence(sentAt, owner_.limits_.stopTime + stopMargin);
+    const RunEvidence evidence = RunEvidence::absence(report, sentAt, owner_.limits_.stopTime + stopMargin);
     std::vector<std::pair<RunKey, RunEnd>> absent;
     for (const auto& [key, run] : worker.runs) {
         if (present.count(key) > 0)
--- a/src/jobs/RunEvidence.cpp
+++ b/src/jobs/RunEvidence.cpp
@@ -9,9 +9,9 @@
 
 RunEvidence RunEvidence::leaseOver() { return { Kind::LeaseOver, Milliseconds(0), Milliseconds(0) }; }
 
-RunEvidence RunEvidence::absence(Milliseconds requestedAt, Milliseconds longestStop)
+RunEvidence RunEvidence::absence(const WorkerReport& report, Milliseconds requestedAt, Milliseconds longestStop)
 {
-    return { Kind::Absence, requestedAt, longestStop };
+    return { report.endsComplete ? Kind::Absence : Kind::IncompleteReport, requestedAt, longestStop };
 }
 
 std::optional<RunEnd> RunEvidence::endOf(const WorkerRun& run) const
@@ -22,6 +22,8 @@
         return RunEnd::LeaseExpired;
     case Kind::OtherProcess:
         return run.startedAt <= requestedAt_ ? std::optional(RunEnd::LeaseExpired) : std::nullopt;
+    case Kind::IncompleteReport: // the end may be among those that are not listed
+        return std::nullopt;
     case Kind::Absence:
         if (run.stopAcceptedAt && *run.stopAcceptedAt + longestStop_ <= requestedAt_)
             return RunEnd::Stopped;
--- a/src/jobs/RunEvidence.h
+++ b/src/jobs/RunEvidence.h
@@ -11,8 +11,8 @@
 // - the worker has listed its end,
 // - another process has answered at the worker's address after the start command was sent,
 // - the lease of the worker is over, measured on the slowest clock that a worker may have, or
-// - a report that was requested after the run was confirmed, or after its stop must have finished, shows neither the
-//   run nor its end.
+// - a report with all ends that was requested after the run was confirmed, or after its stop must have finished, shows
+//   neither the run nor its end.
 //
 // A call that timed out, a refused connection and a missing registration prove nothing, alone or together: a worker
 // that is cut off from this instance and from the store shows all three while its runs go on.
@@ -28,15 +28,15 @@
     // The lease of all runs on the worker is over.
     static RunEvidence leaseOver();
 
-    // A report that was requested at `requestedAt` shows neither the run nor its end. A run disappears from reports for
-    // up to `longestStop` while it is being stopped.
-    static RunEvidence absence(Milliseconds requestedAt, Milliseconds longestStop);
+    // The report, which was requested at `requestedAt`, shows neither the run nor its end. A run disappears from
+    // reports for up to `longestStop` while it is being stopped.
+    static RunEvidence absence(const WorkerReport&, Milliseconds requestedAt, Milliseconds longestStop);
 
     // How the run has ended; nullopt if this does not prove that it has.
     std::optional<RunEnd> endOf(const WorkerRun&) const;
 
 private:
-    enum class Kind { OtherProcess, LeaseOver, Absence };
+    enum class Kind { OtherProcess, LeaseOver, Absence, IncompleteReport };
 
     RunEvidence(Kind kind, Milliseconds requestedAt, Milliseconds longestStop)
         : kind_(kind)
--- a/tests/jobs/RunEvidenceTest.cpp
+++ b/tests/jobs/RunEvidenceTest.cpp
@@ -152,4 +152,29 @@
     CHECK(cluster.fleet.violations().empty());
 }
 
+// Guards against runs that count as lost, and run again, because their ends are beyond those that a worker lists at a
+// time.
+TEST_CASE("runs whose ends are not listed yet do not run again")
+{
+    const bool takeover = GENERATE(false, true);
+    const int slowFor = GENERATE(1500, 4000);
+    CAPTURE(takeover, slowFor);
+    SimCluster cluster(2);
+    cluster.fleet.listedEnds = 3;
+    cluster.addWorkers(1, 2);
+    cluster.world.run(Milliseconds(3000));
+    cluster.submit("batch", "a0", oneStep(16, 1, Milliseconds(1500), /*gang=*/false));
+    cluster.world.run(Milliseconds(1000));
+    REQUIRE(cluster.fleet.running() == 16);
+    cluster.store.refusesWrites = true;
+    cluster.world.run(Milliseconds(slowFor));
+    if (takeover)
+        cluster.currentOwner()->kill();
+    cluster.store.refusesWrites = false;
+    cluster.world.run(Milliseconds(30000));
+    CHECK(cluster.fleet.violations().empty());
+    CHECK(cluster.fleet.startsOf(JobId("a0")) == 16);
+    CHECK(cluster.storedState("a0") == JobState::Completed);
+}
+
 } // namespace rosemarylink::jobs
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -370,9 +370,10 @@
             report.running.push_back({ key, run.run, run.checkpoint, 0 });
     }
     for (const EndedRun& ended : incarnation.ended) {
-        if (ended.number > incarnation.acknowledged)
+        if (ended.number > incarnation.acknowledged && report.ended.size() < listedEnds)
             report.ended.push_back(ended);
     }
+    report.endsComplete = report.ended.size() < listedEnds;
     return report;
 }
 
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -53,6 +53,7 @@
 
     // Workers start whatever they are told; a start that exceeds the capacity is a violation.
     bool admitsAnything = false;
+    std::size_t listedEnds = 500; // ends in a report at most
     Milliseconds shrinkGrace { 5500 };
 
     std::set<std::string> crashingTasks; // names of tasks whose start crashes the worker
