--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -85,7 +85,7 @@
     std::set<JobId> recentFailures; // jobs with a failed run on the worker since its last successful run
     Milliseconds avoidUntil { 0 }; // the planner prefers other workers until then
     std::optional<Milliseconds> unresponsiveSince;
-    bool refusesConnections = false; // no connection could be established for the newest poll
+    bool connectFails = false; // no connection could be established for the newest poll
 };
 
 // A worker on which runs of a previous owner may exist.
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -202,7 +202,7 @@
                 { "leaseOverInMs", (worker.lease.end() - now()).count() }, { "reason", error.message } });
     }
     const bool replaced = error.code == ErrorCode::NotFound;
-    worker.refusesConnections = error.verdict == Verdict::NotRun && !replaced;
+    worker.connectFails = error.verdict == Verdict::NotRun && !replaced;
     if (replaced) {
         handleCrash(worker, "another process is at its address");
         endGoneRuns(worker, RunEvidence::otherProcess(sentAt), "another process is at its address");
@@ -226,7 +226,7 @@
             "Worker responds again", { { "worker", id }, { "silentMs", (now() - *worker.unresponsiveSince).count() } });
         worker.unresponsiveSince.reset();
     }
-    worker.refusesConnections = false;
+    worker.connectFails = false;
     worker.reportedAt = now();
     worker.aliveAt = std::max(worker.aliveAt, sentAt);
     worker.undecidedRuns.clear(); // the worker was only cut off
@@ -426,7 +426,7 @@
 void OwnerSession::handleLeaseOver(Worker& worker)
 {
     const std::string reason = "the worker's lease has expired";
-    if (worker.refusesConnections && !worker.listed && !worker.entry.draining) {
+    if (worker.connectFails && !worker.listed && !worker.entry.draining) {
         handleCrash(worker, reason);
     } else {
         const std::vector<RunKey> undecided = possibleCauses(worker);
@@ -448,8 +448,9 @@
         { { "worker", worker.entry.id }, { "runs", gone.size() }, { "left", worker.runs.size() - gone.size() },
             { "reason", reason } });
     owner_.metrics_.lostRuns.add(static_cast<std::int64_t>(gone.size()));
+    for (const auto& [key, end] : gone)
+        worker.runs.erase(key); // all of them first, so that no member of a gang is stopped for another one
     for (const auto& [key, end] : gone) {
-        worker.runs.erase(key);
         if (Job* const job = find(key.first.job))
             endRun(*job, key.first, key.second, end, "", worker.entry.id);
     }
