Owner: a worker that is cut off does not count as crashed

What callers saw: nothing yet; found by reading. A job whose workers were cut off right after its starts, three times in a row, would be shown as failed although nothing failed (LOST).

Change: only a restart or another process at the address counts. The question stays open for 15 s after the lease, and the worker is polled each second until it returns.

Before and after: "a worker that is cut off has not crashed under its tasks" failed before, with refused and hanging connections.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -72,8 +72,10 @@
     Milliseconds aliveAt { 0 }; // when the newest poll that got a report was sent
     WorkerLease lease; // all runs on the worker, known or not, have ended by its end
     std::map<RunKey, WorkerRun> runs;
-    // Runs that ended with the lease of an unresponsive worker, which may have crashed under them or been cut off.
+    // Runs that ended with the lease of an unresponsive worker, which may have crashed under them or been cut off. The
+    // worker is polled until that is known, but not for longer than `undecidedUntil`.
     std::vector<RunKey> undecidedRuns;
+    Milliseconds undecidedUntil { 0 };
     std::int64_t lastSeenEnd = 0; // number of the last end that was handled
     std::int64_t acknowledged = 0; // number up to which the worker has received acknowledgments
     std::deque<PendingEnd> pendingEnds;
@@ -85,7 +87,6 @@
     std::set<JobId> recentFailures; // jobs with a failed run on the worker since its last successful run
     Milliseconds avoidUntil { 0 }; // the planner prefers other workers until then
     std::optional<Milliseconds> unresponsiveSince;
-    bool connectFails = false; // no connection could be established for the newest poll
 };
 
 // A worker on which runs of a previous owner may exist.
--- a/src/jobs/OwnerSessionCrashes.cpp
+++ b/src/jobs/OwnerSessionCrashes.cpp
@@ -1,10 +1,10 @@
-// Tasks under which workers crash. A worker counts as crashed if it has restarted, if another process is at its
-// address, or if, when its lease ends, no connection to it can be established and it is gone from the registry without
-// draining; a worker that is merely silent has not crashed. The runs whose start the worker is not known to have
-// survived may have caused the crash; each is added to its task's crashed runs. From the first one on, each start is
-// stored with the task until its end is known, so that a crash that no owner saw is not forgotten. A run that a worker
-// survives clears its task, so that a job fails only after several crashes in a row, and suspect tasks of different
-// jobs do not start on one worker together, so that none is blamed for what another one causes.
+// Tasks under which workers crash. A worker counts as crashed if it has restarted or if another process is at its
+// address. A worker that is silent has perhaps been cut off; it is polled on for a while after its lease has ended, so
+// that a crash is noticed when it returns. The runs whose start the worker is not known to have survived may have
+// caused the crash; each is added to its task's crashed runs. From the first one on, each start is stored with the task
+// until its end is known, so that a crash that no owner saw is not forgotten. A run that a worker survives clears its
+// task, so that a job fails only after several crashes in a row, and suspect tasks of different jobs do not start on
+// one worker together, so that none is blamed for what another one causes.
 
 #include "OwnerSession.h"
 
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -391,7 +391,9 @@
     bool dropped = false;
     for (auto position = workers_.begin(); position != workers_.end();) {
         const Worker& worker = position->second;
-        const bool departed = !worker.listed && worker.runs.empty() && unconfirmedWorkers_.count(position->first) == 0;
+        const bool undecided = !worker.undecidedRuns.empty() && now() < worker.undecidedUntil;
+        const bool departed
+            = !worker.listed && worker.runs.empty() && !undecided && unconfirmedWorkers_.count(position->first) == 0;
         dropped = dropped || departed;
         position = departed ? workers_.erase(position) : std::next(position);
     }
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -23,6 +23,10 @@
 
     constexpr Milliseconds retryDelay { 250 };
 
+    // A worker whose crash is in question returns some seconds after it. It is polled at this interval for that long.
+    constexpr Milliseconds undecidedRetryDelay { 1000 };
+    constexpr Milliseconds longestReturn { 15000 };
+
     // A restart of a worker takes longer than this.
     constexpr Milliseconds minimumRestartTime { 250 };
 
@@ -202,13 +206,14 @@
                 { "leaseOverInMs", (worker.lease.end() - now()).count() }, { "reason", error.message } });
     }
     const bool replaced = error.code == ErrorCode::NotFound;
-    worker.connectFails = error.verdict == Verdict::NotRun && !replaced;
     if (replaced) {
         handleCrash(worker, "another process is at its address");
         endGoneRuns(worker, RunEvidence::otherProcess(sentAt), "another process is at its address");
     }
     if (worker.listed || !worker.runs.empty())
         schedulePoll(id, retryDelay);
+    else if (!worker.undecidedRuns.empty())
+        schedulePoll(id, undecidedRetryDelay);
 }
 
 void OwnerSession::handleReport(
@@ -226,7 +231,6 @@
             "Worker responds again", { { "worker", id }, { "silentMs", (now() - *worker.unresponsiveSince).count() } });
         worker.unresponsiveSince.reset();
     }
-    worker.connectFails = false;
     worker.reportedAt = now();
     worker.aliveAt = std::max(worker.aliveAt, sentAt);
     worker.undecidedRuns.clear(); // the worker was only cut off
@@ -420,19 +424,13 @@
     schedulePoll(worker.entry.id, Milliseconds(0));
 }
 
-// Whether a worker that is silent until its lease ends has crashed or was cut off cannot be told for certain. The
-// missing registration and the closed port together count as a crash against suspect tasks, which only matters if it
-// repeats.
+// A worker that is silent until its lease ends may have crashed or been cut off, which only its return shows.
 void OwnerSession::handleLeaseOver(Worker& worker)
 {
-    const std::string reason = "the worker's lease has expired";
-    if (worker.connectFails && !worker.listed && !worker.entry.draining) {
-        handleCrash(worker, reason);
-    } else {
-        const std::vector<RunKey> undecided = possibleCauses(worker);
-        worker.undecidedRuns.insert(worker.undecidedRuns.end(), undecided.begin(), undecided.end());
-    }
-    endGoneRuns(worker, RunEvidence::leaseOver(), reason);
+    const std::vector<RunKey> undecided = possibleCauses(worker);
+    worker.undecidedRuns.insert(worker.undecidedRuns.end(), undecided.begin(), undecided.end());
+    worker.undecidedUntil = now() + longestReturn;
+    endGoneRuns(worker, RunEvidence::leaseOver(), "the worker's lease has expired");
 }
 
 void OwnerSession::endGoneRuns(Worker& worker, const RunEvidence& evidence, const std::string& reason)
--- a/tests/jobs/CrashingTasksTest.cpp
+++ b/tests/jobs/CrashingTasksTest.cpp
@@ -322,4 +322,35 @@
     CHECK(cluster.storedState("a1") == JobState::Completed);
 }
 
+// Guards against a job that is given up although no worker has crashed: workers that were cut off from the store and
+// all instances right after a start counted as crashed when their lease had ended.
+TEST_CASE("a worker that is cut off has not crashed under its tasks")
+{
+    const bool resets = GENERATE(false, true);
+    CAPTURE(resets);
+    SimCluster cluster(1);
+    cluster.addWorkers(2, 3);
+    cluster.world.run(Milliseconds(3000));
+    cluster.fleet.cutResets = resets;
+    cluster.submit("batch", "a0", oneStep(1, 1, Milliseconds(9000), /*gang=*/false));
+    for (int starts = 1; starts <= 4; ++starts) {
+        while (cluster.fleet.startsOf(JobId("a0")) < starts && cluster.world.now() < Milliseconds(90000))
+            cluster.world.run(Milliseconds(2));
+        REQUIRE(cluster.fleet.startsOf(JobId("a0")) == starts);
+        for (const WorkerId& id : cluster.fleet.ids()) {
+            if (cluster.fleet.runningOn(id) == 0 || cluster.fleet.silent.count(id) > 0)
+                continue;
+            cluster.fleet.silent.insert(id);
+            cluster.world.after(Milliseconds(4500), [&cluster, id] { cluster.fleet.setEntry(id, /*listed=*/false); });
+            cluster.world.after(Milliseconds(8000), [&cluster, id] {
+                cluster.fleet.silent.erase(id);
+                cluster.fleet.setEntry(id, /*listed=*/true);
+            });
+        }
+    }
+    cluster.world.run(Milliseconds(40000));
+    CHECK(cluster.storedState("a0") == JobState::Completed);
+    CHECK(cluster.fleet.violations().empty());
+}
+
 } // namespace rosemarylink::jobs
