--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -187,6 +187,7 @@
     void handleEnd(Worker&, const EndedRun&);
     void learnRunTime(Job&, const EndedRun&, const WorkerRun&);
     void endRun(Job&, const TaskKey&, int run, RunEnd, const std::string& checkpoint, const WorkerId&);
+    void stopPresentRun(Job&, const TaskKey&, int doneRun, const WorkerId& doneOn);
     void completeTask(Job&, const TaskKey&);
     void failTask(Job&, const TaskKey&, int run, const WorkerId&);
     void stopGang(Job&, const TaskKey& member);
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -124,10 +124,8 @@
     const StepSpec& spec = job.stepSpec(key);
     logEnd(spec, key, run, end, worker, current ? now() - task.startedAt : Milliseconds(0), current);
     if (end == RunEnd::Done && !spec.longRunning) {
-        if (!current && spec.gang)
-            stopGang(job, key); // a later run goes on in vain
-        else if (!current)
-            stopTask(job, key);
+        if (!current)
+            stopPresentRun(job, key, run, worker);
         completeTask(job, key);
         return;
     }
@@ -154,6 +152,21 @@
     schedulePlan();
 }
 
+// Stops a run that goes on in vain because an earlier run of its task has turned out to be done.
+void OwnerSession::stopPresentRun(Job& job, const TaskKey& key, int doneRun, const WorkerId& doneOn)
+{
+    const bool gang = job.stepSpec(key).gang;
+    const TaskProgress& task = job.task(key);
+    if (gang ? job.step(key).anyActive() : task.phase != TaskPhase::Waiting)
+        logger.info("Task is done by an earlier run; its present run is stopped",
+            { { "task", taskName(key) }, { "run", doneRun }, { "worker", doneOn }, { "presentRun", task.run },
+                { "presentWorker", task.worker } });
+    if (gang)
+        stopGang(job, key);
+    else
+        stopTask(job, key);
+}
+
 // Ends that need an explanation, and those of gangs, are logged one by one; the others are counted for each step.
 void OwnerSession::logEnd(const StepSpec& spec, const TaskKey& key, int run, RunEnd end, const WorkerId& worker,
     Milliseconds ran, bool current)
