Owner: log what each second start of a task relies on

'Task starts again' names the earlier run, its worker, what proved it gone, how old that observation, the worker's report and its lease are, and the token. 'Task starts after a takeover' does so for tasks whose earlier runs are unknown, and 'Fleet record is read' says what the previous owner permits. No decision changes.

--- a/include/rosemarylink/jobs/JobProgress.h
+++ b/include/rosemarylink/jobs/JobProgress.h
@@ -57,6 +57,7 @@
     JobState state = JobState::Queued;
     std::vector<std::vector<StepProgress>> occurrences; // indexed by occurrence and step
     bool mayHaveUnknownRuns = false; // a previous owner may have started runs that this owner has not seen yet
+    std::optional<Milliseconds> releasedAt; // monotonic time at which that was ruled out; absent if it never was so
     bool hasWaitingRecord = true; // the store holds the job's record below keys::waitingPrefix()
     Revision progressRevision { 0 }; // revision of the stored progress record
     std::int64_t changes = 0; // number of changes made to the progress
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -238,7 +238,10 @@
     void preempt(const PlanInput&, const Plan&);
     void logWaiting(const ServiceId& pool, const PlanInput&, const Plan&);
 
-    // OwnerSessionDiagnosis.cpp: reports of work that is held back.
+    // OwnerSessionDiagnosis.cpp: reports of work that is held back, and of what a second start of a task relies on.
+    void logFleetRecord() const;
+    void noteRunGone(const RunKey&, const WorkerId&, const std::string& proof, Milliseconds observedAt);
+    void logRestart(const Job&, const RunKey&, const Worker&) const;
     void logHeldBackWork();
     void logTakeoverWait();
     void logWithheldSteps(const ServiceId& pool);
@@ -315,6 +318,15 @@
         Milliseconds ran { 0 }; // by the runs that have ended
     };
     std::map<std::tuple<JobId, int, int>, StepActivity> stepActivity_; // by job, occurrence and step
+    // What proved that the last run of a task is gone, until the task is done.
+    struct GoneRun {
+        int run = 0;
+        WorkerId worker;
+        std::string proof;
+        Milliseconds observedAt { 0 }; // when the observation was requested
+        Milliseconds provenAt { 0 };
+    };
+    std::map<TaskKey, GoneRun> goneRuns_;
     Milliseconds activityLoggedAt_ { 0 };
     Milliseconds heldBackLoggedAt_ { 0 };
     CommandWindow commandWindow_;
--- a/src/jobs/OwnerSessionDiagnosis.cpp
+++ b/src/jobs/OwnerSessionDiagnosis.cpp
@@ -2,6 +2,8 @@
 
 #include "rosemarylink/base/Log.h"
 
+#include <string>
+
 namespace rosemarylink::jobs::internal {
 
 namespace {
@@ -15,10 +17,68 @@
     // A step is reported if there is room for this many times its tasks, as the platform counts it.
     constexpr std::size_t roomFactor = 2;
 
+    // Limit on the names in one log line.
+    constexpr std::size_t maximumNames = 8;
+
     const Logger logger("plan");
+    const Logger taskLogger("tasks");
+    const Logger recoveryLogger("recovery");
 
 } // namespace
 
+// What the record of the previous owner lets this owner rely on.
+void OwnerSession::logFleetRecord() const
+{
+    std::string names;
+    std::size_t named = 0;
+    std::size_t idle = 0;
+    for (const auto& [id, silent] : permittedFleet_.silent) {
+        if (silent.jobs && silent.jobs->empty() && !silent.leaseLimit) {
+            ++idle;
+            continue;
+        }
+        if (++named > maximumNames)
+            continue;
+        names += (names.empty() ? "" : ",") + id.value() + ":"
+            + (silent.jobs ? std::to_string(silent.jobs->size()) + "-jobs" : "any-job") + ":"
+            + (silent.leaseLimit ? std::to_string(silent.leaseLimit->count()) + "ms" : "renewed");
+    }
+    recoveryLogger.info("Fleet record is read",
+        { { "workers", permittedFleet_.workers.size() }, { "idle", idle }, { "silent", named },
+            { "silentWorkers", names }, { "revision", fleetRevision_ }, { "token", token_ } });
+}
+
+void OwnerSession::noteRunGone(
+    const RunKey& key, const WorkerId& worker, const std::string& proof, Milliseconds observedAt)
+{
+    goneRuns_[key.first] = { key.second, worker, proof, observedAt, now() };
+}
+
+// Logs a start of a task that may have run before: a wrong proof that the earlier run is gone makes it run twice. Of a
+// gang only the member that is placed first is logged.
+void OwnerSession::logRestart(const Job& job, const RunKey& key, const Worker& worker) const
+{
+    const auto gone = goneRuns_.find(key.first);
+    if (gone == goneRuns_.end()) {
+        if (job.releasedAt)
+            taskLogger.info("Task starts after a takeover",
+                { { "task", taskName(key.first) }, { "run", key.second }, { "worker", worker.entry.id },
+                    { "takeoverMsAgo", (now() - startedAt_).count() },
+                    { "releasedMsAgo", (now() - *job.releasedAt).count() }, { "token", token_ } });
+        return;
+    }
+    const GoneRun& earlier = gone->second;
+    const Worker* const former = find(earlier.worker);
+    taskLogger.info("Task starts again",
+        { { "task", taskName(key.first) }, { "run", key.second }, { "worker", worker.entry.id },
+            { "earlierRun", earlier.run }, { "earlierWorker", earlier.worker }, { "proof", earlier.proof },
+            { "observedMsAgo", (now() - earlier.observedAt).count() },
+            { "provenMsAgo", (now() - earlier.provenAt).count() },
+            { "reportMsAgo", former ? std::to_string((now() - former->reportedAt).count()) : "none" },
+            { "leaseOverInMs", former ? std::to_string((former->lease.end() - now()).count()) : "none" },
+            { "born", former ? former->entry.startTimeMs : 0 }, { "token", token_ } });
+}
+
 void OwnerSession::logHeldBackWork()
 {
     if (now() - heldBackLoggedAt_ < reportInterval)
--- a/src/jobs/OwnerSessionRecords.cpp
+++ b/src/jobs/OwnerSessionRecords.cpp
@@ -218,6 +218,8 @@
         Job& job = position->second;
         if (isFinal(job.state) && !job.dirty() && !job.anyActive()) {
             finalJobs_[position->first] = { job.state, *job.finishedAt };
+            goneRuns_.erase(goneRuns_.lower_bound({ position->first, 0, 0, 0 }),
+                goneRuns_.lower_bound({ position->first, job.spec.occurrences, 0, 0 }));
             reservedWorkers_.erase(reservedWorkers_.lower_bound({ position->first, 0, 0 }),
                 reservedWorkers_.lower_bound({ position->first, job.spec.occurrences, 0 }));
             position = jobs_.erase(position);
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -189,6 +189,7 @@
             }
         }
         fleetLoaded_ = true;
+        logFleetRecord();
         return Duty::Outcome::Succeeded;
     };
     owner_.store_.read(keys::fleet, listTimeout, submissionsDuty_.await(longestList, handle));
@@ -444,6 +445,7 @@
 void OwnerSession::releaseJob(Job& job)
 {
     job.mayHaveUnknownRuns = false;
+    job.releasedAt = now();
     for (int occurrence = 0; occurrence < job.spec.occurrences; ++occurrence) {
         for (std::size_t number = 0; number < job.spec.steps.size(); ++number) {
             const StepProgress& step = job.occurrences[occurrence][number];
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -69,6 +69,7 @@
     }
     if (!job || !job->contains(ended.task))
         return;
+    noteRunGone({ ended.task, ended.run }, worker.entry.id, "listed-end", now());
     endRun(*job, ended.task, ended.run, ended.end, ended.checkpoint, worker.entry.id);
     if (ended.end == RunEnd::Failed)
         recordFailure(worker, ended.task.job);
@@ -211,6 +212,7 @@
         task.phase = TaskPhase::Done;
         task.worker = WorkerId();
         task.checkpoint.clear();
+        goneRuns_.erase({ key.job, key.occurrence, key.step, index });
         ++step.done;
     }
     step.gangCheckpoint.clear();
@@ -248,6 +250,7 @@
     const RunKey runKey { key, task.run };
     if (worker && worker->runs.count(runKey) > 0 && worker->runs.at(runKey).isQueued()) {
         worker->runs.erase(runKey);
+        noteRunGone(runKey, task.worker, "start-not-sent", now());
         task.unresolvedRuns.erase(task.run);
         task.phase = TaskPhase::Waiting;
         task.worker = WorkerId();
@@ -302,6 +305,7 @@
 {
     TaskProgress& task = job.task(key);
     StepProgress& step = job.step(key);
+    bool joinsGang = false;
     if (job.stepSpec(key).gang) {
         // The members of a gang share a run number that is higher than any used before. A member that is placed while
         // others are active joins their run.
@@ -312,6 +316,7 @@
             others = others || member.phase == TaskPhase::Starting || member.phase == TaskPhase::Running;
         }
         task.run = others ? highest : highest + 1;
+        joinsGang = others;
     } else {
         ++task.run;
     }
@@ -329,6 +334,8 @@
     run.startedAt = now();
     expectEnd(job, key, run, /*percent=*/0);
     worker.runs[runKey] = run;
+    if (!joinsGang)
+        logRestart(job, runKey, worker);
     if (job.state == JobState::Queued) {
         job.state = JobState::Active;
         owner_.metrics_.firstStart.record(static_cast<double>((now() - job.arrivedAt).count()));
@@ -490,6 +497,7 @@
     if (!job)
         return;
     TaskProgress& task = job->task(key.first);
+    noteRunGone(key, id, "start-" + std::string(commandOutcomeName(response.outcome)), now());
     task.unresolvedRuns.erase(key.second);
     if (task.run == key.second && task.worker == id && task.phase != TaskPhase::Done) {
         task.phase = TaskPhase::Waiting;
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -377,8 +377,11 @@
     }
     for (const auto& [key, end] : absent) {
         logger.info("Run is missing from its worker's report",
-            { { "worker", worker.entry.id }, { "task", taskName(key.first) }, { "run", key.second } });
+            { { "worker", worker.entry.id }, { "task", taskName(key.first) }, { "run", key.second },
+                { "end", runEndName(end) }, { "requestedMsAgo", (now() - sentAt).count() },
+                { "reportClock", report.workerClock.count() }, { "born", worker.entry.startTimeMs } });
         worker.runs.erase(key);
+        noteRunGone(key, worker.entry.id, std::string(evidence.name()), sentAt);
         if (Job* const job = find(key.first.job))
             endRun(*job, key.first, key.second, end, "", worker.entry.id);
     }
@@ -444,11 +447,14 @@
         return;
     logger.warning("Runs lost with their worker",
         { { "worker", worker.entry.id }, { "runs", gone.size() }, { "left", worker.runs.size() - gone.size() },
-            { "reason", reason } });
+            { "first", taskName(gone.front().first.first) }, { "reportMsAgo", (now() - worker.reportedAt).count() },
+            { "leaseOverInMs", (worker.lease.end() - now()).count() }, { "born", worker.entry.startTimeMs },
+            { "token", token_ }, { "reason", reason } });
     owner_.metrics_.lostRuns.add(static_cast<std::int64_t>(gone.size()));
     for (const auto& [key, end] : gone)
         worker.runs.erase(key); // all of them first, so that no member of a gang is stopped for another one
     for (const auto& [key, end] : gone) {
+        noteRunGone(key, worker.entry.id, std::string(evidence.name()), now());
         if (Job* const job = find(key.first.job))
             endRun(*job, key.first, key.second, end, "", worker.entry.id);
     }
--- a/src/jobs/RunEvidence.cpp
+++ b/src/jobs/RunEvidence.cpp
@@ -14,6 +14,21 @@
     return { report.endsComplete ? Kind::Absence : Kind::IncompleteReport, requestedAt, longestStop };
 }
 
+std::string_view RunEvidence::name() const
+{
+    switch (kind_) {
+    case Kind::OtherProcess:
+        return "other-process";
+    case Kind::LeaseOver:
+        return "lease-over";
+    case Kind::Absence:
+        return "absent-from-report";
+    case Kind::IncompleteReport:
+        return "incomplete-report";
+    }
+    return "";
+}
+
 std::optional<RunEnd> RunEvidence::endOf(const WorkerRun& run) const
 {
     const bool confirmedBefore = run.confirmedAt && *run.confirmedAt < requestedAt_;
--- a/src/jobs/RunEvidence.h
+++ b/src/jobs/RunEvidence.h
@@ -4,6 +4,7 @@
 #include "rosemarylink/jobs/WorkerPort.h"
 
 #include <optional>
+#include <string_view>
 
 // A task starts again only after its earlier run is proven gone. A run that is merely out of sight goes on, and its end
 // is still reported later. A run is proven gone if
@@ -35,6 +36,9 @@
     // How the run has ended; nullopt if this does not prove that it has.
     std::optional<RunEnd> endOf(const WorkerRun&) const;
 
+    // The kind of the observation, for logs.
+    std::string_view name() const;
+
 private:
     enum class Kind { OtherProcess, LeaseOver, Absence, IncompleteReport };
 
