Owner: a worker with ends that are not stored stays in the fleet record with their jobs

Cause: the fleet record named for a silent worker the jobs of Worker::runs only. A run whose end has been handled is no longer there, while the write of the job's progress may have been refused or lost. If the worker falls silent in that time, the record said that no job has runs there, and a worker that is no longer registered left the record at once. The next ownership then started the task at once, within the worker's lease.

Change: the jobs of ends that are not stored belong to what the record says of a silent worker. A worker that is not registered is kept, and polled, until these ends are stored or its lease is over. An end from before the end of the lease counts for nothing after it, so nothing waits longer than the lease.

SimFaultyStore can refuse commits by key.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -263,6 +263,7 @@
     bool mayHoldRuns(const Worker&) const;
     bool mayRenewLease(const Worker&) const;
     bool isIdle(const Worker&) const;
+    std::set<JobId> jobsOfUnstoredEnds(const Worker&) const;
     std::optional<SilentWorker> silentWorker(const Worker&) const;
     FleetRecord currentFleet() const;
     bool needsFleetWrite(const FleetRecord&) const;
@@ -272,6 +273,7 @@
     void removeExpiredRecords();
 
     Job* find(const JobId&);
+    const Job* find(const JobId&) const;
     Worker* find(const WorkerId&);
     const Worker* find(const WorkerId&) const;
 
--- a/src/jobs/OwnerSessionRecords.cpp
+++ b/src/jobs/OwnerSessionRecords.cpp
@@ -249,6 +249,19 @@
         && (!capacityWantedAt_ || now() - *capacityWantedAt_ >= idleAfter);
 }
 
+// The jobs of ends that the worker has reported and that are not stored. Unless its lease is over, a job of them must
+// not go on without the worker, since nobody but the worker and this owner knows the end.
+std::set<JobId> OwnerSession::jobsOfUnstoredEnds(const Worker& worker) const
+{
+    std::set<JobId> jobs;
+    for (const PendingEnd& end : worker.pendingEnds) {
+        const Job* const job = find(end.job);
+        if (job && job->storedChanges < end.change)
+            jobs.insert(end.job);
+    }
+    return jobs;
+}
+
 // What the next owner may rely on if it does not reach the worker either; nullopt if the worker may get work.
 std::optional<SilentWorker> OwnerSession::silentWorker(const Worker& worker) const
 {
@@ -257,7 +270,7 @@
     if (!worker.reconciled || !worker.unresponsiveSince || now() - worker.reportedAt < silentAfter)
         return std::nullopt;
     SilentWorker silent;
-    silent.jobs.emplace();
+    silent.jobs = jobsOfUnstoredEnds(worker);
     for (const auto& [key, run] : worker.runs)
         silent.jobs->insert(key.first.job);
     if (!mayRenewLease(worker))
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -386,15 +386,16 @@
     logger.info("Worker is no longer registered", { { "worker", id }, { "runs", worker->runs.size() } });
 }
 
-// Removes workers that are no longer registered and on which no run can exist any more.
+// Removes workers that are no longer registered and on which neither a run nor an end that is not stored can exist.
 void OwnerSession::removeDepartedWorkers()
 {
     bool dropped = false;
     for (auto position = workers_.begin(); position != workers_.end();) {
         const Worker& worker = position->second;
         const bool undecided = !worker.undecidedRuns.empty() && now() < worker.undecidedUntil;
-        const bool departed
-            = !worker.listed && worker.runs.empty() && !undecided && unconfirmedWorkers_.count(position->first) == 0;
+        const bool endsStored = worker.lease.isOver(now()) || jobsOfUnstoredEnds(worker).empty();
+        const bool departed = !worker.listed && worker.runs.empty() && endsStored && !undecided
+            && unconfirmedWorkers_.count(position->first) == 0;
         dropped = dropped || departed;
         position = departed ? workers_.erase(position) : std::next(position);
     }
@@ -467,6 +468,12 @@
     return position == jobs_.end() ? nullptr : &position->second;
 }
 
+const Job* OwnerSession::find(const JobId& id) const
+{
+    const auto position = jobs_.find(id);
+    return position == jobs_.end() ? nullptr : &position->second;
+}
+
 Worker* OwnerSession::find(const WorkerId& id)
 {
     const auto position = workers_.find(id);
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -210,7 +210,7 @@
         handleCrash(worker, "another process is at its address");
         endGoneRuns(worker, RunEvidence::otherProcess(sentAt), "another process is at its address");
     }
-    if (worker.listed || !worker.runs.empty())
+    if (worker.listed || !worker.runs.empty() || !jobsOfUnstoredEnds(worker).empty())
         schedulePoll(id, retryDelay);
     else if (!worker.undecidedRuns.empty())
         schedulePoll(id, undecidedRetryDelay);
--- a/tests/jobs/SimFaults.cpp
+++ b/tests/jobs/SimFaults.cpp
@@ -12,6 +12,7 @@
     {
         switch (fault) {
         case CallFault::None:
+        case CallFault::Refused:
             return handler;
         case CallFault::Throws:
             throw std::runtime_error("injected fault");
@@ -42,7 +43,18 @@
 
 void SimFaultyStore::commit(const Batch& batch, Milliseconds timeout, StoreHandler handler)
 {
-    store_.commit(batch, timeout, faulty(StoreCall::Commit, writtenKey(batch), std::move(handler)));
+    const std::string key = writtenKey(batch);
+    const CallFault fault = faultFor ? faultFor(StoreCall::Commit, key) : CallFault::None;
+    if (fault != CallFault::Refused) {
+        store_.commit(batch, timeout, faultyHandler(fault, std::move(handler)));
+        return;
+    }
+    // A read takes as long and changes nothing.
+    store_.read(key, timeout, [handler](const StoreResponse&) {
+        StoreResponse refusal;
+        refusal.outcome = StoreOutcome::Refused;
+        handler(refusal);
+    });
 }
 
 void SimFaultyStore::read(const std::string& key, Milliseconds timeout, StoreHandler handler)
--- a/tests/jobs/SimFaults.h
+++ b/tests/jobs/SimFaults.h
@@ -9,8 +9,15 @@
 
 namespace rosemarylink::jobs {
 
-// Ways in which a call breaks the promise that its handler is called exactly once, after the call has returned.
-enum class CallFault { None, Throws, NoResponse, TwoResponses };
+// Ways in which a call fails. All but a refusal break the promise that its handler is called exactly once, after the
+// call has returned.
+enum class CallFault {
+    None,
+    Throws,
+    NoResponse,
+    TwoResponses,
+    Refused, // only for commits: the store refuses the call, without effect
+};
 
 enum class StoreCall { Commit, Read, List, Watch, GrantLease, KeepLease, EndLease };
 
