Owner: a run whose stop was accepted ends by its listed end, not by a margin

Callers saw two runs of a task at a time if a worker stood still while it stopped a run, as a process with little processor time does: the task started elsewhere while its stopped run was still there.

Cause: a run counted as stopped if a report requested the longest stop plus 60 ms after the stop's acceptance, both on the owner's clock, showed neither the run nor its end. A worker that stands still in the middle of a stop answers the calls that have arrived meanwhile before it finishes the stop.

Now a run that the worker's process has accepted or reported ends only when its end is listed: a process returns each end until it is acknowledged, and only ends that were seen are acknowledged. A run whose start had no answer may never have existed, so it still ends by its absence, but from two reports in succession which both were made after the longest stop on the worker's own clock. The second is requested after the first was received, so that the worker has finished in between what was due.

The simulated workers can stand still: their clock goes on, calls and timers wait, the calls are executed first. Their stops now take the whole longest stop on their slow clock.

Cost: one more poll for a stopped run that the worker has never confirmed; none for the others.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -165,7 +165,9 @@
     // Upper limit on when the lease ends on the owner's clock if it ends at `leaseEnd` on the worker's clock.
     static Milliseconds latestLeaseEnd(const Worker&, Milliseconds leaseEnd);
     void handleRunning(Worker&, const RunningRun&);
+    void noteStopsOver(Worker&, const WorkerReport&, Milliseconds sentAt);
     void resolveAbsentRuns(Worker&, const WorkerReport&, Milliseconds sentAt);
+    Milliseconds longestStop() const;
     void adoptRun(Worker&, Job&, const RunningRun&);
     void handleRestart(Worker&);
     void handleLeaseOver(Worker&);
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -11,9 +11,6 @@
     // A stop command that got no response is sent again after this time.
     constexpr Milliseconds stopRetry { 400 };
 
-    // Added to the maximum stop time before the report is requested that must show the end of the run.
-    constexpr Milliseconds stopListDelay { 80 };
-
     // A gang that is not complete this long before its members time out is stopped and restarted.
     constexpr Milliseconds gangMargin { 1000 };
 
@@ -453,6 +450,7 @@
             run.confirmedAt = now();
         if (!run.confirmedClock)
             run.confirmedClock = worker->clock;
+        run.listsEnd = true;
         if (job && job->contains(key.first))
             checkSurvivalSoon(*job, key.first, id);
         if (run.phase == TaskPhase::Starting) {
@@ -548,10 +546,13 @@
     const auto position = worker->runs.find(key);
     if (position == worker->runs.end() || response.outcome != CommandOutcome::Accepted)
         return;
-    position->second.stopAcceptedAt = now();
-    // The pending poll reports the end of the run if it existed. If it did not, a report requested after the maximum
-    // stop time has to show that.
-    runAfter(owner_.limits_.stopTime + stopListDelay, [this, id, key] {
+    WorkerRun& run = position->second;
+    run.stopAcceptedAt = now();
+    if (response.workerClock.count() > 0)
+        run.stopAcceptedClock = response.workerClock;
+    // The pending poll reports the end of the run if it existed. If it did not, reports that are made after the longest
+    // stop have to show that.
+    runAfter(longestStop(), [this, id, key] {
         const Worker* const current = find(id);
         if (current && current->runs.count(key) > 0)
             scheduleImmediatePoll(id, Milliseconds(0));
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -248,6 +248,7 @@
         worker.reportClock = report.workerClock;
         for (const RunningRun& running : report.running)
             handleRunning(worker, running);
+        noteStopsOver(worker, report, sentAt);
         resolveAbsentRuns(worker, report, sentAt);
     }
     if (!worker.reconciled && report.endsComplete)
@@ -294,6 +295,7 @@
             run.confirmedAt = now();
         if (!run.confirmedClock)
             run.confirmedClock = worker.clock;
+        run.listsEnd = true;
         if (run.phase == TaskPhase::Starting)
             run.phase = TaskPhase::Running;
         if (!job || !job->contains(running.task))
@@ -325,6 +327,7 @@
         run.resources = job->stepSpec(running.task).perTask;
     run.phase = TaskPhase::Stopping;
     run.confirmedAt = now();
+    run.listsEnd = true;
     worker.runs.emplace(key, run);
     stopRun(worker, key);
 }
@@ -337,6 +340,7 @@
     run.phase = TaskPhase::Running;
     run.confirmedAt = now();
     run.confirmedClock = worker.clock;
+    run.listsEnd = true;
     run.startedAt = now();
     run.adopted = true;
     expectEnd(job, running.task, run, running.percent);
@@ -360,6 +364,31 @@
     }
 }
 
+// The longest time that a stop takes on the worker's clock, on the owner's clock.
+Milliseconds OwnerSession::longestStop() const
+{
+    return scaled(owner_.limits_.stopTime, 1.0 / slowestClockRate) + Milliseconds(1);
+}
+
+// Notes the stops that the worker must have finished when it made the report, and requests the next one, which shows
+// whether they ended runs.
+void OwnerSession::noteStopsOver(Worker& worker, const WorkerReport& report, Milliseconds sentAt)
+{
+    bool noted = false;
+    for (auto& [key, run] : worker.runs) {
+        if (run.listsEnd || !run.stopAcceptedAt || run.stopOverAt)
+            continue;
+        if (!run.stopAcceptedClock && sentAt > *run.stopAcceptedAt)
+            run.stopAcceptedClock = report.workerClock; // the response to the stop had no reading
+        if (!run.stopAcceptedClock || report.workerClock < *run.stopAcceptedClock + owner_.limits_.stopTime)
+            continue;
+        run.stopOverAt = now();
+        noted = true;
+    }
+    if (noted)
+        scheduleImmediatePoll(worker.entry.id, Milliseconds(1));
+}
+
 // Ends the runs that are missing from a report although they would have been in it if they still existed at the time of
 // the poll.
 void OwnerSession::resolveAbsentRuns(Worker& worker, const WorkerReport& report, Milliseconds sentAt)
@@ -367,7 +396,7 @@
     std::set<RunKey> present;
     for (const RunningRun& running : report.running)
         present.insert({ running.task, running.run });
-    const RunEvidence evidence = RunEvidence::absence(report, sentAt, owner_.limits_.stopTime + stopMargin);
+    const RunEvidence evidence = RunEvidence::absence(report, sentAt);
     std::vector<std::pair<RunKey, RunEnd>> absent;
     for (const auto& [key, run] : worker.runs) {
         if (present.count(key) > 0)
@@ -405,7 +434,10 @@
     worker.recentFailures.clear();
     std::vector<RunKey> unconfirmed;
     for (auto& [key, run] : worker.runs) {
-        run.stopAcceptedAt.reset(); // by the earlier incarnation
+        run.listsEnd = false; // by the earlier incarnation, as the following
+        run.stopAcceptedAt.reset();
+        run.stopAcceptedClock.reset();
+        run.stopOverAt.reset();
         const bool stray = run.strayStartUntil && now() < *run.strayStartUntil;
         // The new incarnation may have accepted the start and the stop; a run that is being stopped is not reported.
         if (run.confirmedAt && !stray && run.phase != TaskPhase::Stopping)
--- a/src/jobs/RunEvidence.cpp
+++ b/src/jobs/RunEvidence.cpp
@@ -2,16 +2,13 @@
 
 namespace rosemarylink::jobs::internal {
 
-RunEvidence RunEvidence::otherProcess(Milliseconds requestedAt)
-{
-    return { Kind::OtherProcess, requestedAt, Milliseconds(0) };
-}
+RunEvidence RunEvidence::otherProcess(Milliseconds requestedAt) { return { Kind::OtherProcess, requestedAt }; }
 
-RunEvidence RunEvidence::leaseOver() { return { Kind::LeaseOver, Milliseconds(0), Milliseconds(0) }; }
+RunEvidence RunEvidence::leaseOver() { return { Kind::LeaseOver, Milliseconds(0) }; }
 
-RunEvidence RunEvidence::absence(const WorkerReport& report, Milliseconds requestedAt, Milliseconds longestStop)
+RunEvidence RunEvidence::absence(const WorkerReport& report, Milliseconds requestedAt)
 {
-    return { report.endsComplete ? Kind::Absence : Kind::IncompleteReport, requestedAt, longestStop };
+    return { report.endsComplete ? Kind::Absence : Kind::IncompleteReport, requestedAt };
 }
 
 std::string_view RunEvidence::name() const
@@ -40,10 +37,10 @@
     case Kind::IncompleteReport: // the end may be among those that are not listed
         return std::nullopt;
     case Kind::Absence:
-        if (run.stopAcceptedAt && *run.stopAcceptedAt + longestStop_ <= requestedAt_)
+        if (run.phase != TaskPhase::Stopping)
+            return confirmedBefore ? std::optional(RunEnd::LeaseExpired) : std::nullopt;
+        if (!run.listsEnd && run.stopOverAt && *run.stopOverAt < requestedAt_)
             return RunEnd::Stopped;
-        if (confirmedBefore && run.phase != TaskPhase::Stopping)
-            return RunEnd::LeaseExpired;
         return std::nullopt;
     }
     return std::nullopt;
--- a/src/jobs/RunEvidence.h
+++ b/src/jobs/RunEvidence.h
@@ -12,8 +12,12 @@
 // - the worker has listed its end,
 // - another process has answered at the worker's address after the start command was sent,
 // - the lease of the worker is over, measured on the slowest clock that a worker may have, or
-// - a report with all ends that was requested after the run was confirmed, or after its stop must have finished, shows
-//   neither the run nor its end.
+// - a report with all ends that was requested after the run was confirmed shows neither the run nor its end.
+//
+// A run disappears from reports while it is being stopped, and its worker may stand still in the middle of that. A run
+// that the worker has confirmed ends when its end is listed. One that may never have existed is proven gone if two
+// reports in succession, both made after the longest stop on the worker's clock, show neither it nor its end. The
+// second is requested after the first was received, so that the worker has taken up in between what was due.
 //
 // A call that timed out, a refused connection and a missing registration prove nothing, alone or together: a worker
 // that is cut off from this instance and from the store shows all three while its runs go on.
@@ -29,9 +33,8 @@
     // The lease of all runs on the worker is over.
     static RunEvidence leaseOver();
 
-    // The report, which was requested at `requestedAt`, shows neither the run nor its end. A run disappears from
-    // reports for up to `longestStop` while it is being stopped.
-    static RunEvidence absence(const WorkerReport&, Milliseconds requestedAt, Milliseconds longestStop);
+    // The report, which was requested at `requestedAt`, shows neither the run nor its end.
+    static RunEvidence absence(const WorkerReport&, Milliseconds requestedAt);
 
     // How the run has ended; nullopt if this does not prove that it has.
     std::optional<RunEnd> endOf(const WorkerRun&) const;
@@ -42,16 +45,14 @@
 private:
     enum class Kind { OtherProcess, LeaseOver, Absence, IncompleteReport };
 
-    RunEvidence(Kind kind, Milliseconds requestedAt, Milliseconds longestStop)
+    RunEvidence(Kind kind, Milliseconds requestedAt)
         : kind_(kind)
         , requestedAt_(requestedAt)
-        , longestStop_(longestStop)
     {
     }
 
     Kind kind_;
     Milliseconds requestedAt_;
-    Milliseconds longestStop_;
 };
 
 } // namespace rosemarylink::jobs::internal
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -150,8 +150,7 @@
     if (end <= incarnation.leaseEnd)
         return;
     incarnation.leaseEnd = end;
-    const double left = static_cast<double>((end - clockOf(incarnation)).count()) / options_.clockRate;
-    world_.after(Milliseconds(static_cast<std::int64_t>(left) + 2),
+    runAfter(incarnation.entry.id, onSlowClock(end - clockOf(incarnation)) + Milliseconds(2),
         [this, id = incarnation.entry.id, number = incarnation.number] { checkLease(id, number); });
 }
 
@@ -289,7 +288,7 @@
             return;
         }
     }
-    world_.after(spec.estimate, [this, id, run, gang = spec.gang] {
+    runAfter(id, spec.estimate, [this, id, run, gang = spec.gang] {
         WorkerState& incarnation = workers_.at(id);
         const auto present = incarnation.runs.find(run.task);
         if (present == incarnation.runs.end() || present->second.run != run.run || present->second.stopping)
@@ -354,7 +353,7 @@
     const StepSpec& spec = *specOf(key);
     const std::string checkpoint
         = spec.checkpointing ? "saved by run " + std::to_string(present->second.run) + " of " + taskName(key) : "";
-    world_.after(options_.stopTime - Milliseconds(1),
+    runAfter(incarnation.entry.id, onSlowClock(options_.stopTime),
         [this, id = incarnation.entry.id, number = incarnation.number, key, stopped = present->second.run, checkpoint] {
             WorkerState& later = workers_.at(id);
             const auto still = later.runs.find(key);
@@ -478,14 +477,15 @@
         return;
     }
     const bool lost = std::uniform_real_distribution<>(0, 1)(fleet_.random) < fleet_.lostCommandResponseShare;
-    world_.after(oneWay, [this, id, work, respond, lost] {
+    const auto execute = [this, id, work, respond, lost] {
         SimFleet::WorkerState* const incarnation = findReachable(id);
         const CommandResponse response = incarnation ? work(*incarnation) : CommandResponse {};
         if (incarnation && incarnation->up && !lost)
             respond(oneWay, response);
         else
             respond(commandTimeout, {});
-    });
+    };
+    world_.after(oneWay, [this, id, execute] { fleet_.onArrival(id, execute); });
 }
 
 void SimWorkerClient::start(const WorkerEntry& worker, const StartCommand& startCommand, Milliseconds leaseEnd,
@@ -535,7 +535,7 @@
             disconnected_.insert(id);
         once(unavailable("no response", Verdict::MayHaveRun));
     });
-    world_.after(oneWay, [this, id = worker.id, leaseEnd, token, acknowledged, wait, once] {
+    const auto execute = [this, id = worker.id, leaseEnd, token, acknowledged, wait, once] {
         SimFleet::WorkerState* const incarnation = findReachable(id);
         if (!incarnation) {
             const auto position = fleet_.workers_.find(id);
@@ -564,8 +564,9 @@
             return;
         }
         incarnation->waiting.emplace_back(sendReport);
-        world_.after(wait, sendReport);
-    });
+        fleet_.runAfter(id, wait, sendReport);
+    };
+    world_.after(oneWay, [this, id = worker.id, execute] { fleet_.onArrival(id, execute); });
 }
 
 } // namespace rosemarylink::jobs
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -3,6 +3,7 @@
 #include "SimStore.h"
 #include "rosemarylink/jobs/WorkerPort.h"
 
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -38,6 +39,10 @@
     // `returnWithNewId`, as another worker at the same address.
     void crashFor(const WorkerId&, Milliseconds downTime);
     void setEntry(const WorkerId&, bool listed, bool draining = false);
+    // Stops the worker's process for the duration, as by a lack of processor time; its clock goes on. Then the calls
+    // that have arrived meanwhile are executed first, and `turn` later what was due meanwhile, such as the ends of
+    // stops. Its process is busy until then, so that further calls are executed afterwards.
+    void standStill(const WorkerId&, Milliseconds duration, Milliseconds turn);
     // Changes the capacity while the worker runs. Starts are held to a smaller one after `shrinkGrace`.
     void setCapacity(const WorkerId&, const Resources&);
 
@@ -106,7 +111,18 @@
         std::vector<std::function<void()>> waiting; // polls that wait for an end
     };
 
+    // What a worker that stands still does afterwards, in order.
+    struct Standstill {
+        std::vector<std::function<void()>> calls;
+        std::vector<std::function<void()>> timers;
+    };
+
+    // Runs a call that has arrived at the worker, or a timer of the worker, unless it stands still.
+    void onArrival(const WorkerId&, const std::function<void()>& call);
+    void runAfter(const WorkerId&, Milliseconds delay, const std::function<void()>& timer);
+
     Milliseconds clockOf(const WorkerState&) const;
+    Milliseconds onSlowClock(Milliseconds duration) const;
     bool fits(const WorkerState&, const Resources& used) const;
     CommandResponse start(WorkerState&, const StartCommand&, Milliseconds leaseEnd, std::int64_t fence);
     CommandResponse stop(WorkerState&, const TaskKey&, int run, std::int64_t fence);
@@ -126,6 +142,7 @@
     Options options_;
     std::map<JobId, JobSpec> specs_;
     std::map<WorkerId, WorkerState> workers_;
+    std::map<WorkerId, Standstill> standstills_; // of the workers that stand still
     std::set<TaskKey> acknowledgedDone_; // tasks whose completion has been acknowledged
     // An end that a worker lists: the worker, its incarnation and the number of the end.
     using EndId = std::tuple<WorkerId, std::uint64_t, std::int64_t>;
