Ownership: each attempt to acquire the record writes a value of its own

Cause: the value of the record was one per process. An attempt without a response is read back by that value. If an earlier attempt was executed late, with its own store lease (the call that ends it may be lost too), the instance took that record for the one of the newer attempt. It then renewed the newer lease, while the older one ended and the record was removed under it: another instance acquired the record, and the first held valid() until a write of its failed.

Change: a value per attempt, so that the record that is read back proves the lease and the revision.

--- a/include/rosemarylink/jobs/Ownership.h
+++ b/include/rosemarylink/jobs/Ownership.h
@@ -70,7 +70,7 @@
     void watchRecord(Revision after);
     void acquireAfterDelay();
     void acquire();
-    void resolveUnknownAcquisition(StoreLeaseId, Milliseconds grantedAt, Milliseconds ttl);
+    void resolveUnknownAcquisition(const std::string& value, StoreLeaseId, Milliseconds grantedAt, Milliseconds ttl);
     void becomeOwner(Revision revision, StoreLeaseId, Milliseconds grantedAt, Milliseconds ttl);
     void renew();
     void loseOwnership(const std::string& reason);
@@ -80,7 +80,6 @@
     const Clock& clock_;
     JobMetrics& metrics_;
     std::string instance_;
-    std::string nonce_;
     Milliseconds acquisitionDelay_;
     Revision startRevision_ { 0 }; // of the store when this instance first read the record
     Revision lastOwner_ { 0 }; // of the record when it was last seen
--- a/src/jobs/Ownership.cpp
+++ b/src/jobs/Ownership.cpp
@@ -54,7 +54,6 @@
     , clock_(clock)
     , metrics_(metrics)
     , instance_(std::move(instance))
-    , nonce_(instance_ + " " + randomHex128())
     , acquisitionDelay_(acquisitionDelay)
 {
 }
@@ -124,14 +123,15 @@
         }
         Batch batch;
         batch.preconditions = { { keys::ownership, Revision(0) } };
-        batch.puts = { { keys::ownership, nonce_, grant.lease } };
+        const std::string value = instance_ + " " + randomHex128();
+        batch.puts = { { keys::ownership, value, grant.lease } };
         const StoreLeaseId lease = grant.lease;
         const Milliseconds ttl = grant.leaseTtl;
-        store_.commit(batch, callTimeout, [this, lease, grantedAt, ttl](const StoreResponse& response) {
+        store_.commit(batch, callTimeout, [this, value, lease, grantedAt, ttl](const StoreResponse& response) {
             if (response.done())
                 becomeOwner(response.revision, lease, grantedAt, ttl);
             else if (response.outcome == StoreOutcome::Unknown)
-                resolveUnknownAcquisition(lease, grantedAt, ttl);
+                resolveUnknownAcquisition(value, lease, grantedAt, ttl);
             else {
                 acquiring_ = false;
                 store_.endLease(lease, callTimeout, [](const StoreResponse&) {});
@@ -143,10 +143,12 @@
 
 // Resolves a write of the record that got no response by reading the record. If the write has not taken effect by now,
 // the lease is ended so that it never will.
-void Ownership::resolveUnknownAcquisition(StoreLeaseId lease, Milliseconds grantedAt, Milliseconds ttl)
+// A record of this instance with another value is that of an earlier attempt, which is bound to another lease.
+void Ownership::resolveUnknownAcquisition(
+    const std::string& value, StoreLeaseId lease, Milliseconds grantedAt, Milliseconds ttl)
 {
-    store_.read(keys::ownership, callTimeout, [this, lease, grantedAt, ttl](const StoreResponse& response) {
-        if (response.done() && response.records.front().value == nonce_) {
+    store_.read(keys::ownership, callTimeout, [this, value, lease, grantedAt, ttl](const StoreResponse& response) {
+        if (response.done() && response.records.front().value == value) {
             becomeOwner(response.records.front().revision, lease, grantedAt, ttl);
             return;
         }
--- a/tests/jobs/HandOverTest.cpp
+++ b/tests/jobs/HandOverTest.cpp
@@ -55,4 +55,41 @@
     CHECK(cluster.storedState("a0") == JobState::Completed);
 }
 
+// Guards against an ownership whose record is removed under it while its store lease is renewed: the record was that of
+// an earlier acquisition, which the store had executed late.
+TEST_CASE("an ownership that is valid has its record in the store, however late acquisitions are executed")
+{
+    const int lateBy = GENERATE(range(0, 3000, 150));
+    CAPTURE(lateBy);
+    SimCluster cluster(1);
+    SimInstance& instance = *cluster.instances[0];
+    int acquisitions = 0;
+    instance.faultyStore.faultFor = [&](StoreCall call, const std::string& key) {
+        if (call == StoreCall::Commit && key == keys::ownership) {
+            cluster.store.lostResponseShare = ++acquisitions <= 3 ? 1 : 0;
+            cluster.store.lostResponseWriteDelay = Milliseconds(lateBy);
+        } else if (call == StoreCall::EndLease) {
+            instance.store.disconnected = true;
+        }
+        cluster.world.after(Milliseconds(0), [&cluster, &instance] {
+            cluster.store.lostResponseShare = 0;
+            instance.store.disconnected = false;
+        });
+        return CallFault::None;
+    };
+    for (int turn = 0; turn < 1000; ++turn) {
+        cluster.world.run(Milliseconds(10));
+        if (turn == 200)
+            cluster.addInstance();
+        for (const auto& candidate : cluster.instances) {
+            if (!candidate->ownership.valid())
+                continue;
+            const Record* const record = cluster.store.find(keys::ownership);
+            REQUIRE(record != nullptr);
+            REQUIRE(record->revision.value() == candidate->ownership.token().value());
+        }
+    }
+    CHECK(cluster.currentOwner() != nullptr);
+}
+
 } // namespace rosemarylink::jobs
