Owner: a takeover waits for stops of the previous owner on the worker's clock

Callers saw two runs of a task at a time if a worker stood still during a takeover, in the middle of a stop by the previous owner: the new owner started the task elsewhere while its stopped run was still there.

Cause: the runs on a worker counted as known once a report showed them that was requested the longest stop plus 60 ms after the first report, both on the owner's clock. A run that is being stopped is in no report, and a worker that stood still answers the calls that have arrived before it finishes the stop.

Now the worker counts as reconciled only with the second of two reports in succession that were both made after the longest stop on its own clock. The first report comes after the new owner's token, which rules out later stops by the previous owner.

Cost: one more poll for each worker that a previous owner may have used; the wait until then is 51 ms shorter with a longest stop of 400 ms (409 ms instead of 460), before the additional round trip.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -65,6 +65,9 @@
     bool listed = false; // is registered in the store
     bool reconciled = false; // all runs of this incarnation are known to this owner
     std::optional<Milliseconds> firstReportAt; // first report of this incarnation to this owner
+    Milliseconds firstReportClock { 0 }; // reading of the worker's clock in that report
+    // When the first report was received that was made after all stops by previous owners, on the worker's clock.
+    std::optional<Milliseconds> stopsOverAt;
     std::optional<Milliseconds> clock; // last reading of the worker's clock
     Milliseconds clockReadAt { 0 }; // when that reading was received
     Milliseconds reportedAt { 0 }; // when the last report was received
@@ -158,7 +161,7 @@
     void scheduleImmediatePoll(const WorkerId&, Milliseconds delay);
     void schedulePoll(const WorkerId&, Milliseconds delay);
     void handleReport(const WorkerId&, Milliseconds sentAt, Milliseconds leaseEnd, const WorkerReport&, bool newest);
-    void updateReconciled(Worker&, Milliseconds sentAt);
+    void updateReconciled(Worker&, const WorkerReport&, Milliseconds sentAt);
     void handlePollFailure(const WorkerId&, Milliseconds sentAt, const Error&);
     void updateClock(Worker&, Milliseconds clock);
     Milliseconds leaseEndFor(const Worker&) const;
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -33,9 +33,6 @@
     // Added to the end of a lease to allow for a command in flight.
     constexpr Milliseconds leaseMargin { 250 };
 
-    // Added to the maximum stop time before a run that is missing from a report counts as ended.
-    constexpr Milliseconds stopMargin { 60 };
-
     const Logger logger("workers");
 
     Milliseconds scaled(Milliseconds time, double factor)
@@ -252,7 +249,7 @@
         resolveAbsentRuns(worker, report, sentAt);
     }
     if (!worker.reconciled && report.endsComplete)
-        updateReconciled(worker, sentAt);
+        updateReconciled(worker, report, sentAt);
     if (!permittedFleet_.allowsWork(id))
         writeFleet();
     schedulePlan();
@@ -266,17 +263,28 @@
 }
 
 // A report contains neither the run nor its end while the run is being stopped. A worker that a previous owner may have
-// used is therefore reconciled only by a report that was requested after all stops by that owner must have finished.
-void OwnerSession::updateReconciled(Worker& worker, Milliseconds sentAt)
+// used is therefore reconciled only by the second of two reports that were made after the longest stop; RunEvidence
+// says why it takes two. The first report was made after the last stop by a previous owner, since later ones are
+// fenced.
+void OwnerSession::updateReconciled(Worker& worker, const WorkerReport& report, Milliseconds sentAt)
 {
-    const Milliseconds stopsOver = owner_.limits_.stopTime + stopMargin;
+    const WorkerId& id = worker.entry.id;
     if (!worker.firstReportAt) {
         worker.firstReportAt = now();
-        if (unconfirmedWorkers_.count(worker.entry.id) > 0) {
-            scheduleImmediatePoll(worker.entry.id, stopsOver);
+        worker.firstReportClock = report.workerClock;
+        if (unconfirmedWorkers_.count(id) > 0) {
+            scheduleImmediatePoll(id, longestStop());
             return;
         }
-    } else if (sentAt < *worker.firstReportAt + stopsOver) {
+    } else if (!worker.stopsOverAt) {
+        if (report.workerClock >= worker.firstReportClock + owner_.limits_.stopTime) {
+            worker.stopsOverAt = now();
+            scheduleImmediatePoll(id, Milliseconds(1));
+        } else if (sentAt >= *worker.firstReportAt + longestStop()) {
+            scheduleImmediatePoll(id, owner_.limits_.stopTime); // the worker's clock is slower than it may be
+        }
+        return;
+    } else if (sentAt <= *worker.stopsOverAt) {
         return;
     }
     worker.reconciled = true;
@@ -426,6 +434,7 @@
     worker.pollInFlight = false;
     worker.reconciled = false;
     worker.firstReportAt.reset();
+    worker.stopsOverAt.reset();
     worker.clock.reset();
     worker.reportClock.reset();
     worker.lastSeenEnd = 0;
