Owner: responses to a removed worker's calls are not taken for the returned worker's

Callers would see two runs of a task at the same time: the owner gave up a run on a worker that had fallen silent before that worker's lease was over, and started the task elsewhere.

A worker that is not registered and has no runs is removed; when it is registered again, its incarnation and the numbers of its polls and lease extensions counted from zero. The failure of a poll from before the removal that arrived late passed the comparison of incarnations, took back the extension of another poll that happened to have the same number, and counted as that poll's failure if its number was the same too. If the response to that other poll was lost, the lease on record was one poll short.

Incarnations are now numbered within the session, also for a worker that is registered anew, and the response to a start settles its extension only for the incarnation that it was sent to. Numbers of polls and extensions need to be unique within an incarnation only.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -83,7 +83,9 @@
     Milliseconds pollSentAt { 0 }; // time of the newest poll
     bool skipWait = false; // the next poll must return immediately instead of waiting for an end
     std::uint64_t lastPoll = 0; // number of the newest poll; reports of older polls are used but trigger no new poll
-    std::uint64_t incarnation = 0; // incremented at each restart, so that responses of an earlier process are ignored
+    // Number of the worker's process, by which responses to calls for an earlier one are ignored. Unique in the
+    // session, because a worker that has been removed may be registered again.
+    std::uint64_t incarnation = 0;
     std::set<JobId> recentFailures; // jobs with a failed run on the worker since its last successful run
     Milliseconds avoidUntil { 0 }; // the planner prefers other workers until then
     std::optional<Milliseconds> unresponsiveSince;
@@ -286,6 +288,7 @@
     std::map<JobId, std::pair<JobState, Milliseconds>> finalJobs_; // jobs in a final state, and when they ended
     std::map<JobId, std::pair<std::string, Revision>> loadedProgress_; // until the job's submission is read
     std::map<WorkerId, Worker> workers_;
+    std::uint64_t lastIncarnation_ = 0;
     std::map<WorkerId, UnconfirmedWorker> unconfirmedWorkers_; // of the loaded fleet record, not reconciled yet
     // The stored fleet record as far as it is certain: less what writes on their way may take away.
     FleetRecord permittedFleet_;
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -358,6 +358,8 @@
 {
     const auto [position, added] = workers_.try_emplace(entry.id);
     Worker& worker = position->second;
+    if (added)
+        worker.incarnation = ++lastIncarnation_;
     const bool restarted = !added && entry.startTimeMs != 0 && worker.entry.startTimeMs != 0
         && entry.startTimeMs != worker.entry.startTimeMs;
     const bool changed = added || restarted || !worker.listed || worker.entry.draining != entry.draining;
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -383,7 +383,7 @@
     owner_.workers_.start(worker.entry, { key.first, key.second, job.spec.payload, run.checkpoint }, leaseEnd, token_,
         guarded([this, key, id, incarnation, sentAt, extension](const CommandResponse& response) {
             commandWindow_.responded(now(), now() - sentAt);
-            if (Worker* const started = find(id))
+            if (Worker* const started = find(id); started && started->incarnation == incarnation)
                 started->lease.settle(extension, response.outcome != CommandOutcome::Unreachable);
             owner_.metrics_.startResponse.record(static_cast<double>((now() - sentAt).count()));
             if (response.outcome != CommandOutcome::Accepted)
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -393,7 +393,7 @@
 {
     logger.info("Worker has restarted", { { "worker", worker.entry.id }, { "runs", worker.runs.size() } });
     handleCrash(worker, "the worker has restarted");
-    ++worker.incarnation;
+    worker.incarnation = ++lastIncarnation_;
     worker.pollInFlight = false;
     worker.reconciled = false;
     worker.firstReportAt.reset();
