Simulation: a lease that expires under a gang does not throw

Cause: SimFleet::checkLease ends each run of the worker and then the other members of its gang. A second member on the same worker had thus ended already when its turn came, and end() looked it up with at(). The exception left advanceSimulation() before it had scheduled its next step, and the event loop only logged it.

The loop skips runs that have ended with their gang. The soak schedules its next step first, and an exception of the simulation is a violation of the run.

--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -162,6 +162,8 @@
         return;
     const auto runs = incarnation.runs;
     for (const auto& [key, run] : runs) {
+        if (incarnation.runs.count(key) == 0)
+            continue; // ended with another member of its gang
         end(incarnation, key, RunEnd::LeaseExpired, run.checkpoint);
         endGang(key, run.run, RunEnd::GangBroken);
     }
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -94,10 +94,14 @@
 // Advances the simulated time of the platform to real time.
 void Soak::advanceSimulation()
 {
+    schedule(simulationStep, [this] { advanceSimulation(); });
     const Milliseconds time = now();
-    world_.run(time - simulatedUntil_);
+    try {
+        world_.run(time - simulatedUntil_);
+    } catch (const std::exception& problem) {
+        addViolation(std::string("the simulation threw an exception: ") + problem.what());
+    }
     simulatedUntil_ = time;
-    schedule(simulationStep, [this] { advanceSimulation(); });
 }
 
 void Soak::checkProcesses()
