Soak: an owner loses its ownership while workers are cut off

While workers are cut off, the store now is refusing or silent for all for longer than the store lease, the owner alone loses its link to the store, all lose theirs and the owner has it back first, or the answers of writes are lost or late while reads, leases and preconditions are served.

--- a/tests/soak/PlatformServers.cpp
+++ b/tests/soak/PlatformServers.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <map>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 
@@ -107,7 +108,34 @@
         return { { "events", events }, { "CurrentRev", answer.revision.value() } };
     }
 
-    void serveStoreCall(jobs::SimStoreClient& store, const ServerRequest& request, const Responder& respond)
+    void serveCommit(reactor::EventLoop& loop, jobs::SimStoreClient& store, const WriteFault& configured,
+        const ServerRequest& request, const Responder& respond)
+    {
+        static std::mt19937 random(1);
+        const jobs::Batch batch = parseBatch(Json::parse(request.body));
+        const bool harmed = batch.hasChanges() && std::uniform_real_distribution<>(0, 1)(random) < configured.share;
+        const WriteFault fault = harmed ? configured : WriteFault {};
+        const Responder answer = [&loop, fault, respond](const reactor::ServerResponse& response) {
+            if (fault.loseAnswers)
+                return;
+            if (fault.answerDelay == Milliseconds(0))
+                respond(response);
+            else
+                loop.after(fault.answerDelay, [respond, response] { respond(response); });
+        };
+        const auto commit = [&store, batch, answer] {
+            store.commit(batch, serverTimeout, storeResponder(answer, [](const StoreResponse& committed) {
+                return Json({ { "Revision", committed.revision.value() } });
+            }));
+        };
+        if (fault.executionDelay == Milliseconds(0))
+            commit();
+        else
+            loop.after(fault.executionDelay, commit);
+    }
+
+    void serveStoreCall(reactor::EventLoop& loop, jobs::SimStoreClient& store, const WriteFault& fault,
+        const ServerRequest& request, const Responder& respond)
     {
         static const std::string root = "/rosemarylink/kv-";
         const Poco::URI uri(request.head.getURI());
@@ -130,10 +158,7 @@
             store.watch(query.at("Prefix"), Revision(number("After")), Milliseconds(number("WaitMs")),
                 storeResponder(respond, watchBody));
         } else if (kind == "txn") {
-            store.commit(parseBatch(Json::parse(request.body)), serverTimeout,
-                storeResponder(respond, [](const StoreResponse& answer) {
-                    return Json({ { "Revision", answer.revision.value() } });
-                }));
+            serveCommit(loop, store, fault, request, respond);
         } else if (kind == "lease") {
             store.grantLease(Milliseconds(Json::parse(request.body).at("TtlMs").get<std::int64_t>()), serverTimeout,
                 storeResponder(respond, leaseBody));
@@ -232,10 +257,12 @@
 
 } // namespace
 
-std::unique_ptr<reactor::LoopHttpServer> serveStore(reactor::EventLoop& loop, jobs::SimStoreClient& store)
+std::unique_ptr<reactor::LoopHttpServer> serveStore(
+    reactor::EventLoop& loop, jobs::SimStoreClient& store, const WriteFault& fault)
 {
-    return serve(loop,
-        [&store](const ServerRequest& request, const Responder& respond) { serveStoreCall(store, request, respond); });
+    return serve(loop, [&loop, &store, &fault](const ServerRequest& request, const Responder& respond) {
+        serveStoreCall(loop, store, fault, request, respond);
+    });
 }
 
 std::unique_ptr<reactor::LoopHttpServer> serveWorker(
--- a/tests/soak/PlatformServers.h
+++ b/tests/soak/PlatformServers.h
@@ -8,8 +8,17 @@
 
 namespace rosemarylink::soak {
 
-// Serves a simulated store in the platform's protocol on a free port of 127.0.0.1. Throws if it cannot listen.
-std::unique_ptr<reactor::LoopHttpServer> serveStore(reactor::EventLoop&, jobs::SimStoreClient&);
+// The fault of the store that harms commits with changes only; reads, leases and preconditions are served.
+struct WriteFault {
+    double share = 0; // of these commits
+    bool loseAnswers = false;
+    Milliseconds executionDelay { 0 };
+    Milliseconds answerDelay { 0 };
+};
+
+// Serves a simulated store in the platform's protocol on a free port of 127.0.0.1. The fault may change meanwhile.
+// Throws if it cannot listen.
+std::unique_ptr<reactor::LoopHttpServer> serveStore(reactor::EventLoop&, jobs::SimStoreClient&, const WriteFault&);
 
 // Serves one simulated worker in the platform's protocol on a free port of 127.0.0.1. Throws if it cannot listen.
 std::unique_ptr<reactor::LoopHttpServer> serveWorker(
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -36,6 +36,7 @@
     , faultRandom_(options.seed)
     , loadRandom_(options.seed + 1)
     , cutRandom_(options.seed + 3)
+    , cutFaults_ { { "ownership", &Soak::injectOwnershipFault, Random(options.seed + 4) } }
     , random_(options.seed + 2)
     , loop_(clock_)
     , callers_(loop_)
@@ -45,7 +46,7 @@
 {
     store_.random.seed(static_cast<std::uint32_t>(options.seed));
     fleet_.random.seed(static_cast<std::uint32_t>(options.seed + 1));
-    storeServer_ = serveStore(loop_, storeClient_);
+    storeServer_ = serveStore(loop_, storeClient_, writeFault_);
     storeConfiguration();
     for (int number = 0; number < options.workers; ++number) {
         const WorkerId id("w" + std::to_string(number));
@@ -300,6 +301,7 @@
     }
     store_.mode = jobs::SimStore::Mode::Up;
     store_.lostResponseShare = 0;
+    writeFault_ = {};
     fleet_.delayedCommandShare = 0;
     for (const auto& instance : instances_)
         instance->sendSignal(SIGCONT);
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -22,7 +22,8 @@
     int instances = 4;
     int workers = 8;
     Milliseconds faults { 12000 }; // how long faults are injected
-    bool cutsOnly = false; // injects nothing but cuts of workers and late answers
+    bool cutsOnly = false; // injects nothing but cuts of workers, late answers and the faults in `with`
+    std::vector<std::string> with; // names of faults during cuts; without cutsOnly all are injected
 };
 
 // Runs processes of rosemarylink-edge against a simulated platform, injects faults and checks the results that callers
@@ -59,6 +60,21 @@
         std::unique_ptr<Proxy> proxy;
     };
 
+    using Random = std::mt19937_64;
+    // A period in which workers are cut off, with the random numbers of the fault that is injected into it.
+    struct CutPeriod {
+        Random& random;
+        std::set<WorkerId> workers;
+        Milliseconds duration;
+    };
+    // A fault that is injected while workers are cut off. Each draws from its own random numbers, so that the sequences
+    // of seeds stay as they are when others are added.
+    struct CutFault {
+        const char* name;
+        void (Soak::*inject)(const CutPeriod&);
+        Random random;
+    };
+
     void storeConfiguration();
     void publishWorker(const WorkerId&);
     void advanceSimulation();
@@ -82,6 +98,11 @@
     void injectWorkerFault(int kind);
     void cutOffNext();
     void cutOff(const WorkerId&, bool resets, Milliseconds duration);
+    void injectDuringCut(const std::set<WorkerId>& cut, Milliseconds duration);
+    void injectOwnershipFault(const CutPeriod&);
+    EdgeInstance* findOwner();
+    Proxy& storeLinkOf(const EdgeInstance&);
+    void holdLink(Proxy&, Milliseconds duration);
     void delayAnswersNext();
     void submitLongNext();
     void endFaults();
@@ -89,7 +110,6 @@
     void checkAtEnd();
 
     Milliseconds now() const { return clock_.monotonic(); }
-    using Random = std::mt19937_64;
     static int randomIndex(Random& random, int count) { return std::uniform_int_distribution<>(0, count - 1)(random); }
     static Milliseconds randomDuration(Random& random, int from, int to)
     {
@@ -103,6 +123,7 @@
     std::mt19937_64 loadRandom_;
     // For the faults that were added later, so that the sequences of the seeds before stay as they are.
     std::mt19937_64 cutRandom_;
+    std::vector<CutFault> cutFaults_;
     std::mt19937_64 random_; // for choices that depend on real time
     SystemClock clock_;
     reactor::EventLoop loop_;
@@ -110,6 +131,7 @@
     jobs::SimWorld world_;
     jobs::SimStore store_;
     jobs::SimStoreClient storeClient_;
+    WriteFault writeFault_;
     jobs::SimFleet fleet_;
     Milliseconds simulatedUntil_ { 0 };
     std::unique_ptr<reactor::LoopHttpServer> storeServer_;
--- /dev/null
+++ b/tests/soak/SoakCutFaults.cpp
@@ -0,0 +1,93 @@
+#include "Soak.h"
+#include "rosemarylink/jobs/Catalog.h"
+
+#include <algorithm>
+
+// The faults of the soak test that are injected while workers are cut off.
+namespace rosemarylink::soak {
+
+namespace {
+
+    // Longer than the store lease of an owner, 1.8 s.
+    constexpr int shortestOwnershipFaultMs = 1900;
+    constexpr int longestOwnershipFaultMs = 4000;
+
+    // How much sooner than the others the former owner reaches the store again.
+    constexpr Milliseconds ownerAdvance { 400 };
+
+    constexpr int longestWriteDelayMs = 1200; // exceeds the time-outs of writes
+
+} // namespace
+
+void Soak::injectDuringCut(const std::set<WorkerId>& cut, Milliseconds duration)
+{
+    for (CutFault& fault : cutFaults_) {
+        const auto& with = options_.with;
+        if (!options_.cutsOnly || std::find(with.begin(), with.end(), fault.name) != with.end())
+            (this->*fault.inject)({ fault.random, cut, duration });
+    }
+}
+
+// Returns the instance that the store names as the owner, null if there is none.
+EdgeInstance* Soak::findOwner()
+{
+    const jobs::Record* const record = store_.find(jobs::keys::ownership);
+    const std::string name = record ? record->value.substr(0, record->value.find(' ')) : "";
+    for (const auto& instance : instances_) {
+        if (instance->name() == name)
+            return instance.get();
+    }
+    return nullptr;
+}
+
+Proxy& Soak::storeLinkOf(const EdgeInstance& instance)
+{
+    const auto position = std::find_if(instances_.begin(), instances_.end(),
+        [&instance](const auto& candidate) { return candidate.get() == &instance; });
+    return *storeProxies_[static_cast<std::size_t>(position - instances_.begin())];
+}
+
+void Soak::holdLink(Proxy& link, Milliseconds duration)
+{
+    ProxyFault fault;
+    fault.holdRequests = true;
+    fault.holdAnswers = true;
+    link.setFault(fault);
+    schedule(duration, [&link] { link.setFault({}); });
+}
+
+// Makes the owner lose its ownership, or fail to store what it knows, without an end of its process.
+void Soak::injectOwnershipFault(const CutPeriod& cut)
+{
+    const Milliseconds delay = randomDuration(cut.random, 0, static_cast<int>(cut.duration.count()));
+    const Milliseconds duration = randomDuration(cut.random, shortestOwnershipFaultMs, longestOwnershipFaultMs);
+    const int kind = randomIndex(cut.random, 6);
+    WriteFault fault;
+    fault.share = std::uniform_real_distribution<>(0.5, 1)(cut.random);
+    const Milliseconds writeDelay = randomDuration(cut.random, 0, longestWriteDelayMs);
+    schedule(delay, [this, kind, duration, fault, writeDelay] {
+        EdgeInstance* const owner = findOwner();
+        if (faultInjectionEnded_)
+            return;
+        if (kind < 2) {
+            ++faultCounts_["store-down-for-all"];
+            store_.mode = kind == 0 ? jobs::SimStore::Mode::Refusing : jobs::SimStore::Mode::Silent;
+            schedule(duration, [this] { store_.mode = jobs::SimStore::Mode::Up; });
+        } else if (kind == 2 && owner) {
+            ++faultCounts_["owner-without-store"];
+            holdLink(storeLinkOf(*owner), duration);
+        } else if (kind == 3 && owner) {
+            ++faultCounts_["owner-first-to-reach-store"];
+            for (const auto& instance : instances_)
+                holdLink(storeLinkOf(*instance), instance.get() == owner ? duration : duration + ownerAdvance);
+        } else if (kind > 3) {
+            ++faultCounts_[kind == 4 ? "writes-lose-answers" : "writes-late"];
+            writeFault_ = fault;
+            writeFault_.loseAnswers = kind == 4;
+            (kind == 4 ? writeFault_.executionDelay : writeFault_.answerDelay) = writeDelay;
+            schedule(duration, [this] { writeFault_ = {}; });
+        }
+    });
+}
+
+} // namespace rosemarylink::soak
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -154,10 +154,14 @@
     ++faultCounts_["workers-cut-off"];
     const bool resets = randomIndex(cutRandom_, 2) == 0;
     const Milliseconds duration = randomDuration(cutRandom_, 4700, 8000);
+    std::set<WorkerId> cut;
     for (const auto& [id, member] : workers_) {
-        if (randomIndex(cutRandom_, 4) == 0)
-            cutOff(id, resets, duration);
+        if (randomIndex(cutRandom_, 4) > 0)
+            continue;
+        cutOff(id, resets, duration);
+        cut.insert(id);
     }
+    injectDuringCut(cut, duration);
     schedule(duration + randomDuration(cutRandom_, 500, 3000), [this] { cutOffNext(); });
 }
 
