Soak: workers restart under their ids while they are cut off

A worker that comes back from a cut could not be a new process with the id of the former one: crashes were drawn apart from cuts and broke connections that the owner saw. Half of the cut workers now restart behind the cut, and an eighth of the others are cut off for 0.3 to 4.4 s, shorter than a lease, of which half restart too. Nobody sees it before the cut heals: the store keeps the entry of the former process until then, or until its registration ends.

--- a/tests/soak/Proxy.h
+++ b/tests/soak/Proxy.h
@@ -38,6 +38,7 @@
 
     // Closes the port, so that connections are refused, or opens it again. What is connected stays so.
     void setOpen(bool open);
+    bool isOpen() const { return open_; }
 
 private:
     class Acceptor;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -36,7 +36,8 @@
     , faultRandom_(options.seed)
     , loadRandom_(options.seed + 1)
     , cutRandom_(options.seed + 3)
-    , cutFaults_ { { "ownership", &Soak::injectOwnershipFault, Random(options.seed + 4) } }
+    , cutFaults_ { { "ownership", &Soak::injectOwnershipFault, Random(options.seed + 4) },
+        { "rebirths", &Soak::injectRebirths, Random(options.seed + 5) } }
     , random_(options.seed + 2)
     , loop_(clock_)
     , callers_(loop_)
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -100,6 +100,7 @@
     void cutOff(const WorkerId&, bool resets, Milliseconds duration);
     void injectDuringCut(const std::set<WorkerId>& cut, Milliseconds duration);
     void injectOwnershipFault(const CutPeriod&);
+    void injectRebirths(const CutPeriod&);
     EdgeInstance* findOwner();
     Proxy& storeLinkOf(const EdgeInstance&);
     void holdLink(Proxy&, Milliseconds duration);
--- a/tests/soak/SoakCutFaults.cpp
+++ b/tests/soak/SoakCutFaults.cpp
@@ -17,6 +17,11 @@
 
     constexpr int longestWriteDelayMs = 1200; // exceeds the time-outs of writes
 
+    constexpr int shortestShortCutMs = 300;
+    constexpr int longestShortCutMs = 4400;
+    constexpr int shortestDownTimeMs = 50;
+    constexpr int longestDownTimeMs = 2500;
+
 } // namespace
 
 void Soak::injectDuringCut(const std::set<WorkerId>& cut, Milliseconds duration)
@@ -90,4 +95,42 @@
     });
 }
 
+// Restarts workers under their ids while they are cut off, so that nobody sees it before the cut heals. Besides, cuts
+// off others for shorter than a lease, of which some restart as well.
+void Soak::injectRebirths(const CutPeriod& cut)
+{
+    const auto rebirth = [this, &cut](const WorkerId& id, Milliseconds cutFor) {
+        const Milliseconds delay = randomDuration(cut.random, 0, static_cast<int>(cutFor.count()));
+        const Milliseconds downFor = randomDuration(cut.random, shortestDownTimeMs, longestDownTimeMs);
+        schedule(delay, [this, id, downFor] {
+            if (faultInjectionEnded_ || !fleet_.isUp(id))
+                return;
+            ++faultCounts_["rebirth"];
+            fleet_.crash(id);
+            workers_.at(id).proxy->breakConnections(/*reset=*/true);
+            schedule(downFor, [this, id] {
+                if (fleet_.isUp(id))
+                    return;
+                fleet_.restart(id);
+                if (workers_.at(id).proxy->isOpen())
+                    publishWorker(id);
+            });
+        });
+    };
+    for (const WorkerId& id : cut.workers) {
+        if (randomIndex(cut.random, 2) == 0)
+            rebirth(id, cut.duration);
+    }
+    for (const auto& [id, member] : workers_) {
+        if (cut.workers.count(id) > 0 || randomIndex(cut.random, 8) > 0)
+            continue;
+        const bool resets = randomIndex(cut.random, 2) == 0;
+        const Milliseconds duration = randomDuration(cut.random, shortestShortCutMs, longestShortCutMs);
+        const bool restarts = randomIndex(cut.random, 2) == 0;
+        cutOff(id, resets, duration);
+        if (restarts)
+            rebirth(id, duration);
+    }
+}
+
 } // namespace rosemarylink::soak
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -170,10 +170,12 @@
     Proxy& link = *workers_.at(id).proxy;
     link.setOpen(false);
     link.breakConnections(resets);
-    schedule(registrationLife, [this, id] {
-        if (!faultInjectionEnded_)
-            store_.remove("servers/" + id.value());
-    });
+    if (duration > registrationLife) {
+        schedule(registrationLife, [this, id] {
+            if (!faultInjectionEnded_)
+                store_.remove("servers/" + id.value());
+        });
+    }
     schedule(duration, [this, id, &link] {
         link.setOpen(true);
         if (fleet_.isUp(id))
