Soak: an instance gets its processor time in short slices

Pauses of instances lasted up to 6 s, so that an owner lost its ownership or came back at once. An owner on a share of a core runs late by hundreds of milliseconds again and again and keeps its ownership. While workers are cut off, an instance, mostly the owner, is now stopped for 100 to 400 ms and runs for 20 to 80 ms in turn, for 2 to 6 s.

--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -101,6 +101,8 @@
     void injectDuringCut(const std::set<WorkerId>& cut, Milliseconds duration);
     void injectOwnershipFault(const CutPeriod&);
     void injectRebirths(const CutPeriod&);
+    void injectLittleProcessorTime(const CutPeriod&);
+    void runInSlices(EdgeInstance&, Milliseconds until, Milliseconds stopped, Milliseconds running);
     EdgeInstance* findOwner();
     Proxy& storeLinkOf(const EdgeInstance&);
     void holdLink(Proxy&, Milliseconds duration);
--- a/tests/soak/SoakCutFaults.cpp
+++ b/tests/soak/SoakCutFaults.cpp
@@ -2,6 +2,7 @@
 #include "rosemarylink/jobs/Catalog.h"
 
 #include <algorithm>
+#include <csignal>
 
 // The faults of the soak test that are injected while workers are cut off.
 namespace rosemarylink::soak {
@@ -133,4 +134,33 @@
     }
 }
 
+// Gives an instance, mostly the owner, short slices of processor time. The stops are too short to end an ownership by
+// themselves.
+void Soak::injectLittleProcessorTime(const CutPeriod& cut)
+{
+    const Milliseconds delay = randomDuration(cut.random, 0, static_cast<int>(cut.duration.count()));
+    const Milliseconds duration = randomDuration(cut.random, 2000, 6000);
+    const Milliseconds stopped = randomDuration(cut.random, 100, 400);
+    const Milliseconds running = randomDuration(cut.random, 20, 80);
+    const bool choosesOwner = randomIndex(cut.random, 3) > 0;
+    const int number = randomIndex(cut.random, options_.instances);
+    schedule(delay, [this, duration, stopped, running, choosesOwner, number] {
+        EdgeInstance* const owner = choosesOwner ? findOwner() : nullptr;
+        ++faultCounts_["little-processor-time"];
+        runInSlices(owner ? *owner : *instances_[static_cast<std::size_t>(number)], now() + duration, stopped, running);
+    });
+}
+
+void Soak::runInSlices(EdgeInstance& instance, Milliseconds until, Milliseconds stopped, Milliseconds running)
+{
+    if (faultInjectionEnded_ || now() >= until)
+        return;
+    instance.sendSignal(SIGSTOP);
+    schedule(stopped, [this, &instance, until, stopped, running] {
+        instance.sendSignal(SIGCONT);
+        schedule(
+            running, [this, &instance, until, stopped, running] { runInSlices(instance, until, stopped, running); });
+    });
+}
+
 } // namespace rosemarylink::soak
