Soak: workers stand still for 0.3 to 1.5 s

A worker of the simulation always stopped a run within 400 ms and answered at once, so that no stop, start or poll met one that stands still. SimFleet::pause() holds back what a worker executes, answers and ends; its clock goes on and its lease ends in time, as the platform promises. While workers are cut off, half of all workers now pause twice.

The new test shows that a paused worker answers nothing, ends no run and no stop before the pause is over, and all of them when its lease is.

--- a/tests/jobs/FleetSimulationTest.cpp
+++ b/tests/jobs/FleetSimulationTest.cpp
@@ -35,4 +35,43 @@
     CHECK(fleet.runningOn(worker) == 0);
 }
 
+// Guards against a paused worker of the simulation that goes on with its runs or answers, so that no test meets one.
+TEST_CASE("a paused worker answers nothing and ends no run, but for the end of its lease")
+{
+    SimWorld world;
+    SimStore store(world);
+    SimFleet fleet(world, store, {});
+    SimWorkerClient client(world, fleet);
+    JobSpec job;
+    job.id = JobId("0123456789abcdef");
+    job.steps.resize(1);
+    job.steps[0].taskCount = 2;
+    job.steps[0].perTask = { 1000, 1000, 1 };
+    job.steps[0].estimate = Milliseconds(1000);
+    fleet.registerJob(job);
+    const WorkerId worker("w");
+    fleet.add(worker, "r", { 4000, 4000, 4 });
+    int answers = 0;
+    const auto count = [&answers](const CommandResponse&) { ++answers; };
+    const TaskKey first { job.id, 0, 0, 0 };
+    const TaskKey second { job.id, 0, 0, 1 };
+    client.start(fleet.entry(worker), { first, 1, "", "" }, Milliseconds(5000), FencingToken(1), count);
+    client.start(fleet.entry(worker), { second, 1, "", "" }, Milliseconds(5000), FencingToken(1), count);
+    world.run(Milliseconds(800));
+    client.stop(fleet.entry(worker), second, 1, FencingToken(1), count);
+    world.run(Milliseconds(100));
+    REQUIRE(answers == 3);
+    const Milliseconds pause(GENERATE(1500, 8000));
+
+    fleet.pause(worker, pause);
+    client.stop(fleet.entry(worker), first, 1, FencingToken(1), count);
+    world.run(Milliseconds(1400));
+    CHECK(answers == 3);
+    CHECK(fleet.runningOn(worker) == 2);
+
+    world.run(Milliseconds(4000));
+    CHECK(fleet.runningOn(worker) == 0);
+    CHECK(answers == (pause < Milliseconds(5000) ? 4 : 3));
+}
+
 } // namespace rosemarylink::jobs
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -138,6 +138,23 @@
     });
 }
 
+void SimFleet::pause(const WorkerId& id, Milliseconds duration)
+{
+    WorkerState& incarnation = workers_.at(id);
+    incarnation.pausedUntil = std::max(incarnation.pausedUntil, world_.now() + duration);
+}
+
+void SimFleet::afterAt(const WorkerId& id, Milliseconds delay, const std::function<void()>& task)
+{
+    world_.after(delay, [this, id, task] {
+        const auto position = workers_.find(id);
+        if (position != workers_.end() && position->second.pausedUntil > world_.now())
+            afterAt(id, position->second.pausedUntil - world_.now(), task);
+        else
+            task();
+    });
+}
+
 Milliseconds SimFleet::clockOf(const WorkerState& incarnation) const
 {
     const double elapsed = static_cast<double>((world_.now() - incarnation.startedAt).count());
@@ -280,7 +297,7 @@
         for (const auto& [task, present] : workers_.at(suspect).runs) {
             if (present.run != run.run || !(spec.gang ? sameStep(task, run.task) : suspect == id && task == run.task))
                 continue;
-            world_.after(Milliseconds(60), [this, suspect, task = task, number = run.run] {
+            afterAt(suspect, Milliseconds(60), [this, suspect, task = task, number = run.run] {
                 WorkerState& incarnation = workers_.at(suspect);
                 const auto position = incarnation.runs.find(task);
                 if (position == incarnation.runs.end() || position->second.run != number || position->second.stopping)
@@ -291,7 +308,7 @@
             return;
         }
     }
-    world_.after(spec.estimate, [this, id, run, gang = spec.gang] {
+    afterAt(id, spec.estimate, [this, id, run, gang = spec.gang] {
         WorkerState& incarnation = workers_.at(id);
         const auto present = incarnation.runs.find(run.task);
         if (present == incarnation.runs.end() || present->second.run != run.run || present->second.stopping)
@@ -356,7 +373,7 @@
     const StepSpec& spec = *specOf(key);
     const std::string checkpoint
         = spec.checkpointing ? "saved by run " + std::to_string(present->second.run) + " of " + taskName(key) : "";
-    world_.after(options_.stopTime - Milliseconds(1),
+    afterAt(incarnation.entry.id, options_.stopTime - Milliseconds(1),
         [this, id = incarnation.entry.id, number = incarnation.number, key, stopped = present->second.run, checkpoint] {
             WorkerState& later = workers_.at(id);
             const auto still = later.runs.find(key);
@@ -472,7 +489,7 @@
     if (std::uniform_real_distribution<>(0, 1)(fleet_.random) < fleet_.delayedCommandShare) {
         respond(commandTimeout, {});
         // The delayed command is queued inside the worker, so it is lost if the worker restarts.
-        world_.after(fleet_.commandDelay, [this, id, work, number = findReachable(id)->number] {
+        fleet_.afterAt(id, fleet_.commandDelay, [this, id, work, number = findReachable(id)->number] {
             SimFleet::WorkerState& incarnation = fleet_.workers_.at(id);
             if (incarnation.up && incarnation.number == number)
                 work(incarnation);
@@ -480,7 +497,7 @@
         return;
     }
     const bool lost = std::uniform_real_distribution<>(0, 1)(fleet_.random) < fleet_.lostCommandResponseShare;
-    world_.after(oneWay, [this, id, work, respond, lost] {
+    fleet_.afterAt(id, oneWay, [this, id, work, respond, lost] {
         SimFleet::WorkerState* const incarnation = findReachable(id);
         const CommandResponse response = incarnation ? work(*incarnation) : CommandResponse {};
         if (incarnation && incarnation->up && !lost)
@@ -537,7 +554,7 @@
             disconnected_.insert(id);
         once(unavailable("no response", Verdict::MayHaveRun));
     });
-    world_.after(oneWay, [this, id = worker.id, leaseEnd, token, acknowledged, wait, once] {
+    fleet_.afterAt(worker.id, oneWay, [this, id = worker.id, leaseEnd, token, acknowledged, wait, once] {
         SimFleet::WorkerState* const incarnation = findReachable(id);
         if (!incarnation) {
             const auto position = fleet_.workers_.find(id);
@@ -566,7 +583,7 @@
             return;
         }
         incarnation->waiting.emplace_back(sendReport);
-        world_.after(wait, sendReport);
+        fleet_.afterAt(id, wait, sendReport);
     });
 }
 
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -37,6 +37,9 @@
     // Ends the worker's process, whose port is closed until it comes back: as a new incarnation, or, if
     // `returnWithNewId`, as another worker at the same address.
     void crashFor(const WorkerId&, Milliseconds downTime);
+    // Lets the worker's process stand still: it executes and answers nothing, and its runs neither end nor finish
+    // stopping. Its lease ends in time, as its clock goes on.
+    void pause(const WorkerId&, Milliseconds duration);
     void setEntry(const WorkerId&, bool listed, bool draining = false);
     // Changes the capacity while the worker runs. Starts are held to a smaller one after `shrinkGrace`.
     void setCapacity(const WorkerId&, const Resources&);
@@ -94,6 +97,7 @@
         bool replaced = false; // another worker is at its address
         std::uint64_t number = 0;
         Milliseconds startedAt { 0 };
+        Milliseconds pausedUntil { 0 };
         std::int64_t fence = 0;
         Milliseconds leaseEnd { 0 }; // on the worker's clock
         std::map<TaskKey, Run> runs;
@@ -117,6 +121,8 @@
     void joinGang(const TaskKey&, int run);
     void endGang(const TaskKey&, int run, RunEnd);
     void acknowledge(WorkerState&, std::int64_t number);
+    // Runs the task after the delay, and not before the worker has ended a pause.
+    void afterAt(const WorkerId&, Milliseconds delay, const std::function<void()>& task);
     void checkLease(const WorkerId&, std::uint64_t incarnation);
     void addViolation(const std::string& text) { violations_.push_back(text); }
     const StepSpec* specOf(const TaskKey&) const;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -38,7 +38,8 @@
     , cutRandom_(options.seed + 3)
     , cutFaults_ { { "ownership", &Soak::injectOwnershipFault, Random(options.seed + 4) },
         { "rebirths", &Soak::injectRebirths, Random(options.seed + 5) },
-        { "slices", &Soak::injectLittleProcessorTime, Random(options.seed + 6) } }
+        { "slices", &Soak::injectLittleProcessorTime, Random(options.seed + 6) },
+        { "paused-workers", &Soak::pauseWorkers, Random(options.seed + 7) } }
     , random_(options.seed + 2)
     , loop_(clock_)
     , callers_(loop_)
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -102,6 +102,7 @@
     void injectOwnershipFault(const CutPeriod&);
     void injectRebirths(const CutPeriod&);
     void injectLittleProcessorTime(const CutPeriod&);
+    void pauseWorkers(const CutPeriod&);
     void runInSlices(EdgeInstance&, Milliseconds until, Milliseconds stopped, Milliseconds running);
     EdgeInstance* findOwner();
     Proxy& storeLinkOf(const EdgeInstance&);
--- a/tests/soak/SoakCutFaults.cpp
+++ b/tests/soak/SoakCutFaults.cpp
@@ -163,4 +163,24 @@
     });
 }
 
+// Lets workers stand still for 0.3 to 1.5 s, each several times, cut off or not.
+void Soak::pauseWorkers(const CutPeriod& cut)
+{
+    constexpr int pausesPerWorker = 2;
+    for (const auto& [id, member] : workers_) {
+        if (randomIndex(cut.random, 2) == 0)
+            continue;
+        for (int count = 0; count < pausesPerWorker; ++count) {
+            const Milliseconds delay = randomDuration(cut.random, 0, static_cast<int>(cut.duration.count()));
+            const Milliseconds duration = randomDuration(cut.random, 300, 1500);
+            schedule(delay, [this, id = id, duration] {
+                if (faultInjectionEnded_)
+                    return;
+                ++faultCounts_["worker-pause"];
+                fleet_.pause(id, duration);
+            });
+        }
+    }
+}
+
 } // namespace rosemarylink::soak
