Soak: options for the workers' lease and the life of registrations

The soak knew one deployment: leases of 6 s and registrations that last until 4.5 s after a cut, which leaves 1.5 s at most between the two.

--- a/tests/soak/EdgeInstance.cpp
+++ b/tests/soak/EdgeInstance.cpp
@@ -30,13 +30,15 @@
 
 } // namespace
 
-EdgeInstance::EdgeInstance(std::string binary, std::string directory, int number, std::string storeAddress)
+EdgeInstance::EdgeInstance(
+    std::string binary, std::string directory, int number, std::string storeAddress, Milliseconds workerLease)
     : binary_(std::move(binary))
     , directory_(std::move(directory))
     , number_(number)
     , name_("edge-" + std::to_string(number))
     , storeAddress_(std::move(storeAddress))
     , callerAddress_(address(callerPort + number))
+    , workerLease_(workerLease)
 {
     writeSettings();
 }
@@ -56,7 +58,7 @@
         { "InternalPortRange", { metricsPort + number_, metricsPort + number_ } },
         { "platform", { { "Address", storeAddress_ } } },
         { "Bounds",
-            { { "GraceS", 6 }, { "HoldMaxMs", 6000 }, { "GangTimeoutMs", 3000 }, { "StopMs", 400 },
+            { { "GraceS", 6 }, { "HoldMaxMs", workerLease_.count() }, { "GangTimeoutMs", 3000 }, { "StopMs", 400 },
                 { "ReclaimMs", 3000 }, { "status_s", 120 } } } };
     std::ofstream(directory_ + "/" + name_ + ".json") << settings.dump(2) << "\n";
 }
--- a/tests/soak/EdgeInstance.h
+++ b/tests/soak/EdgeInstance.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "rosemarylink/base/Clock.h"
+
 #include <string>
 #include <sys/types.h>
 
@@ -10,7 +12,8 @@
 public:
     // Writes the settings file into the directory. The number must be unique in a run and below 200, because it is
     // added to port numbers that are 200 apart.
-    EdgeInstance(std::string binary, std::string directory, int number, std::string storeAddress);
+    EdgeInstance(
+        std::string binary, std::string directory, int number, std::string storeAddress, Milliseconds workerLease);
     // Kills the process if it is running.
     ~EdgeInstance();
 
@@ -35,6 +38,7 @@
     std::string name_;
     std::string storeAddress_;
     std::string callerAddress_;
+    Milliseconds workerLease_;
     pid_t process_ = 0;
     int startCount_ = 0;
     bool stopRequested_ = false; // SIGTERM or SIGKILL has been sent
--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -15,18 +15,22 @@
 {
     rosemarylink::soak::SoakOptions soak;
     int seconds = 12;
+    std::int64_t lease = soak.workerLease.count();
+    std::int64_t registration = soak.registrationLife.count();
     options::options_description description("rosemarylink-soak: injects faults into real processes and checks the "
                                              "results for callers and workers\n\nOptions");
     description.add_options()("help", "print this text")(
         "edge", options::value(&soak.binary)->default_value("build/rosemarylink-edge"), "the program under test")(
         "seed", options::value(&soak.seed)->default_value(soak.seed), "seed of the sequence of faults and jobs")(
         "seconds", options::value(&seconds)->default_value(seconds), "duration of the fault injection")(
-        "cuts-only", options::bool_switch(&soak.cutsOnly), "inject only cuts of workers and late answers")("with",
-        options::value(&soak.with)->multitoken(),
-        "with --cuts-only: names of faults to inject during cuts")("instances",
-        options::value(&soak.instances)->default_value(soak.instances), "number of processes of the program")("workers",
-        options::value(&soak.workers)->default_value(soak.workers), "number of simulated workers")("directory",
-        options::value(&soak.directory), "directory for settings and logs; kept if given, or after a violation");
+        "cuts-only", options::bool_switch(&soak.cutsOnly), "inject only cuts of workers and late answers")(
+        "with", options::value(&soak.with)->multitoken(), "with --cuts-only: names of faults to inject during cuts")(
+        "instances", options::value(&soak.instances)->default_value(soak.instances),
+        "number of processes of the program")("workers", options::value(&soak.workers)->default_value(soak.workers),
+        "number of simulated workers")("lease-ms", options::value(&lease)->default_value(lease),
+        "longest lease of a worker")("registration-ms", options::value(&registration)->default_value(registration),
+        "life of a worker's registration after its last heartbeat")("directory", options::value(&soak.directory),
+        "directory for settings and logs; kept if given, or after a violation");
     options::variables_map arguments;
     try {
         options::store(options::parse_command_line(argc, argv, description), arguments);
@@ -41,6 +45,8 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     rosemarylink::startLogging(argv[0]);
+    soak.workerLease = rosemarylink::Milliseconds(lease);
+    soak.registrationLife = rosemarylink::Milliseconds(registration);
     soak.faults = rosemarylink::Milliseconds(seconds * 1000);
     const bool keep = arguments.count("directory") > 0;
     if (!keep)
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -27,6 +27,13 @@
     // The longest time from the acceptance of a job until every instance can return its state.
     constexpr Milliseconds visibilityDelay { 3000 };
 
+    jobs::SimFleet::Options fleetOptions(const SoakOptions& soak)
+    {
+        jobs::SimFleet::Options options;
+        options.longestLease = soak.workerLease;
+        return options;
+    }
+
     int statusOf(const Result<reactor::ClientResponse>& reply) { return reply ? reply.value().status : 0; }
 
 } // namespace
@@ -45,7 +52,7 @@
     , callers_(loop_)
     , store_(world_)
     , storeClient_(world_, store_)
-    , fleet_(world_, store_, {})
+    , fleet_(world_, store_, fleetOptions(options))
 {
     store_.random.seed(static_cast<std::uint32_t>(options.seed));
     fleet_.random.seed(static_cast<std::uint32_t>(options.seed + 1));
@@ -62,8 +69,8 @@
     }
     for (int number = 0; number < options.instances; ++number) {
         storeProxies_.push_back(std::make_unique<Proxy>(loop_, storeServer_->address()));
-        instances_.push_back(
-            std::make_unique<EdgeInstance>(options.binary, options.directory, number, storeProxies_.back()->address()));
+        instances_.push_back(std::make_unique<EdgeInstance>(
+            options.binary, options.directory, number, storeProxies_.back()->address(), options.workerLease));
     }
 }
 
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -22,6 +22,8 @@
     int instances = 4;
     int workers = 8;
     Milliseconds faults { 12000 }; // how long faults are injected
+    Milliseconds workerLease { 6000 }; // the longest lease of a worker's runs
+    Milliseconds registrationLife { 4500 }; // a registration is removed this long after its worker's last heartbeat
     bool cutsOnly = false; // injects nothing but cuts of workers, late answers and the faults in `with`
     std::vector<std::string> with; // names of faults during cuts; without cutsOnly all are injected
 };
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -11,9 +11,6 @@
     constexpr int minimumPauseMs = 200;
     constexpr int maximumPauseMs = 1200;
 
-    // A registration is removed this long after the last heartbeat of its worker.
-    constexpr Milliseconds registrationLife { 4500 };
-
 } // namespace
 
 void Soak::injectNext()
@@ -170,8 +167,8 @@
     Proxy& link = *workers_.at(id).proxy;
     link.setOpen(false);
     link.breakConnections(resets);
-    if (duration > registrationLife) {
-        schedule(registrationLife, [this, id] {
+    if (duration > options_.registrationLife) {
+        schedule(options_.registrationLife, [this, id] {
             if (!faultInjectionEnded_)
                 store_.remove("servers/" + id.value());
         });
