Soak: links of workers stand still and deliver late

Cuts closed the worker's port and dropped what was on its way, so that no call ever arrived late over the network, only as an order that the simulated worker held back. A network that loses packets keeps what a client has sent until it can deliver it, also when the client has given the call up and closed its connection. While workers are cut off, a sixth of the others now have such a link for 1 to 8 s; then all is delivered, starts, stops and polls alike.

--- a/tests/soak/Proxy.cpp
+++ b/tests/soak/Proxy.cpp
@@ -16,6 +16,9 @@
 
     constexpr Milliseconds reopenDelay { 50 };
 
+    // How long the connection of a client that has closed it stays open for its last bytes.
+    constexpr Milliseconds lingerTime { 1000 };
+
 } // namespace
 
 // One connection through the proxy.
@@ -40,6 +43,8 @@
     {
         clientSide_->forward();
         serverSide_->forward();
+        if (clientClosed_ && !proxy_.suspended_)
+            proxy_.loop_.after(lingerTime, [self = shared_from_this()] { self->closeAndRemove(); });
     }
 
     void stall()
@@ -77,8 +82,12 @@
             const auto self = connection_.shared_from_this();
             const bool closed = from_.receive() == SocketBuffer::ConnectionState::Closed;
             forward();
-            if (closed)
+            if (closed && requests_ && connection_.proxy_.suspended_ && !connection_.closed_) {
+                connection_.clientClosed_ = true;
+                connection_.proxy_.loop_.unwatch(from_.socket());
+            } else if (closed) {
                 connection_.closeAndRemove();
+            }
         }
 
         void onWritable() override
@@ -93,7 +102,8 @@
         void forward()
         {
             const ProxyFault& fault = connection_.proxy_.fault_;
-            if (connection_.closed_ || from_.received().empty() || (requests_ ? fault.holdRequests : fault.holdAnswers))
+            const bool holds = connection_.proxy_.suspended_ || (requests_ ? fault.holdRequests : fault.holdAnswers);
+            if (connection_.closed_ || from_.received().empty() || holds)
                 return;
             const std::string bytes = std::exchange(from_.received(), "");
             const Milliseconds delay = fault.delay + randomDelay(fault);
@@ -120,7 +130,7 @@
 
         void send(const std::string& bytes)
         {
-            if (connection_.closed_)
+            if (connection_.closed_ || (!requests_ && connection_.clientClosed_))
                 return;
             to_.appendUnsent(bytes);
             connection_.proxy_.loop_.watch(to_.socket(), true, connection_.handlerOf(!requests_));
@@ -151,6 +161,7 @@
     std::shared_ptr<Side> clientSide_;
     std::shared_ptr<Side> serverSide_;
     bool closed_ = false;
+    bool clientClosed_ = false; // while requests were held
 };
 
 class Proxy::Acceptor final : public reactor::SocketHandler {
@@ -226,6 +237,17 @@
 void Proxy::setFault(const ProxyFault& fault)
 {
     fault_ = fault;
+    forwardAll();
+}
+
+void Proxy::setSuspended(bool suspended)
+{
+    suspended_ = suspended;
+    forwardAll();
+}
+
+void Proxy::forwardAll()
+{
     const auto connections = connections_;
     for (const auto& connection : connections)
         connection->forward();
--- a/tests/soak/Proxy.h
+++ b/tests/soak/Proxy.h
@@ -40,12 +40,17 @@
     void setOpen(bool open);
     bool isOpen() const { return open_; }
 
+    // Holds all bytes, or forwards what was held. What a client has sent is forwarded even if it has closed its
+    // connection since, as a network that loses packets for a time does.
+    void setSuspended(bool suspended);
+
 private:
     class Acceptor;
     class Connection;
 
     void accept();
     void reopen();
+    void forwardAll();
 
     reactor::EventLoop& loop_;
     SystemClock clock_;
@@ -54,6 +59,7 @@
     std::string address_;
     bool open_ = true; // as last set
     bool listening_ = true;
+    bool suspended_ = false;
     ProxyFault fault_;
     std::mt19937 random_ { 1 };
     std::shared_ptr<Acceptor> acceptor_;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -46,7 +46,8 @@
     , cutFaults_ { { "ownership", &Soak::injectOwnershipFault, Random(options.seed + 4) },
         { "rebirths", &Soak::injectRebirths, Random(options.seed + 5) },
         { "slices", &Soak::injectLittleProcessorTime, Random(options.seed + 6) },
-        { "paused-workers", &Soak::pauseWorkers, Random(options.seed + 7) } }
+        { "paused-workers", &Soak::pauseWorkers, Random(options.seed + 7) },
+        { "late-delivery", &Soak::suspendLinks, Random(options.seed + 8) } }
     , random_(options.seed + 2)
     , loop_(clock_)
     , callers_(loop_)
@@ -305,6 +306,7 @@
     for (const auto& [id, member] : workers_) {
         member.proxy->setFault({});
         member.proxy->setOpen(true);
+        member.proxy->setSuspended(false);
         if (!fleet_.isUp(id))
             fleet_.restart(id);
         publishWorker(id);
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -105,6 +105,7 @@
     void injectRebirths(const CutPeriod&);
     void injectLittleProcessorTime(const CutPeriod&);
     void pauseWorkers(const CutPeriod&);
+    void suspendLinks(const CutPeriod&);
     void runInSlices(EdgeInstance&, Milliseconds until, Milliseconds stopped, Milliseconds running);
     EdgeInstance* findOwner();
     Proxy& storeLinkOf(const EdgeInstance&);
--- a/tests/soak/SoakCutFaults.cpp
+++ b/tests/soak/SoakCutFaults.cpp
@@ -183,4 +183,39 @@
     }
 }
 
+// Cuts off further workers by a network that loses packets for a time and delivers all in the end, also the calls that
+// their senders have given up.
+void Soak::suspendLinks(const CutPeriod& cut)
+{
+    const Milliseconds delay = randomDuration(cut.random, 0, 1000);
+    const Milliseconds duration = randomDuration(cut.random, 1000, 8000);
+    std::vector<WorkerId> ids;
+    for (const auto& [id, member] : workers_) {
+        if (randomIndex(cut.random, 6) == 0 && cut.workers.count(id) == 0)
+            ids.push_back(id);
+    }
+    schedule(delay, [this, ids, duration] {
+        if (faultInjectionEnded_)
+            return;
+        ++faultCounts_["late-delivery"];
+        for (const WorkerId& id : ids)
+            workers_.at(id).proxy->setSuspended(true);
+    });
+    if (duration > options_.registrationLife) {
+        schedule(delay + options_.registrationLife, [this, ids] {
+            for (const WorkerId& id : ids) {
+                if (!faultInjectionEnded_)
+                    store_.remove("servers/" + id.value());
+            }
+        });
+    }
+    schedule(delay + duration, [this, ids] {
+        for (const WorkerId& id : ids) {
+            workers_.at(id).proxy->setSuspended(false);
+            if (fleet_.isUp(id))
+                publishWorker(id);
+        }
+    });
+}
+
 } // namespace rosemarylink::soak
