Soak: several faults in each cut

Two faults of the ownership, two instances with little processor time and two rounds of pauses per cut meet more of what the cuts leave behind than one each. The number stands beside each fault's random numbers.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -43,11 +43,11 @@
     , faultRandom_(options.seed)
     , loadRandom_(options.seed + 1)
     , cutRandom_(options.seed + 3)
-    , cutFaults_ { { "ownership", &Soak::injectOwnershipFault, Random(options.seed + 4) },
-        { "rebirths", &Soak::injectRebirths, Random(options.seed + 5) },
-        { "slices", &Soak::injectLittleProcessorTime, Random(options.seed + 6) },
-        { "paused-workers", &Soak::pauseWorkers, Random(options.seed + 7) },
-        { "late-delivery", &Soak::suspendLinks, Random(options.seed + 8) } }
+    , cutFaults_ { { "ownership", &Soak::injectOwnershipFault, 2, Random(options.seed + 4) },
+        { "rebirths", &Soak::injectRebirths, 1, Random(options.seed + 5) },
+        { "slices", &Soak::injectLittleProcessorTime, 2, Random(options.seed + 6) },
+        { "paused-workers", &Soak::pauseWorkers, 2, Random(options.seed + 7) },
+        { "late-delivery", &Soak::suspendLinks, 1, Random(options.seed + 8) } }
     , random_(options.seed + 2)
     , loop_(clock_)
     , callers_(loop_)
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -74,6 +74,7 @@
     struct CutFault {
         const char* name;
         void (Soak::*inject)(const CutPeriod&);
+        int perCut; // how often it is injected into a period
         Random random;
     };
 
--- a/tests/soak/SoakCutFaults.cpp
+++ b/tests/soak/SoakCutFaults.cpp
@@ -29,7 +29,9 @@
 {
     for (CutFault& fault : cutFaults_) {
         const auto& with = options_.with;
-        if (!options_.cutsOnly || std::find(with.begin(), with.end(), fault.name) != with.end())
+        if (options_.cutsOnly && std::find(with.begin(), with.end(), fault.name) == with.end())
+            continue;
+        for (int count = 0; count < fault.perCut; ++count)
             (this->*fault.inject)({ fault.random, cut, duration });
     }
 }
@@ -163,23 +165,20 @@
     });
 }
 
-// Lets workers stand still for 0.3 to 1.5 s, each several times, cut off or not.
+// Lets workers stand still for 0.3 to 1.5 s, cut off or not.
 void Soak::pauseWorkers(const CutPeriod& cut)
 {
-    constexpr int pausesPerWorker = 2;
     for (const auto& [id, member] : workers_) {
         if (randomIndex(cut.random, 2) == 0)
             continue;
-        for (int count = 0; count < pausesPerWorker; ++count) {
-            const Milliseconds delay = randomDuration(cut.random, 0, static_cast<int>(cut.duration.count()));
-            const Milliseconds duration = randomDuration(cut.random, 300, 1500);
-            schedule(delay, [this, id = id, duration] {
-                if (faultInjectionEnded_)
-                    return;
-                ++faultCounts_["worker-pause"];
-                fleet_.pause(id, duration);
-            });
-        }
+        const Milliseconds delay = randomDuration(cut.random, 0, static_cast<int>(cut.duration.count()));
+        const Milliseconds duration = randomDuration(cut.random, 300, 1500);
+        schedule(delay, [this, id = id, duration] {
+            if (faultInjectionEnded_)
+                return;
+            ++faultCounts_["worker-pause"];
+            fleet_.pause(id, duration);
+        });
     }
 }
 
