--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -150,7 +150,8 @@
     if (end <= incarnation.leaseEnd)
         return;
     incarnation.leaseEnd = end;
-    runAfter(incarnation.entry.id, onSlowClock(end - clockOf(incarnation)) + Milliseconds(2),
+    // Also while the worker stands still: the platform promises the end of a lease.
+    world_.after(onSlowClock(end - clockOf(incarnation)) + Milliseconds(2),
         [this, id = incarnation.entry.id, number = incarnation.number] { checkLease(id, number); });
 }
 
@@ -161,6 +162,8 @@
         return;
     const auto runs = incarnation.runs;
     for (const auto& [key, run] : runs) {
+        if (incarnation.runs.count(key) == 0)
+            continue; // ended with another member of its gang
         end(incarnation, key, RunEnd::LeaseExpired, run.checkpoint);
         endGang(key, run.run, RunEnd::GangBroken);
     }
@@ -277,7 +280,7 @@
         for (const auto& [task, present] : workers_.at(suspect).runs) {
             if (present.run != run.run || !(spec.gang ? sameStep(task, run.task) : suspect == id && task == run.task))
                 continue;
-            world_.after(Milliseconds(60), [this, suspect, task = task, number = run.run] {
+            runAfter(suspect, Milliseconds(60), [this, suspect, task = task, number = run.run] {
                 WorkerState& incarnation = workers_.at(suspect);
                 const auto position = incarnation.runs.find(task);
                 if (position == incarnation.runs.end() || position->second.run != number || position->second.stopping)
@@ -469,7 +472,7 @@
     if (std::uniform_real_distribution<>(0, 1)(fleet_.random) < fleet_.delayedCommandShare) {
         respond(commandTimeout, {});
         // The delayed command is queued inside the worker, so it is lost if the worker restarts.
-        world_.after(fleet_.commandDelay, [this, id, work, number = findReachable(id)->number] {
+        fleet_.runAfter(id, fleet_.commandDelay, [this, id, work, number = findReachable(id)->number] {
             SimFleet::WorkerState& incarnation = fleet_.workers_.at(id);
             if (incarnation.up && incarnation.number == number)
                 work(incarnation);
@@ -563,7 +566,7 @@
             sendReport();
             return;
         }
-        incarnation->waiting.emplace_back(sendReport);
+        incarnation->waiting.emplace_back([this, id, sendReport] { fleet_.onArrival(id, sendReport); });
         fleet_.runAfter(id, wait, sendReport);
     };
     world_.after(oneWay, [this, id = worker.id, execute] { fleet_.onArrival(id, execute); });
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -39,9 +39,10 @@
     // `returnWithNewId`, as another worker at the same address.
     void crashFor(const WorkerId&, Milliseconds downTime);
     void setEntry(const WorkerId&, bool listed, bool draining = false);
-    // Stops the worker's process for the duration, as by a lack of processor time; its clock goes on. Then the calls
-    // that have arrived meanwhile are executed first, and `turn` later what was due meanwhile, such as the ends of
-    // stops. Its process is busy until then, so that further calls are executed afterwards.
+    // Stops the worker's process for the duration, as by a lack of processor time: it executes and answers nothing, and
+    // its runs neither end nor finish stopping. Its clock goes on, and its lease ends in time. Then the calls that have
+    // arrived meanwhile are executed first, and `turn` later what was due meanwhile, such as the ends of stops. Its
+    // process is busy until then, so that further calls are executed afterwards.
     void standStill(const WorkerId&, Milliseconds duration, Milliseconds turn);
     // Changes the capacity while the worker runs. Starts are held to a smaller one after `shrinkGrace`.
     void setCapacity(const WorkerId&, const Resources&);
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -27,6 +27,13 @@
     // The longest time from the acceptance of a job until every instance can return its state.
     constexpr Milliseconds visibilityDelay { 3000 };
 
+    jobs::SimFleet::Options fleetOptions(const SoakOptions& soak)
+    {
+        jobs::SimFleet::Options options;
+        options.longestLease = soak.workerLease;
+        return options;
+    }
+
     int statusOf(const Result<reactor::ClientResponse>& reply) { return reply ? reply.value().status : 0; }
 
 } // namespace
@@ -36,16 +43,21 @@
     , faultRandom_(options.seed)
     , loadRandom_(options.seed + 1)
     , cutRandom_(options.seed + 3)
+    , cutFaults_ { { "ownership", &Soak::injectOwnershipFault, 2, Random(options.seed + 4) },
+        { "rebirths", &Soak::injectRebirths, 1, Random(options.seed + 5) },
+        { "slices", &Soak::injectLittleProcessorTime, 2, Random(options.seed + 6) },
+        { "paused-workers", &Soak::pauseWorkers, 2, Random(options.seed + 7) },
+        { "late-delivery", &Soak::suspendLinks, 1, Random(options.seed + 8) } }
     , random_(options.seed + 2)
     , loop_(clock_)
     , callers_(loop_)
     , store_(world_)
     , storeClient_(world_, store_)
-    , fleet_(world_, store_, {})
+    , fleet_(world_, store_, fleetOptions(options))
 {
     store_.random.seed(static_cast<std::uint32_t>(options.seed));
     fleet_.random.seed(static_cast<std::uint32_t>(options.seed + 1));
-    storeServer_ = serveStore(loop_, storeClient_);
+    storeServer_ = serveStore(loop_, storeClient_, writeFault_);
     storeConfiguration();
     for (int number = 0; number < options.workers; ++number) {
         const WorkerId id("w" + std::to_string(number));
@@ -58,8 +70,8 @@
     }
     for (int number = 0; number < options.instances; ++number) {
         storeProxies_.push_back(std::make_unique<Proxy>(loop_, storeServer_->address()));
-        instances_.push_back(
-            std::make_unique<EdgeInstance>(options.binary, options.directory, number, storeProxies_.back()->address()));
+        instances_.push_back(std::make_unique<EdgeInstance>(
+            options.binary, options.directory, number, storeProxies_.back()->address(), options.workerLease));
     }
 }
 
@@ -94,10 +106,14 @@
 // Advances the simulated time of the platform to real time.
 void Soak::advanceSimulation()
 {
+    schedule(simulationStep, [this] { advanceSimulation(); });
     const Milliseconds time = now();
-    world_.run(time - simulatedUntil_);
+    try {
+        world_.run(time - simulatedUntil_);
+    } catch (const std::exception& problem) {
+        addViolation(std::string("the simulation threw an exception: ") + problem.what());
+    }
     simulatedUntil_ = time;
-    schedule(simulationStep, [this] { advanceSimulation(); });
 }
 
 void Soak::checkProcesses()
@@ -290,12 +306,14 @@
     for (const auto& [id, member] : workers_) {
         member.proxy->setFault({});
         member.proxy->setOpen(true);
+        member.proxy->setSuspended(false);
         if (!fleet_.isUp(id))
             fleet_.restart(id);
         publishWorker(id);
     }
     store_.mode = jobs::SimStore::Mode::Up;
     store_.lostResponseShare = 0;
+    writeFault_ = {};
     fleet_.delayedCommandShare = 0;
     for (const auto& instance : instances_)
         instance->sendSignal(SIGCONT);
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -11,9 +11,6 @@
     constexpr int minimumPauseMs = 200;
     constexpr int maximumPauseMs = 1200;
 
-    // A registration is removed this long after the last heartbeat of its worker.
-    constexpr Milliseconds registrationLife { 4500 };
-
 } // namespace
 
 void Soak::injectNext()
@@ -154,10 +151,14 @@
     ++faultCounts_["workers-cut-off"];
     const bool resets = randomIndex(cutRandom_, 2) == 0;
     const Milliseconds duration = randomDuration(cutRandom_, 4700, 8000);
+    std::set<WorkerId> cut;
     for (const auto& [id, member] : workers_) {
-        if (randomIndex(cutRandom_, 4) == 0)
-            cutOff(id, resets, duration);
+        if (randomIndex(cutRandom_, 4) > 0)
+            continue;
+        cutOff(id, resets, duration);
+        cut.insert(id);
     }
+    injectDuringCut(cut, duration);
     schedule(duration + randomDuration(cutRandom_, 500, 3000), [this] { cutOffNext(); });
 }
 
@@ -166,10 +167,12 @@
     Proxy& link = *workers_.at(id).proxy;
     link.setOpen(false);
     link.breakConnections(resets);
-    schedule(registrationLife, [this, id] {
-        if (!faultInjectionEnded_)
-            store_.remove("servers/" + id.value());
-    });
+    if (duration > options_.registrationLife) {
+        schedule(options_.registrationLife, [this, id] {
+            if (!faultInjectionEnded_)
+                store_.remove("servers/" + id.value());
+        });
+    }
     schedule(duration, [this, id, &link] {
         link.setOpen(true);
         if (fleet_.isUp(id))
