Owner: no worker's lease is extended beyond what the next owner waits for

Not shown to be what the users saw.

Cause: Ownership::mayCommand() has no end while the store does not answer, and the polls of such an owner renewed the leases of workers. If the store has turned away this owner only, another instance takes over after 1.8 s, and takes a worker that it cannot reach for free of runs after one lease. Runs there that the old owner still renews go on beside their next ones.

Change: a lease that is granted after the store lease must have ended counts from its end (Ownership::exclusiveUntil()), so it is over before the next owner counts on that. Polls and stops go on as before.

Cost: an owner cannot tell an outage for all from a cut of its own; nothing but the store tells it of another owner. So an outage of the store for all ends the runs that the old code kept alive.

SimWorkerClient can be cut off from single workers.

--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -45,9 +45,12 @@
 
 } // namespace
 
+// The end of a lease that is granted now, on the worker's clock. The next owner takes a worker that it cannot reach for
+// free of runs after one lease of its own ownership, so no lease counts from a time at which there may be a next owner.
 Milliseconds OwnerSession::leaseEndFor(const Worker& worker) const
 {
-    return *worker.clock + (now() - worker.clockReadAt) + owner_.limits_.workerLease;
+    const Milliseconds grantedAt = std::min(now(), owner_.ownership_.exclusiveUntil());
+    return *worker.clock + (grantedAt - worker.clockReadAt) + owner_.limits_.workerLease;
 }
 
 Milliseconds OwnerSession::latestLeaseEnd(const Worker& worker, Milliseconds leaseEnd)
@@ -120,6 +123,7 @@
     const std::int64_t cursor = pending && sameIncarnation ? acknowledgeableEnd(worker) : 0;
     worker.skipWait = worker.skipWait || (pending && !sameIncarnation);
     const bool renewsLease = worker.clock && !worker.runs.empty() && mayRenewLease(worker)
+        && now() < owner_.ownership_.exclusiveUntil() + owner_.limits_.workerLease
         && permittedFleet_.allowsRenewal(worker.entry.id);
     const Milliseconds leaseEnd = renewsLease ? leaseEndFor(worker) : Milliseconds(0);
     WorkerLease::Extension extension = 0;
--- a/tests/jobs/HandOverTest.cpp
+++ b/tests/jobs/HandOverTest.cpp
@@ -92,4 +92,58 @@
     CHECK(cluster.currentOwner() != nullptr);
 }
 
+// Guards against two runs of a task at a time: an owner that was cut off from the store kept the runs of a worker alive
+// that the next owner could not reach, and which it took for over after the longest lease.
+TEST_CASE("an owner that is cut off from the store renews no worker's lease beyond what the next owner waits for")
+{
+    const int cutFor = GENERATE(4000, 6000, 7500, 9000, 12000, 15000, 30000);
+    CAPTURE(cutFor);
+    SimCluster cluster(1);
+    cluster.addWorkers(2, 1);
+    cluster.world.run(Milliseconds(3000));
+    const WorkerId cutOff("w0-0");
+    JobSpec job = oneStep(2, 4, Milliseconds(40000), /*gang=*/false);
+    cluster.submit("batch", "a0", job);
+    job.steps[0].workerLabel = "r0";
+    job.steps[0].estimate = Milliseconds(9000);
+    cluster.submit("batch", "a1", job);
+    job.steps[0].workerLabel = "";
+    cluster.submit("batch", "a2", job);
+    cluster.world.run(Milliseconds(2000));
+    REQUIRE(cluster.fleet.runningOn(cutOff) > 0);
+    SimInstance& owner = *cluster.currentOwner();
+    owner.store.disconnected = true;
+    owner.workers.unreachable = { WorkerId("w1-0") };
+    cluster.addInstance().workers.unreachable = { cutOff };
+    cluster.world.run(Milliseconds(cutFor));
+    owner.store.disconnected = false;
+    cluster.instances[1]->workers.unreachable.clear();
+    cluster.world.run(Milliseconds(60000));
+    CHECK(cluster.fleet.violations().empty());
+    for (const std::string id : { "a0", "a1", "a2" })
+        CHECK(cluster.storedState(id) == JobState::Completed);
+}
+
+// Guards against runs that are given up because no owner can renew them during an outage of the store that is shorter
+// than a worker's lease.
+TEST_CASE("runs continue through an outage of the store of 6 s")
+{
+    const SimStore::Mode outage = GENERATE(SimStore::Mode::Silent, SimStore::Mode::Refusing);
+    const int offset = GENERATE(range(0, 2000, 250));
+    CAPTURE(outage, offset);
+    SimCluster cluster(2);
+    cluster.addWorkers(2, 2);
+    cluster.world.run(Milliseconds(3000));
+    cluster.submit("batch", "a0", oneStep(32, 1, Milliseconds(15000), /*gang=*/false));
+    cluster.world.run(Milliseconds(2000 + offset));
+    REQUIRE(cluster.fleet.running() == 32);
+    cluster.store.mode = outage;
+    cluster.world.run(Milliseconds(6000));
+    cluster.store.mode = SimStore::Mode::Up;
+    cluster.world.run(Milliseconds(15000));
+    CHECK(cluster.fleet.violations().empty());
+    CHECK(cluster.fleet.startsOf(JobId("a0")) == 32);
+    CHECK(cluster.storedState("a0") == JobState::Completed);
+}
+
 } // namespace rosemarylink::jobs
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -434,14 +434,14 @@
 SimFleet::WorkerState* SimWorkerClient::findReachable(const WorkerId& id)
 {
     const auto position = fleet_.workers_.find(id);
-    if (killed || position == fleet_.workers_.end() || !position->second.up || fleet_.silent.count(id) > 0)
+    if (killed || position == fleet_.workers_.end() || !position->second.up || isCutOff(id))
         return nullptr;
     return &position->second;
 }
 
 bool SimWorkerClient::connectFails(const WorkerId& id)
 {
-    if (fleet_.silent.count(id) > 0)
+    if (isCutOff(id))
         return fleet_.cutResets || disconnected_.count(id) > 0;
     disconnected_.erase(id);
     return false;
@@ -456,7 +456,7 @@
     if (!findReachable(id)) {
         const auto position = fleet_.workers_.find(id);
         CommandResponse refusal;
-        if (position == fleet_.workers_.end() || !position->second.closed || fleet_.silent.count(id) > 0) {
+        if (position == fleet_.workers_.end() || !position->second.closed || isCutOff(id)) {
             if (connectFails(id))
                 refusal.outcome = CommandOutcome::Unreachable;
             world_.after(commandTimeout, [this, id] { disconnected_.insert(id); });
@@ -539,7 +539,7 @@
         SimFleet::WorkerState* const incarnation = findReachable(id);
         if (!incarnation) {
             const auto position = fleet_.workers_.find(id);
-            if (position != fleet_.workers_.end() && position->second.closed && fleet_.silent.count(id) == 0)
+            if (position != fleet_.workers_.end() && position->second.closed && !isCutOff(id))
                 once(position->second.replaced ? makeError(ErrorCode::NotFound, "another process is at this address")
                                                : unavailable("connection refused", Verdict::NotRun));
             return;
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -148,6 +148,7 @@
 
     bool killed = false;
     Milliseconds pausedUntil { 0 }; // nothing is delivered before
+    std::set<WorkerId> unreachable; // workers that this instance cannot reach
 
     void start(const WorkerEntry&, const StartCommand&, Milliseconds leaseEnd, FencingToken,
         std::function<void(const CommandResponse&)>) override;
@@ -157,6 +158,7 @@
         std::function<void(Result<WorkerReport>)>) override;
 
 private:
+    bool isCutOff(const WorkerId& id) const { return fleet_.silent.count(id) > 0 || unreachable.count(id) > 0; }
     SimFleet::WorkerState* findReachable(const WorkerId&);
     // Whether a call that is sent to the worker now cannot have been executed if it gets no response.
     bool connectFails(const WorkerId&);
