Tests: a worker with runs is in the stored fleet record, whatever happens to the writes of it

FleetRecord::restrictTo() takes the worker out of the permitted record before the write is sent, so that it gets no work and no renewal; only a later write that has been confirmed gives them back. All writes name the record's revision, so of a write without a response and its retries one at most takes effect.

--- a/tests/jobs/HandOverTest.cpp
+++ b/tests/jobs/HandOverTest.cpp
@@ -1,6 +1,10 @@
 #include "SimCluster.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
 
 namespace rosemarylink::jobs {
 
@@ -15,6 +19,25 @@
         };
     }
 
+    // Whether an owner that reads the stored fleet record now waits for all runs on the worker.
+    bool isWaitedFor(const SimCluster& cluster, const WorkerId& worker)
+    {
+        const Record* const record = cluster.store.find(keys::fleet);
+        bool listed = false;
+        for (const nlohmann::json& entry : record ? nlohmann::json::parse(record->value) : nlohmann::json::array()) {
+            listed = listed || entry == worker.value();
+            if (!entry.is_object() || entry.at("worker") != worker.value() || !entry.contains("jobs"))
+                continue;
+            std::set<JobId> recorded;
+            for (const nlohmann::json& job : entry.at("jobs"))
+                recorded.insert(JobId(job.get<std::string>()));
+            const std::set<JobId> present = cluster.fleet.jobsOn(worker);
+            if (!std::includes(recorded.begin(), recorded.end(), present.begin(), present.end()))
+                return false;
+        }
+        return listed;
+    }
+
     void endOwnership(SimInstance& instance)
     {
         instance.ownership.resign();
@@ -146,4 +169,38 @@
     CHECK(cluster.storedState("a0") == JobState::Completed);
 }
 
+// Guards against work on a worker that the stored fleet record does not list: a write that takes a worker out may still
+// be on its way, or have taken effect without a response, when the worker responds again.
+TEST_CASE("each worker with runs is in the stored fleet record while writes are lost, late or refused")
+{
+    const int seed = GENERATE(range(1, 21));
+    CAPTURE(seed);
+    SimCluster cluster(1);
+    cluster.addWorkers(2, 3);
+    cluster.world.run(Milliseconds(3000));
+    std::mt19937 random(static_cast<unsigned>(seed));
+    const auto draw = [&random](int from, int to) { return std::uniform_int_distribution<>(from, to)(random); };
+    for (int turn = 0; turn < 120; ++turn) {
+        const std::string id = "j" + std::to_string(turn);
+        cluster.store.lostResponseShare = 0;
+        cluster.store.refusesWrites = false;
+        cluster.submit("batch", id, oneStep(draw(1, 12), draw(1, 8), Milliseconds(draw(50, 4000)), /*gang=*/false));
+        cluster.store.lostResponseShare = draw(0, 3) * 0.25;
+        cluster.store.lostResponseWriteDelay = Milliseconds(draw(0, 2) * 700);
+        cluster.store.refusesWrites = draw(0, 4) == 0;
+        if (draw(0, 5) == 0)
+            cluster.fleet.silent.clear();
+        else if (draw(0, 3) == 0)
+            cluster.fleet.silent.insert(WorkerId("w" + std::to_string(draw(0, 1)) + "-" + std::to_string(draw(0, 2))));
+        for (int step = draw(10, 200); step > 0; --step) {
+            cluster.world.run(Milliseconds(10));
+            for (const WorkerId& worker : cluster.fleet.ids()) {
+                if (cluster.fleet.runningOn(worker) > 0 && !isWaitedFor(cluster, worker))
+                    FAIL(worker.value() + " is missing from " + cluster.store.find(keys::fleet)->value);
+            }
+        }
+    }
+    CHECK(cluster.fleet.violations().empty());
+}
+
 } // namespace rosemarylink::jobs
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -431,6 +431,14 @@
     return count;
 }
 
+std::set<JobId> SimFleet::jobsOn(const WorkerId& id) const
+{
+    std::set<JobId> jobs;
+    for (const auto& [task, run] : workers_.at(id).runs)
+        jobs.insert(task.job);
+    return jobs;
+}
+
 SimFleet::WorkerState* SimWorkerClient::findReachable(const WorkerId& id)
 {
     const auto position = fleet_.workers_.find(id);
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -74,6 +74,7 @@
     int staleCommands = 0; // commands and polls with a lower token than the worker has seen
     int running() const;
     int runningOn(const WorkerId& id) const { return static_cast<int>(workers_.at(id).runs.size()); }
+    std::set<JobId> jobsOn(const WorkerId&) const; // with runs there
     std::vector<std::string> checkpointsUsed; // one "task checkpoint" per start with a checkpoint
 
 private:
