--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -433,17 +433,25 @@
     return count;
 }
 
+std::set<JobId> SimFleet::jobsOn(const WorkerId& id) const
+{
+    std::set<JobId> jobs;
+    for (const auto& [task, run] : workers_.at(id).runs)
+        jobs.insert(task.job);
+    return jobs;
+}
+
 SimFleet::WorkerState* SimWorkerClient::findReachable(const WorkerId& id)
 {
     const auto position = fleet_.workers_.find(id);
-    if (killed || position == fleet_.workers_.end() || !position->second.up || fleet_.silent.count(id) > 0)
+    if (killed || position == fleet_.workers_.end() || !position->second.up || isCutOff(id))
         return nullptr;
     return &position->second;
 }
 
 bool SimWorkerClient::connectFails(const WorkerId& id)
 {
-    if (fleet_.silent.count(id) > 0)
+    if (isCutOff(id))
         return fleet_.cutResets || disconnected_.count(id) > 0;
     disconnected_.erase(id);
     return false;
@@ -458,7 +466,7 @@
     if (!findReachable(id)) {
         const auto position = fleet_.workers_.find(id);
         CommandResponse refusal;
-        if (position == fleet_.workers_.end() || !position->second.closed || fleet_.silent.count(id) > 0) {
+        if (position == fleet_.workers_.end() || !position->second.closed || isCutOff(id)) {
             if (connectFails(id))
                 refusal.outcome = CommandOutcome::Unreachable;
             world_.after(commandTimeout, [this, id] { disconnected_.insert(id); });
@@ -542,7 +550,7 @@
         SimFleet::WorkerState* const incarnation = findReachable(id);
         if (!incarnation) {
             const auto position = fleet_.workers_.find(id);
-            if (position != fleet_.workers_.end() && position->second.closed && fleet_.silent.count(id) == 0)
+            if (position != fleet_.workers_.end() && position->second.closed && !isCutOff(id))
                 once(position->second.replaced ? makeError(ErrorCode::NotFound, "another process is at this address")
                                                : unavailable("connection refused", Verdict::NotRun));
             return;
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -80,6 +80,7 @@
     int staleCommands = 0; // commands and polls with a lower token than the worker has seen
     int running() const;
     int runningOn(const WorkerId& id) const { return static_cast<int>(workers_.at(id).runs.size()); }
+    std::set<JobId> jobsOn(const WorkerId&) const; // with runs there
     std::vector<std::string> checkpointsUsed; // one "task checkpoint" per start with a checkpoint
 
 private:
@@ -166,6 +167,7 @@
 
     bool killed = false;
     Milliseconds pausedUntil { 0 }; // nothing is delivered before
+    std::set<WorkerId> unreachable; // workers that this instance cannot reach
 
     void start(const WorkerEntry&, const StartCommand&, Milliseconds leaseEnd, FencingToken,
         std::function<void(const CommandResponse&)>) override;
@@ -175,6 +177,7 @@
         std::function<void(Result<WorkerReport>)>) override;
 
 private:
+    bool isCutOff(const WorkerId& id) const { return fleet_.silent.count(id) > 0 || unreachable.count(id) > 0; }
     SimFleet::WorkerState* findReachable(const WorkerId&);
     // Whether a call that is sent to the worker now cannot have been executed if it gets no response.
     bool connectFails(const WorkerId&);
