Test: an owner and workers that get little processor time

An owner that is starved handles a response long after it was made. What it notes then as the time of a report, of a confirmation or of a reading of a worker's clock is later than the truth. That is safe where it says by when something had happened at the latest: leases count from the later time, and a run that is absent must have been confirmed before the report was requested. The new case plays this: responses are handled up to 2.5 s late, owner and workers stand still for up to 1.5 s each, workers are cut off and come back around the end of their leases, with one and two instances.

--- a/tests/jobs/MarginsTest.cpp
+++ b/tests/jobs/MarginsTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
 #include <utility>
 
 namespace rosemarylink::jobs {
@@ -83,4 +84,47 @@
     CHECK(cluster.fleet.violations().empty());
 }
 
+// Guards against decisions that take the time at which a response is handled for that at which it was made, in plays in
+// which the owner and the workers get little processor time: responses are handled seconds late, the owner stands
+// still, and workers that are cut off come back around the end of their leases.
+TEST_CASE("no task runs twice while the owner and the workers get little processor time")
+{
+    const int seed = GENERATE(range(1, 25));
+    const int instances = GENERATE(1, 2);
+    CAPTURE(seed, instances);
+    std::mt19937 random(static_cast<unsigned>(seed));
+    const auto draw = [&random](int from, int to) { return std::uniform_int_distribution<>(from, to)(random); };
+    SimCluster cluster(instances);
+    cluster.addWorkers(2, 3);
+    cluster.world.run(Milliseconds(3000));
+    for (const auto& instance : cluster.instances) {
+        instance->faultyWorkers.delayFor = [&](WorkerCall, const WorkerId&) {
+            return Milliseconds(draw(0, 4) == 0 ? draw(200, 2500) : draw(0, 30));
+        };
+    }
+    const auto anyWorker
+        = [&draw] { return WorkerId("w" + std::to_string(draw(0, 1)) + "-" + std::to_string(draw(0, 2))); };
+    for (int turn = 0; turn < 120; ++turn) {
+        const std::string id = "j" + std::to_string(turn);
+        const bool urgent = draw(0, 3) == 0;
+        cluster.submit(urgent ? "urgent" : "batch", id,
+            oneStep(draw(1, 6), draw(1, 4), Milliseconds(draw(150, 2500)), /*gang=*/false), 0, Milliseconds(4900));
+        if (turn % 3 == 0)
+            cluster.fleet.standStill(anyWorker(), Milliseconds(draw(100, 1500)), Milliseconds(draw(1, 300)));
+        if (turn % 7 == 0) {
+            if (SimInstance* const owner = cluster.currentOwner())
+                owner->pause(Milliseconds(draw(100, 1500)));
+        }
+        if (turn % 10 == 0) {
+            const WorkerId cutOff = anyWorker();
+            cluster.fleet.silent.insert(cutOff);
+            cluster.world.after(
+                Milliseconds(draw(500, 8500)), [&cluster, cutOff] { cluster.fleet.silent.erase(cutOff); });
+        }
+        cluster.world.run(Milliseconds(draw(50, 700)));
+    }
+    cluster.world.run(Milliseconds(60000));
+    CHECK(cluster.fleet.violations() == std::vector<std::string>());
+}
+
 } // namespace rosemarylink::jobs
