Owner: the lease of a start counts the age of the clock's reading as on the slowest clock

Callers saw two runs of a task at a time after a takeover: the task started elsewhere while its earlier run, whose start the worker had carried out late, went on with a valid lease.

Cause: an owner estimates a worker's clock from its last reading, and took the time since then in full. A worker without runs is not polled, so that after a minute on a clock that is 1.5% slow the deadline of a start lay 0.9 s too far ahead. The worker limits a lease when it gets the command, and a command can be carried out seconds later; then the deadline in it is what bounds the lease. A new owner waits for the longest lease from its takeover plus 250 ms and no longer. (The owner that sent the start was safe: its own limit counts from the reading.)

Now that time counts at the slowest rate, so that the deadline is never more than the longest lease ahead.

The first start on a worker that has been idle for over 300 s is refused as late and repeated with the new reading within 150 ms, as a second case shows.

--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -42,9 +42,11 @@
 
 } // namespace
 
+// The time since the last reading counts as on the slowest clock. Otherwise the lease of a worker that was read long
+// ago would be longer than the longest one, for which a new owner waits, if its call is executed late.
 Milliseconds OwnerSession::leaseEndFor(const Worker& worker) const
 {
-    return *worker.clock + (now() - worker.clockReadAt) + owner_.limits_.workerLease;
+    return *worker.clock + scaled(now() - worker.clockReadAt, slowestClockRate) + owner_.limits_.workerLease;
 }
 
 Milliseconds OwnerSession::latestLeaseEnd(const Worker& worker, Milliseconds leaseEnd)
--- a/tests/jobs/MarginsTest.cpp
+++ b/tests/jobs/MarginsTest.cpp
@@ -84,6 +84,58 @@
     CHECK(cluster.fleet.violations().empty());
 }
 
+// Guards against two runs of a task at a time: the lease of a start on a worker whose clock had last been read long ago
+// ended later than the owner's limit allows, so that a new owner did not wait for a start that was carried out late.
+TEST_CASE("a late start by the previous owner on a worker that had been idle has no lease beyond a new owner's wait")
+{
+    const int idleFor = GENERATE(10000, 60000, 120000, 250000);
+    const int lateBy = GENERATE(600, 1500, 4000);
+    CAPTURE(idleFor, lateBy);
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(idleFor));
+    cluster.fleet.delayedCommandShare = 1;
+    cluster.fleet.commandDelay = Milliseconds(lateBy);
+    cluster.submit("batch", "a0", oneStep(1, 8, Milliseconds(20000), /*gang=*/false));
+    cluster.world.run(Milliseconds(100));
+    cluster.fleet.silent = { holder };
+    cluster.instances[0]->ownership.resign();
+    cluster.instances[0]->owner.end();
+    cluster.instances[0]->kill();
+    cluster.fleet.delayedCommandShare = 0;
+    addSpareWorkers(cluster);
+    cluster.addInstance();
+    cluster.world.run(Milliseconds(60000));
+    CHECK(cluster.fleet.startsOf(JobId("a0")) == 2);
+    CHECK(cluster.storedState("a0") == JobState::Completed);
+    CHECK(cluster.fleet.violations() == std::vector<std::string>());
+}
+
+// Guards against work that waits for a worker whose clock had last been read so long ago that the lease of its first
+// start command is over on that clock.
+TEST_CASE("work starts at once on a worker that has been idle for minutes")
+{
+    const int idleFor = GENERATE(250000, 400000);
+    CAPTURE(idleFor);
+    SimFleet::Options options;
+    options.clockRate = 1;
+    SimCluster cluster(1, options);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(idleFor));
+    int commands = 0;
+    cluster.instances[0]->faultyWorkers.faultFor = [&commands](WorkerCall call, const WorkerId&) {
+        commands += call == WorkerCall::Start ? 1 : 0;
+        return CallFault::None;
+    };
+    cluster.submit("batch", "a0", oneStep(1, 8, Milliseconds(20000), /*gang=*/false));
+    cluster.world.run(Milliseconds(150));
+    CHECK(cluster.fleet.runningOn(holder) == 1);
+    CHECK(commands == (idleFor > 300000 ? 2 : 1)); // the first one is refused as late
+    cluster.world.run(Milliseconds(25000));
+    CHECK(cluster.fleet.startsOf(JobId("a0")) == 1);
+    CHECK(cluster.storedState("a0") == JobState::Completed);
+}
+
 // Guards against decisions that take the time at which a response is handled for that at which it was made, in plays in
 // which the owner and the workers get little processor time: responses are handled seconds late, the owner stands
 // still, and workers that are cut off come back around the end of their leases.
