--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -44,10 +44,15 @@
 
 // The end of a lease that is granted now, on the worker's clock. The next owner takes a worker that it cannot reach for
 // free of runs after one lease of its own ownership, so no lease counts from a time at which there may be a next owner.
+// The time since the worker's clock was read counts as on the slowest clock. Otherwise the lease of a worker that was
+// read long ago would be longer than the longest one if its call is executed late.
 Milliseconds OwnerSession::leaseEndFor(const Worker& worker) const
 {
     const Milliseconds grantedAt = std::min(now(), owner_.ownership_.exclusiveUntil());
-    return *worker.clock + (grantedAt - worker.clockReadAt) + owner_.limits_.workerLease;
+    const Milliseconds sinceReading = grantedAt - worker.clockReadAt;
+    const Milliseconds leastAdvance
+        = sinceReading > Milliseconds(0) ? scaled(sinceReading, slowestClockRate) : sinceReading;
+    return *worker.clock + leastAdvance + owner_.limits_.workerLease;
 }
 
 Milliseconds OwnerSession::latestLeaseEnd(const Worker& worker, Milliseconds leaseEnd)
