Owner: the end of a lease does not end a run whose start got no response

Callers would see two runs of a task at the same time, or a task that starts again after it was done.

PROTOCOL.md: a call that receives no response "may also be executed seconds later, after newer calls", and a minion "may start again under the Id that it had. It then holds and knows nothing of before, and its counts start anew". X-Expected-Instance carries only the id, so nothing lets the new process tell that the call was for the one before it; it knows no fence, stop or end, and the command's DeadlineMs is on a clock that has started anew. Hence a command that is held back may be executed by the next process of its worker. The simulation dropped such commands, while handleRestart allowed for them; now both allow for them.

- RunEvidence::leaseOver proves nothing about a run with a start command that may still be executed.
The run stays known and occupies its worker until 12 s and one lease after the start got no response; the limit in the fleet record counts it.
- A worker remembers the runs with such commands also after they have ended, is not removed meanwhile, and when it has restarted the runs are stopped on the new process, which then refuses late starts as old.
- The lease of a restarted worker counts from the last start that may be on its way instead of always from 12 s later.

Tests: "a start without a response keeps its task ..." fails in 6 of 6 cases before (two runs at the same time), "a start without a response is refused ..." in 3 of 3 (8 starts of 4 tasks).

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -72,6 +72,8 @@
     Milliseconds aliveAt { 0 }; // when the newest poll that got a report was sent
     WorkerLease lease; // all runs on the worker, known or not, have ended by its end
     std::map<RunKey, WorkerRun> runs;
+    // Runs with a start command that may still be executed, and until when. The run may have ended since.
+    std::map<RunKey, Milliseconds> strayStarts;
     // Runs that ended with the lease of an unresponsive worker, which may have crashed under them or been cut off. The
     // worker is polled until that is known, but not for longer than `undecidedUntil`.
     std::vector<RunKey> undecidedRuns;
@@ -169,6 +171,12 @@
     void handleRunning(Worker&, const RunningRun&);
     void resolveAbsentRuns(Worker&, const WorkerReport&, Milliseconds sentAt);
     void adoptRun(Worker&, Job&, const RunningRun&);
+    void noteStrayStart(Worker&, const RunKey&, CommandOutcome);
+    void forgetStrayStarts();
+    // Reserves the worker for the runs that late starts may bring about.
+    void addStrayRuns(Worker&);
+    // When the last of the worker's runs is over if the worker does not respond again.
+    Milliseconds runsOverBy(const Worker&) const;
     void handleRestart(Worker&);
     void handleLeaseOver(Worker&);
     // Ends the runs that are proven gone.
--- a/src/jobs/OwnerSessionRecords.cpp
+++ b/src/jobs/OwnerSessionRecords.cpp
@@ -261,7 +261,7 @@
     for (const auto& [key, run] : worker.runs)
         silent.jobs->insert(key.first.job);
     if (!mayRenewLease(worker))
-        silent.leaseLimit = std::max(Milliseconds(0), worker.lease.end() - now());
+        silent.leaseLimit = std::max(Milliseconds(0), runsOverBy(worker) - now());
     return silent;
 }
 
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -375,6 +375,7 @@
     commandWindow_.sent();
     WorkerRun& run = worker.runs.at(key);
     ++run.startAttempts;
+    worker.strayStarts[key] = now() + longestCommandDelay;
     const Milliseconds leaseEnd = leaseEndFor(worker);
     const WorkerLease::Extension extension = worker.lease.extendBy(latestLeaseEnd(worker, leaseEnd));
     const WorkerId id = worker.entry.id;
@@ -383,8 +384,10 @@
     owner_.workers_.start(worker.entry, { key.first, key.second, job.spec.payload, run.checkpoint }, leaseEnd, token_,
         guarded([this, key, id, incarnation, sentAt, extension](const CommandResponse& response) {
             commandWindow_.responded(now(), now() - sentAt);
-            if (Worker* const started = find(id); started && started->incarnation == incarnation)
+            if (Worker* const started = find(id); started && started->incarnation == incarnation) {
                 started->lease.settle(extension, response.outcome != CommandOutcome::Unreachable);
+                noteStrayStart(*started, key, response.outcome);
+            }
             owner_.metrics_.startResponse.record(static_cast<double>((now() - sentAt).count()));
             if (response.outcome != CommandOutcome::Accepted)
                 owner_.metrics_.countRefusedStart(response.outcome);
@@ -467,7 +470,6 @@
         owner_.ownership_.reportConflict();
         return;
     case CommandOutcome::Unknown:
-        run.strayStartUntil = now() + longestCommandDelay;
         if (run.phase == TaskPhase::Starting) {
             scheduleImmediatePoll(id, Milliseconds(0)); // the report shows the run if the command was executed
             repeatStartLater(key, id, incarnation);
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -209,6 +209,7 @@
     if (replaced) {
         handleCrash(worker, "another process is at its address");
         endGoneRuns(worker, RunEvidence::otherProcess(sentAt), "another process is at its address");
+        worker.strayStarts.clear();
     }
     if (worker.listed || !worker.runs.empty())
         schedulePoll(id, retryDelay);
@@ -381,12 +382,63 @@
                 { "end", runEndName(end) }, { "requestedMsAgo", (now() - sentAt).count() },
                 { "reportClock", report.workerClock.count() }, { "born", worker.entry.startTimeMs } });
         worker.runs.erase(key);
+        Job* const job = find(key.first.job);
+        if (!job)
+            continue;
         noteRunGone(key, worker.entry.id, std::string(evidence.name()), sentAt);
-        if (Job* const job = find(key.first.job))
-            endRun(*job, key.first, key.second, end, "", worker.entry.id);
+        endRun(*job, key.first, key.second, end, "", worker.entry.id);
+    }
+}
+
+// Notes from the response to a start command whether one for the run may still be executed.
+void OwnerSession::noteStrayStart(Worker& worker, const RunKey& key, CommandOutcome outcome)
+{
+    const auto run = worker.runs.find(key);
+    if (outcome == CommandOutcome::Unknown) {
+        const Milliseconds until = now() + longestCommandDelay;
+        worker.strayStarts[key] = until;
+        if (run != worker.runs.end())
+            run->second.strayStartUntil = until;
+    } else if (run != worker.runs.end() && !run->second.strayStartUntil) {
+        worker.strayStarts.erase(key);
+    }
+}
+
+void OwnerSession::forgetStrayStarts()
+{
+    for (auto& [id, worker] : workers_) {
+        for (auto stray = worker.strayStarts.begin(); stray != worker.strayStarts.end();)
+            stray = now() < stray->second ? std::next(stray) : worker.strayStarts.erase(stray);
     }
 }
 
+// The new process does not know that a run has ended, so it would execute a late start for it.
+void OwnerSession::addStrayRuns(Worker& worker)
+{
+    for (const auto& [key, until] : worker.strayStarts) {
+        if (now() >= until)
+            continue;
+        const Job* const job = find(key.first.job);
+        WorkerRun run;
+        if (job && job->contains(key.first))
+            run.resources = job->stepSpec(key.first).perTask;
+        run.phase = TaskPhase::Stopping;
+        run.strayStartUntil = until;
+        run.startedAt = now();
+        worker.runs.emplace(key, run);
+    }
+}
+
+Milliseconds OwnerSession::runsOverBy(const Worker& worker) const
+{
+    Milliseconds latest = worker.lease.end();
+    for (const auto& [key, run] : worker.runs) {
+        if (run.strayStartUntil)
+            latest = std::max(latest, *run.strayStartUntil + longestLease());
+    }
+    return latest;
+}
+
 // Resets the state of a restarted worker: it has seen no token, numbers its ends anew, and its earlier runs are gone.
 // A start command in flight may have reached the new incarnation, so only its report tells which runs exist.
 void OwnerSession::handleRestart(Worker& worker)
@@ -403,6 +455,7 @@
     worker.acknowledged = 0;
     worker.pendingEnds.clear();
     worker.recentFailures.clear();
+    addStrayRuns(worker);
     std::vector<RunKey> unconfirmed;
     for (auto& [key, run] : worker.runs) {
         run.stopAcceptedAt.reset(); // by the earlier incarnation
@@ -413,10 +466,12 @@
         else
             unconfirmed.push_back(key);
     }
-    // The lease end of an unconfirmed start is on the clock of the earlier incarnation, so the new incarnation does not
-    // reject it as late.
-    const Milliseconds lateness = unconfirmed.empty() ? Milliseconds(0) : longestCommandDelay;
-    worker.lease.reset(now() + lateness + scaled(owner_.limits_.workerLease, 1.0 / slowestClockRate) + leaseMargin);
+    // The lease end of a late start is on the clock of the earlier incarnation, so the new incarnation does not reject
+    // it as late.
+    Milliseconds lastStart = now();
+    for (const auto& [key, until] : worker.strayStarts)
+        lastStart = std::max(lastStart, until);
+    worker.lease.reset(lastStart + scaled(owner_.limits_.workerLease, 1.0 / slowestClockRate) + leaseMargin);
     for (const RunKey& key : unconfirmed) {
         Job* const job = find(key.first.job);
         if (job && job->contains(key.first) && job->task(key.first).run == key.second
@@ -430,10 +485,14 @@
 // A worker that is silent until its lease ends may have crashed or been cut off, which only its return shows.
 void OwnerSession::handleLeaseOver(Worker& worker)
 {
-    const std::vector<RunKey> undecided = possibleCauses(worker);
-    worker.undecidedRuns.insert(worker.undecidedRuns.end(), undecided.begin(), undecided.end());
-    worker.undecidedUntil = now() + longestReturn;
-    endGoneRuns(worker, RunEvidence::leaseOver(), "the worker's lease has expired");
+    const RunEvidence evidence = RunEvidence::leaseOver(now(), longestLease());
+    for (const RunKey& key : possibleCauses(worker)) {
+        if (!evidence.endOf(worker.runs.at(key)))
+            continue;
+        worker.undecidedRuns.push_back(key);
+        worker.undecidedUntil = now() + longestReturn;
+    }
+    endGoneRuns(worker, evidence, "the worker's lease has expired");
 }
 
 void OwnerSession::endGoneRuns(Worker& worker, const RunEvidence& evidence, const std::string& reason)
--- a/src/jobs/RunEvidence.cpp
+++ b/src/jobs/RunEvidence.cpp
@@ -7,7 +7,10 @@
     return { Kind::OtherProcess, requestedAt, Milliseconds(0) };
 }
 
-RunEvidence RunEvidence::leaseOver() { return { Kind::LeaseOver, Milliseconds(0), Milliseconds(0) }; }
+RunEvidence RunEvidence::leaseOver(Milliseconds observedAt, Milliseconds longestLease)
+{
+    return { Kind::LeaseOver, observedAt, longestLease };
+}
 
 RunEvidence RunEvidence::absence(const WorkerReport& report, Milliseconds requestedAt, Milliseconds longestStop)
 {
@@ -31,16 +34,18 @@
 
 std::optional<RunEnd> RunEvidence::endOf(const WorkerRun& run) const
 {
-    const bool confirmedBefore = run.confirmedAt && *run.confirmedAt < requestedAt_;
+    const bool confirmedBefore = run.confirmedAt && *run.confirmedAt < observedAt_;
     switch (kind_) {
     case Kind::LeaseOver:
+        if (run.strayStartUntil && observedAt_ < *run.strayStartUntil + longestEnd_)
+            return std::nullopt;
         return RunEnd::LeaseExpired;
-    case Kind::OtherProcess:
-        return run.startedAt <= requestedAt_ ? std::optional(RunEnd::LeaseExpired) : std::nullopt;
+    case Kind::OtherProcess: // which refuses what is on its way to the worker's id
+        return run.startedAt <= observedAt_ ? std::optional(RunEnd::LeaseExpired) : std::nullopt;
     case Kind::IncompleteReport: // the end may be among those that are not listed
         return std::nullopt;
     case Kind::Absence:
-        if (run.stopAcceptedAt && *run.stopAcceptedAt + longestStop_ <= requestedAt_)
+        if (run.stopAcceptedAt && *run.stopAcceptedAt + longestEnd_ <= observedAt_)
             return RunEnd::Stopped;
         if (confirmedBefore && run.phase != TaskPhase::Stopping)
             return RunEnd::LeaseExpired;
--- a/src/jobs/RunEvidence.h
+++ b/src/jobs/RunEvidence.h
@@ -11,10 +11,15 @@
 //
 // - the worker has listed its end,
 // - another process has answered at the worker's address after the start command was sent,
-// - the lease of the worker is over, measured on the slowest clock that a worker may have, or
+// - the lease of the worker is over, measured on the slowest clock that a worker may have, and no start command for the
+//   run is on its way, or
 // - a report with all ends that was requested after the run was confirmed, or after its stop must have finished, shows
 //   neither the run nor its end.
 //
+// A start command without a response may be executed seconds later, also by a process that has started again under the
+// worker's id. That process has a new clock and knows no lease, stop or end, so that the command's lease end does not
+// make it refuse the command, and the lease of the earlier process says nothing about what it runs.
+//
 // A call that timed out, a refused connection and a missing registration prove nothing, alone or together: a worker
 // that is cut off from this instance and from the store shows all three while its runs go on.
 namespace rosemarylink::jobs::internal {
@@ -26,8 +31,9 @@
     // Another process has answered a call to the worker's address that was sent at `requestedAt`.
     static RunEvidence otherProcess(Milliseconds requestedAt);
 
-    // The lease of all runs on the worker is over.
-    static RunEvidence leaseOver();
+    // The lease of all runs that the worker's process had at `observedAt` is over. A process that starts again under
+    // its id may hold a run for up to `longestLease` after the last command for it.
+    static RunEvidence leaseOver(Milliseconds observedAt, Milliseconds longestLease);
 
     // The report, which was requested at `requestedAt`, shows neither the run nor its end. A run disappears from
     // reports for up to `longestStop` while it is being stopped.
@@ -42,16 +48,16 @@
 private:
     enum class Kind { OtherProcess, LeaseOver, Absence, IncompleteReport };
 
-    RunEvidence(Kind kind, Milliseconds requestedAt, Milliseconds longestStop)
+    RunEvidence(Kind kind, Milliseconds observedAt, Milliseconds longestEnd)
         : kind_(kind)
-        , requestedAt_(requestedAt)
-        , longestStop_(longestStop)
+        , observedAt_(observedAt)
+        , longestEnd_(longestEnd)
     {
     }
 
     Kind kind_;
-    Milliseconds requestedAt_;
-    Milliseconds longestStop_;
+    Milliseconds observedAt_; // when the observation was requested
+    Milliseconds longestEnd_; // how long a run may go on unseen after a stop or a late start
 };
 
 } // namespace rosemarylink::jobs::internal
--- a/tests/jobs/RestartedWorkersTest.cpp
+++ b/tests/jobs/RestartedWorkersTest.cpp
@@ -4,6 +4,62 @@
 
 namespace rosemarylink::jobs {
 
+// Guards against two runs of a task at a time: the end of a worker's lease counted as the end of a run whose start had
+// got no response, and a process that started again under the worker's id executed that start afterwards.
+TEST_CASE("a start without a response keeps its task until no process of the worker can execute it any more")
+{
+    const int delay = GENERATE(7500, 9000, 11500);
+    const bool longRunning = GENERATE(false, true);
+    CAPTURE(delay, longRunning);
+    const WorkerId worker("w0-0");
+    const WorkerId spare("spare");
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(3000));
+    JobSpec job = oneStep(1, 1, Milliseconds(60000), /*gang=*/false);
+    job.steps[0].longRunning = longRunning;
+    cluster.fleet.delayedCommandShare = 1;
+    cluster.fleet.commandDelay = Milliseconds(delay);
+    const Milliseconds startedAt = cluster.world.now();
+    cluster.submit("batch", "a0", job);
+    cluster.world.run(Milliseconds(100));
+    cluster.fleet.delayedCommandShare = 0;
+    cluster.fleet.silent = { worker };
+    cluster.fleet.add(spare, "r0", { 32000, 64000, 8 });
+    cluster.world.run(Milliseconds(7000));
+    cluster.fleet.restart(worker);
+    while (cluster.fleet.runningOn(spare) == 0 && cluster.world.now() < startedAt + Milliseconds(30000))
+        cluster.world.run(Milliseconds(10));
+    CHECK(cluster.world.now() - startedAt <= Milliseconds(20000));
+    cluster.world.run(Milliseconds(10000));
+    CHECK(cluster.fleet.violations().empty());
+    CHECK(cluster.fleet.runningOn(spare) == 1);
+}
+
+// Guards the same after the end of a run: a start whose repetition had been executed was executed once more, by a
+// process that started again under the worker's id and had not been told to refuse it.
+TEST_CASE("a start without a response is refused by the worker's next process although its run has ended")
+{
+    const int restartAfter = GENERATE(200, 1500, 3000);
+    CAPTURE(restartAfter);
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(3000));
+    cluster.fleet.delayedCommandShare = 1;
+    cluster.fleet.commandDelay = Milliseconds(8000);
+    cluster.submit("batch", "a0", oneStep(4, 1, Milliseconds(300), /*gang=*/false));
+    cluster.world.run(Milliseconds(100));
+    cluster.fleet.delayedCommandShare = 0;
+    while (cluster.storedState("a0") != JobState::Completed && cluster.world.now() < Milliseconds(10000))
+        cluster.world.run(Milliseconds(100));
+    cluster.world.run(Milliseconds(restartAfter));
+    REQUIRE(cluster.fleet.startsOf(JobId("a0")) == 4);
+    cluster.fleet.restart(WorkerId("w0-0"));
+    cluster.world.run(Milliseconds(20000));
+    CHECK(cluster.fleet.violations().empty());
+    CHECK(cluster.fleet.startsOf(JobId("a0")) == 4);
+}
+
 // Guards against two runs of a task at a time: a poll of a worker that had been removed was taken for one of the worker
 // that was registered under the same id later, and its failure took an extension of that one's lease back.
 TEST_CASE("the response to a poll of a removed worker says nothing about the one that is registered again")
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -469,10 +469,10 @@
     }
     if (std::uniform_real_distribution<>(0, 1)(fleet_.random) < fleet_.delayedCommandShare) {
         respond(commandTimeout, {});
-        // The delayed command is queued inside the worker, so it is lost if the worker restarts.
-        world_.after(fleet_.commandDelay, [this, id, work, number = findReachable(id)->number] {
+        // The command names the worker by its id only, so a process that has started again under that id executes it.
+        world_.after(fleet_.commandDelay, [this, id, work] {
             SimFleet::WorkerState& incarnation = fleet_.workers_.at(id);
-            if (incarnation.up && incarnation.number == number)
+            if (incarnation.up)
                 work(incarnation);
         });
         return;
