--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -91,6 +91,7 @@
     stopIncompleteGangs();
     checkRecovered();
     noteSilentWorkers();
+    forgetStrayStarts();
     removeDepartedWorkers();
     removeExpiredRecords();
     schedulePlan();
@@ -396,8 +397,8 @@
         const Worker& worker = position->second;
         const bool undecided = !worker.undecidedRuns.empty() && now() < worker.undecidedUntil;
         const bool endsStored = worker.lease.isOver(now()) || jobsOfUnstoredEnds(worker).empty();
-        const bool departed = !worker.listed && worker.runs.empty() && endsStored && !undecided
-            && unconfirmedWorkers_.count(position->first) == 0;
+        const bool departed = !worker.listed && worker.runs.empty() && worker.strayStarts.empty() && endsStored
+            && !undecided && unconfirmedWorkers_.count(position->first) == 0;
         dropped = dropped || departed;
         position = departed ? workers_.erase(position) : std::next(position);
     }
--- a/src/jobs/RunEvidence.cpp
+++ b/src/jobs/RunEvidence.cpp
@@ -2,13 +2,19 @@
 
 namespace rosemarylink::jobs::internal {
 
-RunEvidence RunEvidence::otherProcess(Milliseconds requestedAt) { return { Kind::OtherProcess, requestedAt }; }
+RunEvidence RunEvidence::otherProcess(Milliseconds requestedAt)
+{
+    return { Kind::OtherProcess, requestedAt, Milliseconds(0) };
+}
 
-RunEvidence RunEvidence::leaseOver() { return { Kind::LeaseOver, Milliseconds(0) }; }
+RunEvidence RunEvidence::leaseOver(Milliseconds observedAt, Milliseconds longestLease)
+{
+    return { Kind::LeaseOver, observedAt, longestLease };
+}
 
 RunEvidence RunEvidence::absence(const WorkerReport& report, Milliseconds requestedAt)
 {
-    return { report.endsComplete ? Kind::Absence : Kind::IncompleteReport, requestedAt };
+    return { report.endsComplete ? Kind::Absence : Kind::IncompleteReport, requestedAt, Milliseconds(0) };
 }
 
 std::string_view RunEvidence::name() const
@@ -28,18 +34,20 @@
 
 std::optional<RunEnd> RunEvidence::endOf(const WorkerRun& run) const
 {
-    const bool confirmedBefore = run.confirmedAt && *run.confirmedAt < requestedAt_;
+    const bool confirmedBefore = run.confirmedAt && *run.confirmedAt < observedAt_;
     switch (kind_) {
     case Kind::LeaseOver:
+        if (run.strayStartUntil && observedAt_ < *run.strayStartUntil + longestLease_)
+            return std::nullopt;
         return RunEnd::LeaseExpired;
-    case Kind::OtherProcess:
-        return run.startedAt <= requestedAt_ ? std::optional(RunEnd::LeaseExpired) : std::nullopt;
+    case Kind::OtherProcess: // which refuses what is on its way to the worker's id
+        return run.startedAt <= observedAt_ ? std::optional(RunEnd::LeaseExpired) : std::nullopt;
     case Kind::IncompleteReport: // the end may be among those that are not listed
         return std::nullopt;
     case Kind::Absence:
         if (run.phase != TaskPhase::Stopping)
             return confirmedBefore ? std::optional(RunEnd::LeaseExpired) : std::nullopt;
-        if (!run.listsEnd && run.stopOverAt && *run.stopOverAt < requestedAt_)
+        if (!run.listsEnd && run.stopOverAt && *run.stopOverAt < observedAt_)
             return RunEnd::Stopped;
         return std::nullopt;
     }
--- a/src/jobs/RunEvidence.h
+++ b/src/jobs/RunEvidence.h
@@ -11,7 +11,8 @@
 //
 // - the worker has listed its end,
 // - another process has answered at the worker's address after the start command was sent,
-// - the lease of the worker is over, measured on the slowest clock that a worker may have, or
+// - the lease of the worker is over, measured on the slowest clock that a worker may have, and no start command for the
+//   run is on its way, or
 // - a report with all ends that was requested after the run was confirmed shows neither the run nor its end.
 //
 // A run disappears from reports while it is being stopped, and its worker may stand still in the middle of that. A run
@@ -19,6 +20,10 @@
 // reports in succession, both made after the longest stop on the worker's clock, show neither it nor its end. The
 // second is requested after the first was received, so that the worker has taken up in between what was due.
 //
+// A start command without a response may be executed seconds later, also by a process that has started again under the
+// worker's id. That process has a new clock and knows no lease, stop or end, so that the command's lease end does not
+// make it refuse the command, and the lease of the earlier process says nothing about what it runs.
+//
 // A call that timed out, a refused connection and a missing registration prove nothing, alone or together: a worker
 // that is cut off from this instance and from the store shows all three while its runs go on.
 namespace rosemarylink::jobs::internal {
@@ -30,8 +35,9 @@
     // Another process has answered a call to the worker's address that was sent at `requestedAt`.
     static RunEvidence otherProcess(Milliseconds requestedAt);
 
-    // The lease of all runs on the worker is over.
-    static RunEvidence leaseOver();
+    // The lease of all runs that the worker's process had at `observedAt` is over. A process that starts again under
+    // its id may hold a run for up to `longestLease` after the last command for it.
+    static RunEvidence leaseOver(Milliseconds observedAt, Milliseconds longestLease);
 
     // The report, which was requested at `requestedAt`, shows neither the run nor its end.
     static RunEvidence absence(const WorkerReport&, Milliseconds requestedAt);
@@ -45,14 +51,16 @@
 private:
     enum class Kind { OtherProcess, LeaseOver, Absence, IncompleteReport };
 
-    RunEvidence(Kind kind, Milliseconds requestedAt)
+    RunEvidence(Kind kind, Milliseconds observedAt, Milliseconds longestLease)
         : kind_(kind)
-        , requestedAt_(requestedAt)
+        , observedAt_(observedAt)
+        , longestLease_(longestLease)
     {
     }
 
     Kind kind_;
-    Milliseconds requestedAt_;
+    Milliseconds observedAt_; // when the observation was requested
+    Milliseconds longestLease_; // how long a run may go on unseen after a late start
 };
 
 } // namespace rosemarylink::jobs::internal
