Owner: the limit of a lease allows for a worker that ends its runs late

Callers saw two runs of a task at a time if a worker that was cut off ended its runs a tenth of a second after its lease, as one with little processor time does.

Cause: the limit by which runs count as over with their lease allowed for the slowest clock and nothing else. A worker whose clock is that slow had no time to notice the end of the lease. A takeover and a restart had 250 ms more each, from two constants with the same name; the usual case, an owner that loses sight of a worker, had none.

Now WorkerLease adds the time in one place, and the fleet record and the takeover have the same limit as before or the one that the owner itself uses. It stays an assumption: the platform says that everything is killed when the lease ends, and nothing can be observed of a worker that is cut off.

--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -32,9 +32,6 @@
     // long as it may and fails is repeated before.
     constexpr Milliseconds longestUnfollowed { 15000 };
 
-    // Added to the end of a lease to allow for a command that was in flight when the previous owner lost ownership.
-    constexpr Milliseconds leaseMargin { 250 };
-
     // Limit on text of another writer in a log line, in bytes.
     constexpr std::size_t maximumLoggedText = 200;
 
@@ -402,11 +399,12 @@
         writeFleet();
 }
 
-// The longest time for which a run may go on after the last renewal of its lease, on the owner's clock.
+// The longest time for which a run may go on after the last renewal of its lease was sent, on the owner's clock. A
+// command in flight extends the lease no further, because it names the time at which the lease ends.
 Milliseconds OwnerSession::longestLease() const
 {
     const auto lease = static_cast<double>(owner_.limits_.workerLease.count());
-    return Milliseconds(static_cast<std::int64_t>(lease / slowestClockRate)) + leaseMargin;
+    return Milliseconds(static_cast<std::int64_t>(lease / slowestClockRate)) + longestKill;
 }
 
 // Gives up waiting for workers whose leases are over, and lets the jobs go on that cannot have runs on the others.
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -30,9 +30,6 @@
     // A restart of a worker takes longer than this.
     constexpr Milliseconds minimumRestartTime { 250 };
 
-    // Added to the end of a lease to allow for a command in flight.
-    constexpr Milliseconds leaseMargin { 250 };
-
     const Logger logger("workers");
 
     Milliseconds scaled(Milliseconds time, double factor)
@@ -459,7 +456,7 @@
     // The lease end of an unconfirmed start is on the clock of the earlier incarnation, so the new incarnation does not
     // reject it as late.
     const Milliseconds lateness = unconfirmed.empty() ? Milliseconds(0) : longestCommandDelay;
-    worker.lease.reset(now() + lateness + scaled(owner_.limits_.workerLease, 1.0 / slowestClockRate) + leaseMargin);
+    worker.lease.reset(now() + lateness + scaled(owner_.limits_.workerLease, 1.0 / slowestClockRate));
     for (const RunKey& key : unconfirmed) {
         Job* const job = find(key.first.job);
         if (job && job->contains(key.first) && job->task(key.first).run == key.second
--- a/src/jobs/WorkerLease.cpp
+++ b/src/jobs/WorkerLease.cpp
@@ -33,7 +33,7 @@
     Milliseconds latest = end_;
     for (const auto& [extension, end] : pending_)
         latest = std::max(latest, end);
-    return latest;
+    return latest.count() > 0 ? latest + longestKill : latest;
 }
 
 } // namespace rosemarylink::jobs::internal
--- a/tests/jobs/MarginsTest.cpp
+++ b/tests/jobs/MarginsTest.cpp
@@ -136,6 +136,35 @@
     CHECK(cluster.storedState("a0") == JobState::Completed);
 }
 
+// Guards against two runs of a task at a time: a worker that was cut off from its owner and got little processor time
+// ended its runs a moment after its lease, when they had started elsewhere.
+TEST_CASE("runs that a cut-off worker ends a little late, when its lease is over, do not run a second time meanwhile")
+{
+    const int late = GENERATE(50, 100, 200, 240);
+    const double clockRate = GENERATE(0.98, 0.985);
+    CAPTURE(late, clockRate);
+    SimFleet::Options options;
+    options.clockRate = clockRate;
+    SimCluster cluster(1, options);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(3000));
+    cluster.submit("batch", "a0", oneStep(1, 8, Milliseconds(20000), /*gang=*/false));
+    cluster.world.run(Milliseconds(1000));
+    REQUIRE(cluster.fleet.runningOn(holder) == 1);
+    addSpareWorkers(cluster);
+    cluster.fleet.silent = { holder };
+    cluster.world.run(Milliseconds(4000));
+    const Milliseconds leaseEnd = cluster.fleet.leaseEnd(holder);
+    REQUIRE(leaseEnd > cluster.world.now());
+    cluster.world.run(leaseEnd - cluster.world.now() - Milliseconds(1));
+    REQUIRE(cluster.fleet.runningOn(holder) == 1);
+    cluster.fleet.standStill(holder, Milliseconds(late), Milliseconds(1));
+    cluster.world.run(Milliseconds(60000));
+    CHECK(cluster.fleet.startsOf(JobId("a0")) == 2);
+    CHECK(cluster.storedState("a0") == JobState::Completed);
+    CHECK(cluster.fleet.violations() == std::vector<std::string>());
+}
+
 // Guards against decisions that take the time at which a response is handled for that at which it was made, in plays in
 // which the owner and the workers get little processor time: responses are handled seconds late, the owner stands
 // still, and workers that are cut off come back around the end of their leases.
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -78,6 +78,7 @@
     std::vector<WorkerId> ids() const; // of the workers that are up
     int staleCommands = 0; // commands and polls with a lower token than the worker has seen
     int running() const;
+    Milliseconds leaseEnd(const WorkerId&) const; // in simulated time
     int runningOn(const WorkerId& id) const { return static_cast<int>(workers_.at(id).runs.size()); }
     std::vector<std::string> checkpointsUsed; // one "task checkpoint" per start with a checkpoint
 
--- a/tests/jobs/SimStandstill.cpp
+++ b/tests/jobs/SimStandstill.cpp
@@ -47,4 +47,10 @@
     return Milliseconds(static_cast<std::int64_t>(static_cast<double>(duration.count()) / options_.clockRate));
 }
 
+Milliseconds SimFleet::leaseEnd(const WorkerId& id) const
+{
+    const WorkerState& incarnation = workers_.at(id);
+    return world_.now() + onSlowClock(incarnation.leaseEnd - clockOf(incarnation));
+}
+
 } // namespace rosemarylink::jobs
