--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -30,9 +30,6 @@
     // A restart of a worker takes longer than this.
     constexpr Milliseconds minimumRestartTime { 250 };
 
-    // Added to the end of a lease to allow for a command in flight.
-    constexpr Milliseconds leaseMargin { 250 };
-
     const Logger logger("workers");
 
     Milliseconds scaled(Milliseconds time, double factor)
@@ -521,7 +518,7 @@
     Milliseconds lastStart = now();
     for (const auto& [key, until] : worker.strayStarts)
         lastStart = std::max(lastStart, until);
-    worker.lease.reset(lastStart + scaled(owner_.limits_.workerLease, 1.0 / slowestClockRate) + leaseMargin);
+    worker.lease.reset(lastStart + scaled(owner_.limits_.workerLease, 1.0 / slowestClockRate));
     for (const RunKey& key : unconfirmed) {
         Job* const job = find(key.first.job);
         if (job && job->contains(key.first) && job->task(key.first).run == key.second
