Owner: a worker that has restarted gets no work while an acknowledgment is on its way

Callers would see a task start again although it was done.

A process that has started again under its worker's id numbers its ends anew. PROTOCOL.md: a call without a response "may also be executed seconds later", and "ends up to AckCursor are forgotten". A poll with an acknowledgment for the earlier process, executed by the new one, discards ends that nobody has seen; their runs are confirmed and absent and count as lapsed. The guard of 250 ms on the age of the last report limits only when such a poll is sent, not when it is executed.

A worker now remembers its polls with an acknowledgment until they are answered, are known not to have been sent, or cannot be executed any more (12 s), also while it is not registered. If it restarts meanwhile, it gets no work until then, so that there are no ends of new work to discard. The guard stays: it also keeps polls from being sent to a process whose restart is not known yet.

The simulation can hold polls back like commands, and forgets ends when they are acknowledged instead of hiding later ones with lower numbers, as the page says: "the others are returned again".

Not covered: runs that the new process accepted before the owner noticed the restart, and a worker that applies a late cursor also to ends that come after it.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -74,6 +74,10 @@
     std::map<RunKey, WorkerRun> runs;
     // Runs with a start command that may still be executed, and until when. The run may have ended since.
     std::map<RunKey, Milliseconds> strayStarts;
+    // Polls with an acknowledgment that may still be executed, by number, and until when. If the worker has restarted
+    // meanwhile, they make it discard ends that have not been seen, so that it gets no work until `idleUntil`.
+    std::map<std::uint64_t, Milliseconds> strayAcknowledgments;
+    Milliseconds idleUntil { 0 };
     // Runs that ended with the lease of an unresponsive worker, which may have crashed under them or been cut off. The
     // worker is polled until that is known, but not for longer than `undecidedUntil`.
     std::vector<RunKey> undecidedRuns;
@@ -172,7 +176,7 @@
     void resolveAbsentRuns(Worker&, const WorkerReport&, Milliseconds sentAt);
     void adoptRun(Worker&, Job&, const RunningRun&);
     void noteStrayStart(Worker&, const RunKey&, CommandOutcome);
-    void forgetStrayStarts();
+    void forgetStrayCalls();
     // Reserves the worker for the runs that late starts may bring about.
     void addStrayRuns(Worker&);
     // When the last of the worker's runs is over if the worker does not respond again.
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -163,7 +163,7 @@
     std::sort(row.expectedEnds.begin(), row.expectedEnds.end(),
         [](const ExpectedEnd& a, const ExpectedEnd& b) { return a.at < b.at; });
     row.schedulable = worker.reconciled && permittedFleet_.allowsWork(worker.entry.id) && worker.clock
-        && !worker.entry.draining && !worker.unresponsiveSince;
+        && !worker.entry.draining && !worker.unresponsiveSince && worker.idleUntil <= now();
     row.suspect = worker.avoidUntil > now() || isRecentlyCrashed(worker);
     return row;
 }
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -91,7 +91,7 @@
     stopIncompleteGangs();
     checkRecovered();
     noteSilentWorkers();
-    forgetStrayStarts();
+    forgetStrayCalls();
     removeDepartedWorkers();
     removeExpiredRecords();
     schedulePlan();
@@ -396,7 +396,8 @@
     for (auto position = workers_.begin(); position != workers_.end();) {
         const Worker& worker = position->second;
         const bool undecided = !worker.undecidedRuns.empty() && now() < worker.undecidedUntil;
-        const bool departed = !worker.listed && worker.runs.empty() && worker.strayStarts.empty() && !undecided
+        const bool strayCalls = !worker.strayStarts.empty() || !worker.strayAcknowledgments.empty();
+        const bool departed = !worker.listed && worker.runs.empty() && !strayCalls && !undecided
             && unconfirmedWorkers_.count(position->first) == 0;
         dropped = dropped || departed;
         position = departed ? workers_.erase(position) : std::next(position);
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -118,6 +118,8 @@
     const bool pending = acknowledgeableEnd(worker) > worker.acknowledged;
     const bool sameIncarnation = now() - worker.reportedAt <= minimumRestartTime;
     const std::int64_t cursor = pending && sameIncarnation ? acknowledgeableEnd(worker) : 0;
+    if (cursor > 0)
+        worker.strayAcknowledgments[number] = sentAt + longestCommandDelay;
     worker.skipWait = worker.skipWait || (pending && !sameIncarnation);
     const bool renewsLease = worker.clock && !worker.runs.empty() && mayRenewLease(worker)
         && permittedFleet_.allowsRenewal(worker.entry.id);
@@ -134,7 +136,10 @@
             Worker* const polled = find(id);
             if (std::exchange(*responded, true) || !polled || polled->incarnation != incarnation)
                 return;
-            polled->lease.settle(extension, report || report.error().verdict != Verdict::NotRun);
+            const bool settled = report || report.error().verdict == Verdict::NotRun;
+            polled->lease.settle(extension, report || !settled);
+            if (settled)
+                polled->strayAcknowledgments.erase(number);
             handlePollResponse(id, number, [&](Worker& current, bool newest) {
                 if (report
                     && (report.value().startTimeMs == 0 || report.value().startTimeMs == current.entry.startTimeMs))
@@ -404,11 +409,15 @@
     }
 }
 
-void OwnerSession::forgetStrayStarts()
+void OwnerSession::forgetStrayCalls()
 {
+    const auto forgetIn = [time = now()](auto& calls) {
+        for (auto call = calls.begin(); call != calls.end();)
+            call = time < call->second ? std::next(call) : calls.erase(call);
+    };
     for (auto& [id, worker] : workers_) {
-        for (auto stray = worker.strayStarts.begin(); stray != worker.strayStarts.end();)
-            stray = now() < stray->second ? std::next(stray) : worker.strayStarts.erase(stray);
+        forgetIn(worker.strayStarts);
+        forgetIn(worker.strayAcknowledgments);
     }
 }
 
@@ -455,6 +464,8 @@
     worker.acknowledged = 0;
     worker.pendingEnds.clear();
     worker.recentFailures.clear();
+    for (const auto& [number, until] : worker.strayAcknowledgments)
+        worker.idleUntil = std::max(worker.idleUntil, until);
     addStrayRuns(worker);
     std::vector<RunKey> unconfirmed;
     for (auto& [key, run] : worker.runs) {
--- a/tests/jobs/RestartedWorkersTest.cpp
+++ b/tests/jobs/RestartedWorkersTest.cpp
@@ -98,4 +98,39 @@
     CHECK(cluster.fleet.startsOf(JobId("a0")) == 3);
 }
 
+// Guards against a task that starts again although it is done: a poll with acknowledgments that got no response was
+// executed by a process that had started again under the worker's id, and discarded an end that nobody had seen.
+TEST_CASE("a worker that has restarted gets no work while an acknowledgment for its earlier process is on its way")
+{
+    const int pollDelay = GENERATE(range(3000, 7000, 130));
+    CAPTURE(pollDelay);
+    const WorkerId worker("w0-0");
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(3000));
+    cluster.fleet.pollDelay = Milliseconds(pollDelay);
+    cluster.submit("batch", "a0", oneStep(30, 1, Milliseconds(300), /*gang=*/false));
+    cluster.world.run(Milliseconds(3000));
+    cluster.submit("batch", "a1", oneStep(1, 1, Milliseconds(700), /*gang=*/false));
+    while (cluster.storedState("a1") != JobState::Completed && cluster.world.now() < Milliseconds(10000))
+        cluster.world.run(Milliseconds(1));
+    cluster.fleet.delayedPollShare = 1;
+    cluster.world.run(Milliseconds(300));
+    cluster.fleet.restart(worker);
+    cluster.fleet.delayedPollShare = 0;
+    JobSpec job = oneStep(1, 1, Milliseconds(130), /*gang=*/false);
+    for (int number = 1; number < 30; ++number) {
+        job.steps.push_back(job.steps.front());
+        job.steps.back().dependencies = { number - 1 };
+    }
+    cluster.submit("batch", "b0", job);
+    cluster.store.refusesWrites = true;
+    cluster.world.run(Milliseconds(16000));
+    cluster.store.refusesWrites = false;
+    cluster.world.run(Milliseconds(30000));
+    CHECK(cluster.fleet.violations().empty());
+    CHECK(cluster.fleet.startsOf(JobId("b0")) == 30);
+    CHECK(cluster.storedState("b0") == JobState::Completed);
+}
+
 } // namespace rosemarylink::jobs
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -376,7 +376,7 @@
             report.running.push_back({ key, run.run, run.checkpoint, 0 });
     }
     for (const EndedRun& ended : incarnation.ended) {
-        if (ended.number > incarnation.acknowledged && report.ended.size() < listedEnds)
+        if (report.ended.size() < listedEnds)
             report.ended.push_back(ended);
     }
     report.endsComplete = report.ended.size() < listedEnds;
@@ -389,7 +389,7 @@
         const StepSpec* const spec = specOf(ended.task);
         if (spec && spec->longRunning)
             continue; // must be restarted
-        if (ended.number <= incarnation.acknowledged || ended.number > number || ended.end != RunEnd::Done)
+        if (ended.number > number || ended.end != RunEnd::Done)
             continue;
         if (ended.number <= incarnation.lapsedEnd)
             continue; // the task may have started again when the lease was over
@@ -398,7 +398,23 @@
             addViolation(taskName(ended.task) + " had started again after run " + std::to_string(ended.run)
                 + " was done on " + incarnation.entry.id.value() + ", whose end is acknowledged now");
     }
-    incarnation.acknowledged = std::max(incarnation.acknowledged, number);
+    std::vector<EndedRun>& ended = incarnation.ended;
+    ended.erase(
+        std::remove_if(ended.begin(), ended.end(), [number](const EndedRun& one) { return one.number <= number; }),
+        ended.end());
+}
+
+bool SimFleet::hold(WorkerState& incarnation, Milliseconds leaseEnd, std::int64_t fence, std::int64_t acknowledged)
+{
+    if (fence < incarnation.fence) {
+        ++staleCommands;
+        return false;
+    }
+    incarnation.fence = fence;
+    acknowledge(incarnation, acknowledged);
+    if (leaseEnd > Milliseconds(0) && leaseEnd > clockOf(incarnation))
+        extend(incarnation, leaseEnd);
+    return true;
 }
 
 int SimFleet::startsOf(const JobId& job) const
@@ -535,6 +551,15 @@
             disconnected_.insert(id);
         once(unavailable("no response", Verdict::MayHaveRun));
     });
+    if (fleet_.delayedPollShare > 0
+        && std::uniform_real_distribution<>(0, 1)(fleet_.random) < fleet_.delayedPollShare) {
+        world_.after(fleet_.pollDelay, [this, id = worker.id, leaseEnd, token, acknowledged] {
+            SimFleet::WorkerState& incarnation = fleet_.workers_.at(id);
+            if (incarnation.up)
+                fleet_.hold(incarnation, leaseEnd, token.value(), acknowledged);
+        });
+        return;
+    }
     world_.after(oneWay, [this, id = worker.id, leaseEnd, token, acknowledged, wait, once] {
         SimFleet::WorkerState* const incarnation = findReachable(id);
         if (!incarnation) {
@@ -544,15 +569,10 @@
                                                : unavailable("connection refused", Verdict::NotRun));
             return;
         }
-        if (token.value() < incarnation->fence) {
-            ++fleet_.staleCommands;
+        if (!fleet_.hold(*incarnation, leaseEnd, token.value(), acknowledged)) {
             once(makeError(ErrorCode::Fenced, "a later owner has called the worker"));
             return;
         }
-        incarnation->fence = token.value();
-        fleet_.acknowledge(*incarnation, acknowledged);
-        if (leaseEnd > Milliseconds(0) && leaseEnd > fleet_.clockOf(*incarnation))
-            fleet_.extend(*incarnation, leaseEnd);
         const auto sendReport = [this, id, once] {
             if (const SimFleet::WorkerState* const later = findReachable(id)) {
                 const WorkerReport report = fleet_.report(*later);
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -43,6 +43,8 @@
 
     double delayedCommandShare = 0; // share of the commands that get no response and are executed later
     Milliseconds commandDelay { 4000 }; // delay of those commands
+    double delayedPollShare = 0; // share of the polls that get no response and are executed later
+    Milliseconds pollDelay { 4000 }; // delay of those polls
     double lostCommandResponseShare = 0; // share of the commands that are executed at once but get no response
     // Workers that no instance can reach; their runs continue. The first calls time out on an open connection and may
     // have been executed; further ones time out while they connect, or are refused if the cut resets connections.
@@ -102,7 +104,6 @@
         std::vector<EndedRun> ended;
         std::int64_t lapsedEnd = 0; // number of the last end before the lease last expired
         std::int64_t lastEnd = 0;
-        std::int64_t acknowledged = 0;
         std::vector<std::function<void()>> waiting; // polls that wait for an end
     };
 
@@ -116,7 +117,10 @@
     void scheduleEnd(const WorkerId&, const Run&);
     void joinGang(const TaskKey&, int run);
     void endGang(const TaskKey&, int run, RunEnd);
+    // Forgets the ends up to the number. Ends that come later are listed, whatever their numbers.
     void acknowledge(WorkerState&, std::int64_t number);
+    // Raises the fence, acknowledges ends and extends the lease, unless a later owner has called.
+    bool hold(WorkerState&, Milliseconds leaseEnd, std::int64_t fence, std::int64_t acknowledged);
     void checkLease(const WorkerId&, std::uint64_t incarnation);
     void addViolation(const std::string& text) { violations_.push_back(text); }
     const StepSpec* specOf(const TaskKey&) const;
