--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -88,7 +88,7 @@
     stopIncompleteGangs();
     checkRecovered();
     noteSilentWorkers();
-    forgetStrayStarts();
+    forgetStrayCalls();
     removeDepartedWorkers();
     removeExpiredRecords();
     schedulePlan();
@@ -393,9 +393,10 @@
     for (auto position = workers_.begin(); position != workers_.end();) {
         const Worker& worker = position->second;
         const bool undecided = !worker.undecidedRuns.empty() && now() < worker.undecidedUntil;
+        const bool strayCalls = !worker.strayStarts.empty() || !worker.strayAcknowledgments.empty();
         const bool endsStored = worker.lease.isOver(now()) || jobsOfUnstoredEnds(worker).empty();
-        const bool departed = !worker.listed && worker.runs.empty() && worker.strayStarts.empty() && endsStored
-            && !undecided && unconfirmedWorkers_.count(position->first) == 0;
+        const bool departed = !worker.listed && worker.runs.empty() && !strayCalls && endsStored && !undecided
+            && unconfirmedWorkers_.count(position->first) == 0;
         dropped = dropped || departed;
         position = departed ? workers_.erase(position) : std::next(position);
     }
