Admission: jobs of another account are unknown to the caller

Callers saw that the key of any account read and cancelled the jobs of all accounts: GET returned the state, DELETE returned 200 and the job ended as cancelled. A POST with the id of another account's job was answered as accepted, and a DELETE of an id that was not stored yet kept the owner's later submission out for up to ten minutes.

Cause: authorize() checked that the key is known, and nothing compared its account with that of the job. A job that has ended has a progress record only, which did not contain the account.

PROTOCOL.md: "A call carries a key of the job's tenant, unless the call's route is Public." Now:

- GET and DELETE of another account's job are answered as for an unknown job (410).
A line with the job's id and the ids of both accounts is logged; keys are not.
- POST with the id of another account's job is refused for good (400).
Any refusal tells that the id is taken; a 503 would be repeated in vain.
- A withdrawal is stored under the job's id and a digest of the account, and keeps out submissions of that account only.
Two accounts that withdraw one id do not overwrite each other's records.
- A cancellation whose write got no response is compared with the account before a Cancelled state is taken for its own effect.
The account and the revision that commitCancel() requires come from the same read.
- Queues without keys work as before: their jobs may be read and cancelled with any key or none.
They are no way around the check for the jobs of other queues.
If a queue comes to need no key, its earlier jobs can be called without one through that queue.
- The number of waiting jobs of a queue stays that of all accounts.
It names no job, and the platform checks it against all accepted jobs.

The progress record now contains the queue and, where the queue needs a key, the account. Records of earlier versions remain readable: a progress record without the account is readable with any key until the owner writes it again or removes it; the submission record has always had the account, so jobs that have not ended cannot be cancelled with another key. While instances of both versions run, a withdrawal of one version does not keep out a submission that the other one stores.

A cancellation whose progress record is malformed is now answered with 503, as a query is, instead of 410.

Cost: no further call to the store (1 for a submission, a query and a cancellation of another account's job, 2 for a cancellation; tested), one precondition as before, and the two fields in each progress record.

--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -2,6 +2,7 @@
 
 #include "rosemarylink/jobs/ConfigView.h"
 #include "rosemarylink/jobs/JobMetrics.h"
+#include "rosemarylink/jobs/JobProgress.h"
 
 #include <functional>
 #include <map>
@@ -24,11 +25,13 @@
     Accepted, // a submission or cancellation is stored; a query succeeded
     NotRun, // temporarily refused; the request has had no effect and never will
     MayHaveRun, // the store did not respond in time; the request may still take effect
-    Invalid, // the request is malformed or not supported; it has had no effect
+    // The request is malformed or not supported, or a submission has the id of another account's job; it has had no
+    // effect.
+    Invalid,
     NoQueue, // no queue matches the host and path
     NoKey, // the key is unknown, or missing where the queue requires one
-    // No such job, or a cancellation of a job that has ended. After a cancellation nothing of the job starts, even if
-    // its submission arrives up to Admission::withdrawalLife later.
+    // No such job, a job of another account, or a cancellation of a job that has ended. After a cancellation nothing of
+    // the caller's own job with this id starts, even if its submission arrives up to Admission::withdrawalLife later.
     NoJob,
 };
 
@@ -46,7 +49,9 @@
 using SpecParser = std::function<Result<JobSpec>()>;
 
 // Handles callers' submissions, queries and cancellations, deciding each by a configuration that the store has
-// confirmed. All state is in the store, so any instance can serve any job. Must be used on the event loop's thread.
+// confirmed. All state is in the store, so any instance can serve any job. A job that was submitted to a queue that
+// needs a key can be read and cancelled with a key of its account only, or through its own queue if that has come to
+// need none. The number of a queue's waiting jobs is that of all accounts. Must be used on the event loop's thread.
 // Each handler is called exactly once, possibly before the call returns.
 class Admission {
 public:
@@ -72,12 +77,16 @@
     using CallPointer = std::shared_ptr<Call>;
 
     CallPointer begin(const CallerRequest&, const AdmissionHandler&);
-    void authorize(const CallPointer&, const std::function<void(const Queue&, const AccountId&)>& proceed);
+    void authorize(const CallPointer&, const std::function<void(const Queue&)>& proceed);
+    static bool mayAccess(const Call&, const std::optional<AccountId>&, const QueueId&);
+    static void logForeignJob(const Call&, const AccountId&);
+    std::optional<ProgressSummary> readSummary(const CallPointer&, const Record& progress);
+    static std::string submissionWithdrawal(const Call&);
     void evaluateSubmission(const CallPointer&);
     void resolveAttempt(const CallPointer&);
     void commitUnlessStored(const CallPointer&);
     void commitUnlessReplaced(const CallPointer&, Revision decidedUnder);
-    void acceptAgain(const CallPointer&, Revision);
+    void acceptAgain(const CallPointer&, Revision, const std::optional<ProgressSummary>&);
     void refuseWithdrawn(const CallPointer&);
     void commitSubmission(const CallPointer&);
     void resolveConflict(const CallPointer&, const StoreResponse&, Milliseconds requestedAt);
--- a/include/rosemarylink/jobs/Catalog.h
+++ b/include/rosemarylink/jobs/Catalog.h
@@ -37,13 +37,15 @@
         = "in/"; // submissions and cancellations, written by admission and read by the owner
     inline const std::string jobs = "in/job/";
     inline const std::string cancellations = "in/cancel/";
-    // Cancellations of jobs that are not stored. Each keeps a submission that is still on its way from being stored.
+    // Cancellations of jobs that are not stored. Each keeps a submission that is still on its way from being stored:
+    // one with a key of the same account or, if it has no account, one to a queue that needs no key.
     inline const std::string withdrawals = "withdrawn/";
     inline const std::string progressPrefix = "run/"; // progress and final state of each job
 
     inline std::string job(const JobId& id) { return jobs + id.value(); }
     inline std::string cancellation(const JobId& id) { return cancellations + id.value(); }
     inline std::string withdrawal(const JobId& id) { return withdrawals + id.value(); }
+    std::string withdrawal(const JobId&, const AccountId&);
     inline std::string progress(const JobId& id) { return progressPrefix + id.value(); }
     inline std::string waitingPrefix(const QueueId& queue) { return "wait/" + queue.value() + "/"; }
     inline std::string waitingJob(const QueueId& queue, const JobId& id) { return waitingPrefix(queue) + id.value(); }
--- a/include/rosemarylink/jobs/Job.h
+++ b/include/rosemarylink/jobs/Job.h
@@ -75,6 +75,7 @@
     JobId id;
     QueuePolicy policy;
     AccountId account; // client account; may be empty for a queue that needs no key
+    bool needsKey = false; // submitted to a queue that needs a key, so only its account may read or cancel the job
     std::string payload; // opaque; passed unchanged to each task
     std::vector<StepSpec> steps;
     int occurrences = 1; // how many times the whole graph of steps runs
--- a/include/rosemarylink/jobs/JobProgress.h
+++ b/include/rosemarylink/jobs/JobProgress.h
@@ -85,9 +85,27 @@
 
 Job makeJob(const JobSpec&, Revision progressRevision);
 
-// Returns the progress record to store. For a job in a final state it contains the state and the queue only.
+// What every progress record contains, also that of a job in a final state.
+struct ProgressSummary {
+    JobState state = JobState::Queued;
+    QueueId queue; // may be empty in records written by earlier versions
+    // The only account that may read or cancel the job. Absent if the job's queue needs no key, and in records written
+    // by earlier versions.
+    std::optional<AccountId> account;
+};
+
+// Returns the progress record to store. For a job in a final state it contains the summary only.
 std::string progressRecord(const Job&);
 
+// Returns the progress record to store with a submission.
+std::string firstProgressRecord(const JobSpec&);
+
+// Returns nullopt if the record cannot be parsed.
+std::optional<ProgressSummary> parseProgressSummary(const std::string& record);
+
+// Returns the summary in the progress record that was stored with this submission record.
+std::optional<ProgressSummary> parseSubmissionSummary(const std::string& record);
+
 // Returns the job's state from a progress record; nullopt if the record cannot be parsed.
 std::optional<JobState> parseProgressState(const std::string& record);
 
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -44,6 +44,9 @@
     bool readOnly = false;
     bool writeInFlight = false;
     JobId job;
+    AccountId account; // of the key; empty if it is unknown or absent
+    QueueId queue;
+    bool needsKey = true; // the queue does
     JobSpec spec; // of a submission
     std::string rejection; // why the submission is invalid; empty if it is valid
     bool mayHaveRun = false; // a write got no response, and its effect is not known yet
@@ -89,7 +92,7 @@
     call->handler(response);
 }
 
-void Admission::authorize(const CallPointer& call, const std::function<void(const Queue&, const AccountId&)>& proceed)
+void Admission::authorize(const CallPointer& call, const std::function<void(const Queue&)>& proceed)
 {
     // Another instance may reach the store, so the caller is not kept while this one does not.
     if (!call->mayHaveRun && config_.storeOutOfReach()) {
@@ -117,10 +120,43 @@
             return;
         }
         call->job = JobId(call->request.path.substr(queue->pathPrefix.size()));
-        proceed(*queue, account ? account->id : AccountId());
+        call->account = account ? account->id : AccountId();
+        call->queue = queue->policy.queue;
+        call->needsKey = queue->needsKey;
+        proceed(*queue);
     });
 }
 
+// Whether the caller may know of the job. `account` is the only one that may, if there is one. The job's queue may have
+// come to need no key since the job was accepted; other queues that need none give no access to the job.
+bool Admission::mayAccess(const Call& call, const std::optional<AccountId>& account, const QueueId& queue)
+{
+    return !account || *account == call.account || (!call.needsKey && queue == call.queue);
+}
+
+void Admission::logForeignJob(const Call& call, const AccountId& account)
+{
+    logger.warning("Job of another account is treated as unknown to the caller",
+        { { "job", call.job }, { "account", account }, { "callerAccount", call.account }, { "queue", call.queue } });
+}
+
+// Returns the summary of a job that the caller may know of. Otherwise finishes the call and returns nullopt.
+std::optional<ProgressSummary> Admission::readSummary(const CallPointer& call, const Record& progress)
+{
+    auto summary = parseProgressSummary(progress.value);
+    if (!summary) {
+        logger.error("Progress record is malformed", { { "job", call->job } });
+        finish(call,
+            { AdmissionOutcome::NotRun, "the job's progress record is malformed",
+                internal::retryHint(Milliseconds(0), call->request.path) });
+    } else if (!mayAccess(*call, summary->account, summary->queue)) {
+        logForeignJob(*call, *summary->account);
+        finish(call, { AdmissionOutcome::NoJob, "no such job" });
+        summary.reset();
+    }
+    return summary;
+}
+
 // Called when the store gave no result.
 void Admission::retryLater(const CallPointer& call, bool mayHaveWritten, const std::function<void()>& retry)
 {
@@ -181,9 +217,10 @@
 // Evaluates the submission anew for each attempt, since the write's precondition names the configuration that decided.
 void Admission::evaluateSubmission(const CallPointer& call)
 {
-    authorize(call, [this, call](const Queue& queue, const AccountId& account) {
+    authorize(call, [this, call](const Queue& queue) {
         call->spec.id = call->job;
-        call->spec.account = account;
+        call->spec.account = call->account;
+        call->spec.needsKey = queue.needsKey;
         call->spec.policy = queue.policy;
         call->spec.acceptedAt = clock_.now();
         if (!isValidJobId(call->job))
@@ -202,18 +239,20 @@
 }
 
 // Reads whether an unresolved attempt has stored its job. The configuration in its precondition has been replaced, so
-// an attempt that has not taken effect by now never will.
+// an attempt that has not taken effect by now never will. Nor will one whose id another account's job has.
 void Admission::resolveAttempt(const CallPointer& call)
 {
     store_.read(keys::progress(call->unresolvedJob), storeTimeout, [this, call](const StoreResponse& response) {
-        if (response.done()) {
+        const auto summary = response.done() ? parseProgressSummary(response.records.front().value) : std::nullopt;
+        const bool foreign = summary && !mayAccess(*call, summary->account, summary->queue);
+        if (response.outcome == StoreOutcome::NotFound || foreign) {
+            call->mayHaveRun = false;
+            evaluateSubmission(call);
+        } else if (response.done()) {
             logger.info("Job was stored by an attempt without a response",
                 { { "job", call->unresolvedJob }, { "revision", response.records.front().revision.value() },
                     { "configRevision", config_.revision().value() } });
             finish(call, { AdmissionOutcome::Accepted, "" });
-        } else if (response.outcome == StoreOutcome::NotFound) {
-            call->mayHaveRun = false;
-            evaluateSubmission(call);
         } else {
             retryLater(call, /*mayHaveWritten=*/false, [this, call] { resolveAttempt(call); });
         }
@@ -227,7 +266,7 @@
     const Revision decidedUnder = config_.revision();
     store_.read(keys::progress(call->job), storeTimeout, [this, call, decidedUnder](const StoreResponse& response) {
         if (response.done())
-            acceptAgain(call, response.records.front().revision);
+            acceptAgain(call, response.records.front().revision, parseProgressSummary(response.records.front().value));
         else if (response.outcome == StoreOutcome::NotFound)
             commitUnlessReplaced(call, decidedUnder);
         else
@@ -250,8 +289,14 @@
     });
 }
 
-void Admission::acceptAgain(const CallPointer& call, Revision revision)
+// Accepts a repeated submission, unless its job is that of another account.
+void Admission::acceptAgain(const CallPointer& call, Revision revision, const std::optional<ProgressSummary>& summary)
 {
+    if (summary && !mayAccess(*call, summary->account, summary->queue)) {
+        logForeignJob(*call, *summary->account);
+        finish(call, { AdmissionOutcome::Invalid, "the job id is not available; choose another one" });
+        return;
+    }
     logger.info("Job accepted again", { { "job", call->job }, { "revision", revision.value() } });
     finish(call, { AdmissionOutcome::Accepted, "" });
 }
@@ -266,6 +311,12 @@
         finish(call, { AdmissionOutcome::NotRun, "the job was cancelled before it was accepted", withdrawalLife });
 }
 
+// Key of the withdrawal that keeps the submission from being stored.
+std::string Admission::submissionWithdrawal(const Call& call)
+{
+    return call.spec.needsKey ? keys::withdrawal(call.job, call.spec.account) : keys::withdrawal(call.job);
+}
+
 void Admission::commitSubmission(const CallPointer& call)
 {
     if (call->finished)
@@ -275,9 +326,9 @@
     Batch batch;
     batch.preconditions
         = { { catalog_.configurationKey(), call->configRevision }, { keys::progress(call->job), Revision(0) },
-              { keys::job(call->job), Revision(0) }, { keys::withdrawal(call->job), Revision(0) } };
-    const nlohmann::json progress = { { "state", jobStateName(JobState::Queued) } };
-    batch.puts = { { keys::job(call->job), toJson(call->spec).dump() }, { keys::progress(call->job), progress.dump() },
+              { keys::job(call->job), Revision(0) }, { submissionWithdrawal(*call), Revision(0) } };
+    batch.puts = { { keys::job(call->job), toJson(call->spec).dump() },
+        { keys::progress(call->job), firstProgressRecord(call->spec) },
         { keys::waitingJob(call->spec.policy.queue, call->job), "-" } };
     const Milliseconds requestedAt = clock_.monotonic();
     call->writeInFlight = true;
@@ -306,14 +357,19 @@
 void Admission::resolveConflict(const CallPointer& call, const StoreResponse& response, Milliseconds requestedAt)
 {
     for (const Record& record : response.records) {
-        if (record.revision != Revision(0)
-            && (record.key == keys::progress(call->job) || record.key == keys::job(call->job))) {
-            acceptAgain(call, record.revision);
+        if (record.revision == Revision(0))
+            continue;
+        if (record.key == keys::progress(call->job)) {
+            acceptAgain(call, record.revision, parseProgressSummary(record.value));
+            return;
+        }
+        if (record.key == keys::job(call->job)) {
+            acceptAgain(call, record.revision, parseSubmissionSummary(record.value));
             return;
         }
     }
     for (const Record& record : response.records) {
-        if (record.revision != Revision(0) && record.key == keys::withdrawal(call->job)) {
+        if (record.revision != Revision(0) && record.key == submissionWithdrawal(*call)) {
             refuseWithdrawn(call);
             return;
         }
@@ -334,7 +390,7 @@
 {
     const CallPointer call = begin(request, handler);
     call->readOnly = true;
-    authorize(call, [this, call](const Queue& queue, const AccountId&) {
+    authorize(call, [this, call](const Queue& queue) {
         if (call->job.empty())
             countWaiting(call, queue.policy.queue);
         else if (!isValidJobId(call->job))
@@ -356,22 +412,15 @@
             retryLater(call, /*mayHaveWritten=*/false, [this, call] { readState(call); });
             return;
         }
-        const auto state = parseProgressState(response.records.front().value);
-        if (!state) {
-            logger.error("Progress record is malformed", { { "job", call->job } });
-            finish(call,
-                { AdmissionOutcome::NotRun, "the job's progress record is malformed",
-                    internal::retryHint(Milliseconds(0), call->request.path) });
-            return;
-        }
-        finish(call, { AdmissionOutcome::Accepted, "", Milliseconds(0), *state });
+        if (const auto summary = readSummary(call, response.records.front()))
+            finish(call, { AdmissionOutcome::Accepted, "", Milliseconds(0), summary->state });
     });
 }
 
 void Admission::cancel(const CallerRequest& request, const AdmissionHandler& handler)
 {
     const CallPointer call = begin(request, handler);
-    authorize(call, [this, call](const Queue&, const AccountId&) {
+    authorize(call, [this, call](const Queue&) {
         if (isValidJobId(call->job))
             readForCancel(call);
         else
@@ -390,7 +439,14 @@
             retryLater(call, /*mayHaveWritten=*/false, [this, call] { readForCancel(call); });
             return;
         }
-        commitCancel(call, response.records.front().revision);
+        const Record& record = response.records.front();
+        const auto summary = parseSubmissionSummary(record.value);
+        if (summary && !mayAccess(*call, summary->account, summary->queue)) {
+            logForeignJob(*call, *summary->account);
+            finish(call, { AdmissionOutcome::NoJob, "no such job" });
+            return;
+        }
+        commitCancel(call, record.revision);
     });
 }
 
@@ -406,13 +462,16 @@
             retryLater(call, /*mayHaveWritten=*/false, [this, call] { resolveAbsentJob(call); });
             return;
         }
-        const auto state = parseProgressState(response.records.front().value);
-        if (state && !isFinal(*state)) // it was stored after the submission record was read
+        const auto summary = readSummary(call, response.records.front());
+        if (!summary)
+            return;
+        if (!isFinal(summary->state)) // it was stored after the submission record was read
             timers_.after(retryDelay, [this, call] {
                 if (!call->finished)
                     readForCancel(call);
             });
-        else if (state == JobState::Cancelled && call->mayHaveRun) // by an attempt of this call without a response
+        else if (summary->state == JobState::Cancelled
+            && call->mayHaveRun) // by an attempt of this call without a response
             finish(call, { AdmissionOutcome::Accepted, "" });
         else
             finish(call, { AdmissionOutcome::NoJob, "the job has ended" });
@@ -449,7 +508,10 @@
         return;
     Batch batch;
     batch.preconditions = { { keys::job(call->job), Revision(0) }, { keys::progress(call->job), Revision(0) } };
-    batch.puts = { { keys::withdrawal(call->job), "-", lease } };
+    if (!call->account.empty())
+        batch.puts.push_back({ keys::withdrawal(call->job, call->account), "-", lease });
+    if (!call->needsKey)
+        batch.puts.push_back({ keys::withdrawal(call->job), "-", lease });
     call->writeInFlight = true;
     store_.commit(batch, storeTimeout, [this, call, lease](const StoreResponse& response) {
         call->writeInFlight = false;
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -114,8 +114,9 @@
         { "priority", job.policy.priority }, { "maximumAttempts", job.policy.maximumAttempts },
         { "stretch", job.policy.stretch }, { "objectiveSlack", job.policy.objectiveSlack.count() } };
     nlohmann::json json = { { "id", job.id.value() }, { "terms", terms }, { "account", job.account.value() },
-        { "payload", job.payload }, { "steps", steps }, { "occurrences", job.occurrences },
-        { "interval", job.interval.count() }, { "acceptedAt", toMilliseconds(job.acceptedAt) } };
+        { "needsKey", job.needsKey }, { "payload", job.payload }, { "steps", steps },
+        { "occurrences", job.occurrences }, { "interval", job.interval.count() },
+        { "acceptedAt", toMilliseconds(job.acceptedAt) } };
     if (job.firstDue)
         json["firstDue"] = toMilliseconds(*job.firstDue);
     return json;
@@ -134,6 +135,7 @@
         job.policy.stretch = terms.at("stretch").get<double>();
         job.policy.objectiveSlack = Milliseconds(terms.at("objectiveSlack").get<std::int64_t>());
         job.account = AccountId(json.at("account").get<std::string>());
+        job.needsKey = json.value("needsKey", !job.account.empty()); // absent from records written by earlier versions
         job.payload = json.at("payload").get<std::string>();
         for (const nlohmann::json& step : json.at("steps"))
             job.steps.push_back(stepFromJson(step));
--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -8,6 +8,14 @@
 
 namespace {
 
+    nlohmann::json summaryToJson(const JobSpec& spec, JobState state)
+    {
+        nlohmann::json json = { { "state", jobStateName(state) }, { "queue", spec.policy.queue.value() } };
+        if (spec.needsKey)
+            json["account"] = spec.account.value();
+        return json;
+    }
+
     bool isActive(const TaskProgress& task)
     {
         return task.phase == TaskPhase::Starting || task.phase == TaskPhase::Running
@@ -119,11 +127,9 @@
 
 std::string progressRecord(const Job& job)
 {
-    nlohmann::json json = { { "state", jobStateName(job.state) } };
-    if (isFinal(job.state)) {
-        json["queue"] = job.spec.policy.queue.value();
+    nlohmann::json json = summaryToJson(job.spec, job.state);
+    if (isFinal(job.state))
         return json.dump();
-    }
     json["occurrences"] = nlohmann::json::array();
     for (const auto& steps : job.occurrences) {
         nlohmann::json rows = nlohmann::json::array();
@@ -134,15 +140,38 @@
     return json.dump();
 }
 
-std::optional<JobState> parseProgressState(const std::string& record)
+std::string firstProgressRecord(const JobSpec& spec) { return summaryToJson(spec, JobState::Queued).dump(); }
+
+std::optional<ProgressSummary> parseProgressSummary(const std::string& record)
 {
     const auto parsed = parseJson(record);
-    if (!parsed)
+    if (!parsed || !parsed.value().is_object())
         return std::nullopt;
-    const nlohmann::json& json = parsed.value();
-    if (!json.is_object() || !json.contains("state") || !json["state"].is_string())
+    try {
+        const nlohmann::json& json = parsed.value();
+        const auto state = parseJobState(json.at("state").get<std::string>());
+        if (!state)
+            return std::nullopt;
+        ProgressSummary summary { *state, QueueId(json.value("queue", std::string())), std::nullopt };
+        if (json.contains("account"))
+            summary.account = AccountId(json["account"].get<std::string>());
+        return summary;
+    } catch (const nlohmann::json::exception&) {
         return std::nullopt;
-    return parseJobState(json["state"].get<std::string>());
+    }
+}
+
+std::optional<ProgressSummary> parseSubmissionSummary(const std::string& record)
+{
+    const auto json = parseJson(record);
+    const auto spec = json ? parseJobSpec(json.value()) : json.error();
+    return spec ? parseProgressSummary(firstProgressRecord(spec.value())) : std::nullopt;
+}
+
+std::optional<JobState> parseProgressState(const std::string& record)
+{
+    const auto summary = parseProgressSummary(record);
+    return summary ? std::optional(summary->state) : std::nullopt;
 }
 
 Status applyProgressRecord(const std::string& record, Job& job)
--- a/tests/jobs/SimCluster.cpp
+++ b/tests/jobs/SimCluster.cpp
@@ -8,10 +8,11 @@
     Configuration configuration;
     configuration.version = json.at("version").get<std::int64_t>();
     int priority = 0;
-    for (const std::string name : { "urgent", "batch", "sweep" }) {
+    for (const std::string name : { "urgent", "batch", "sweep", "open" }) {
         Queue queue;
         queue.host = "host";
         queue.pathPrefix = "/" + name + "/";
+        queue.needsKey = name != "open";
         queue.policy = { QueueId(name), ServiceId("pool"), priority++, 3, 1.5, Milliseconds(400) };
         const std::string only = json.at("only").get<std::string>();
         if (only.empty() || only == name)
@@ -148,17 +149,19 @@
     });
 }
 
-AdmissionResponse SimCluster::cancel(const std::string& queue, const std::string& id, std::size_t instance)
+AdmissionResponse SimCluster::cancel(
+    const std::string& queue, const std::string& id, std::size_t instance, const std::string& key)
 {
     return await(world, [&](const AdmissionHandler& handler) {
-        instances.at(instance)->admission.cancel(request(queue, id, Milliseconds(3000)), handler);
+        instances.at(instance)->admission.cancel(request(queue, id, Milliseconds(3000), key), handler);
     });
 }
 
-AdmissionResponse SimCluster::query(const std::string& queue, const std::string& id, std::size_t instance)
+AdmissionResponse SimCluster::query(
+    const std::string& queue, const std::string& id, std::size_t instance, const std::string& key)
 {
     return await(world, [&](const AdmissionHandler& handler) {
-        instances.at(instance)->admission.query(request(queue, id, Milliseconds(3000)), handler);
+        instances.at(instance)->admission.query(request(queue, id, Milliseconds(3000), key), handler);
     });
 }
 
--- a/tests/jobs/SimCluster.h
+++ b/tests/jobs/SimCluster.h
@@ -81,9 +81,9 @@
 public:
     explicit SimCluster(int instances = 2, const SimFleet::Options& = {});
 
-    // Writes the next configuration version, with the queues /urgent/, /batch/ and /sweep/ of priorities 0, 1 and 2, or
-    // only the named one, and the client accounts "acme" with the key and a guarantee of 16
-    // accelerators and "beta" with the key "key-of-beta" and 8.
+    // Writes the next configuration version, with the queues /urgent/, /batch/ and /sweep/ of priorities 0, 1 and 2 and
+    // the queue /open/ of priority 3, which needs no key, or only the named one, and the client accounts "acme" with
+    // the key and a guarantee of 16 accelerators and "beta" with the key "key-of-beta" and 8.
     Revision putConfiguration(const std::string& key = "key", const std::string& onlyQueue = "");
 
     // Size of the part of each configuration written from now on that has no effect, such as routes of other systems.
@@ -96,8 +96,10 @@
     // the job with the fleet.
     AdmissionResponse submit(const std::string& queue, const std::string& id, const JobSpec&, std::size_t instance = 0,
         Milliseconds deadline = Milliseconds(3000), const std::string& key = "key");
-    AdmissionResponse cancel(const std::string& queue, const std::string& id, std::size_t instance = 0);
-    AdmissionResponse query(const std::string& queue, const std::string& id, std::size_t instance = 0);
+    AdmissionResponse cancel(
+        const std::string& queue, const std::string& id, std::size_t instance = 0, const std::string& key = "key");
+    AdmissionResponse query(
+        const std::string& queue, const std::string& id, std::size_t instance = 0, const std::string& key = "key");
 
     // Returns the job's state in the store; nullopt if it has no progress record.
     std::optional<JobState> storedState(const std::string& id) const;
