Records: a job that the store cannot record is refused or left out

Operators would see that no job of any account ends any more: the store limits a value to ValueBytes, the progress of up to ten jobs is written in one batch, and the store rejects the whole batch for one record that is too large. The owner repeated the same batch for good. Callers could bring this about with a job that passes checkJobSpec(), whose 200000 tasks need a record of several MB.

- Admission refuses a job whose submission record, or whose progress record with a few failed runs and a checkpoint for each task, would exceed the limit: status 400 with the reason, counted as invalid.
- A record that grows beyond that while the job runs (nothing limits the checkpoints and the runs that are cut short) is stored without its checkpoints.
The next owner then starts those tasks from the beginning if their runs end.
If that is not enough, the job is left out of the batch and the others go on.
Its ends are not acknowledged meanwhile, and its record is stored once the job has ended, since it is small then.
- The limit is read from ValueBytes of the platform's settings, 1 MB by default. rosemarylink_oversized_records_total and one log line for each job tell of it.

What remains: ends that follow an unrecorded end on the same worker are not acknowledged either, and a worker lists 500 ends at a time, so the ends on such a worker are no longer learned of after 500 of them.

Cost: one serialization of the job for each submission; no call.

--- a/apps/rosemarylink-edge/EdgeProcess.cpp
+++ b/apps/rosemarylink-edge/EdgeProcess.cpp
@@ -31,7 +31,7 @@
     , timers_(loop_)
     , http_(loop_)
     , jobMetrics_(registry_)
-    , store_(http_, settings.storeAddress, registry_)
+    , store_(http_, settings.storeAddress, registry_, settings.storeValueBytes)
     , workers_(http_)
     , config_(store_, catalog_, timers_, clock_)
     , ownership_(store_, timers_, clock_, jobMetrics_, settings.nodeName, jobs::acquisitionDelayFor(settings.capacity))
--- a/include/rosemarylink/jobs/JobMetrics.h
+++ b/include/rosemarylink/jobs/JobMetrics.h
@@ -28,6 +28,8 @@
     Counter& silentWorkers; // times that a worker stopped responding
     Counter& lostRuns; // runs whose worker restarted, left or did not respond until its lease expired
 
+    Counter& oversizedRecords; // times that a job's progress record came to exceed the store's limit
+
     // Durations of the stages of a job's processing, in ms.
     Distribution& accept; // from a submission's arrival to its acceptance
     Distribution& handOver; // from acceptance, by the accepting instance's wall clock, until the owner reads the job
--- a/include/rosemarylink/jobs/JobProgress.h
+++ b/include/rosemarylink/jobs/JobProgress.h
@@ -58,6 +58,7 @@
     std::vector<std::vector<StepProgress>> occurrences; // indexed by occurrence and step
     bool mayHaveUnknownRuns = false; // a previous owner may have started runs that this owner has not seen yet
     std::optional<Milliseconds> releasedAt; // monotonic time at which that was ruled out; absent if it never was so
+    bool oversized = false; // the record with the present progress exceeds the store's limit
     bool hasWaitingRecord = true; // the store holds the job's record below keys::waitingPrefix()
     Revision progressRevision { 0 }; // revision of the stored progress record
     std::int64_t changes = 0; // number of changes made to the progress
@@ -94,8 +95,15 @@
     std::optional<AccountId> account;
 };
 
-// Returns the progress record to store. For a job in a final state it contains the summary only.
-std::string progressRecord(const Job&);
+enum class CheckpointUse { Included, LeftOut };
+
+// Returns the progress record to store. For a job in a final state it contains the summary only. Without checkpoints,
+// the next owner starts tasks that have not ended from the beginning if their runs end.
+std::string progressRecord(const Job&, CheckpointUse = CheckpointUse::Included);
+
+// Size that the job's progress record reaches if each task fails a few times and has a checkpoint of usual length. A
+// record can exceed it, since nothing limits the checkpoints and the number of runs that are cut short.
+std::size_t expectedProgressBytes(const JobSpec&);
 
 // Returns the progress record to store with a submission.
 std::string firstProgressRecord(const JobSpec&);
--- a/include/rosemarylink/jobs/RecordStore.h
+++ b/include/rosemarylink/jobs/RecordStore.h
@@ -73,6 +73,10 @@
 
     virtual ~RecordStore() = default;
 
+    // Limit on the size of a record's value. The store rejects a whole batch for one value that exceeds it, and the
+    // outcome is then Unknown.
+    virtual std::size_t maximumValueBytes() const = 0;
+
     virtual void commit(const Batch&, Milliseconds timeout, StoreHandler) = 0;
     virtual void read(const std::string& key, Milliseconds timeout, StoreHandler) = 0;
 
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -229,6 +229,11 @@
             call->rejection = queue.unsupportedReason;
         else if (const auto checked = checkJobSpec(call->spec); !checked && call->rejection.empty())
             call->rejection = checked.error().message;
+        if (call->rejection.empty()
+            && std::max(toJson(call->spec).dump().size(), expectedProgressBytes(call->spec))
+                > store_.maximumValueBytes())
+            call->rejection = "the job is too large to be recorded: its records would exceed "
+                + std::to_string(store_.maximumValueBytes()) + " bytes";
         if (!call->rejection.empty())
             finish(call, { AdmissionOutcome::Invalid, call->rejection });
         else if (config_.isLarge())
--- a/src/jobs/JobMetrics.cpp
+++ b/src/jobs/JobMetrics.cpp
@@ -36,6 +36,8 @@
     : ownerships(registry.counter("rosemarylink_ownerships_total", "Times that this instance became the owner."))
     , silentWorkers(registry.counter("rosemarylink_silent_workers_total", "Times that a worker stopped answering."))
     , lostRuns(registry.counter("rosemarylink_lost_runs_total", "Runs that ended with their worker or its lease."))
+    , oversizedRecords(registry.counter("rosemarylink_oversized_records_total",
+          "Times that the progress record of a job came to exceed the store's limit on a value."))
     , accept(registry.distribution(stageMetric, stageHelp, { { "leg", "accept" } }))
     , handOver(registry.distribution(stageMetric, stageHelp, { { "leg", "hand-over" } }))
     , firstStart(registry.distribution(stageMetric, stageHelp, { { "leg", "first-start" } }))
--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -8,6 +8,12 @@
 
 namespace {
 
+    // Sizes of the parts of a progress record: a task whose last run has a number of three digits and that has failed
+    // twice, a step without its tasks, and a checkpoint.
+    constexpr std::size_t expectedTaskBytes = 40;
+    constexpr std::size_t expectedStepBytes = 64;
+    constexpr std::size_t expectedCheckpointBytes = 32;
+
     nlohmann::json summaryToJson(const JobSpec& spec, JobState state)
     {
         nlohmann::json json = { { "state", jobStateName(state) }, { "queue", spec.policy.queue.value() } };
@@ -24,20 +30,23 @@
 
     // Encodes each task that has started or is done as a row [index, done, run, failed runs, checkpoint], followed by
     // its crashed and unresolved runs if there are crashed ones.
-    nlohmann::json stepToJson(const StepProgress& step)
+    nlohmann::json stepToJson(const StepProgress& step, CheckpointUse checkpoints)
     {
+        const bool included = checkpoints == CheckpointUse::Included;
         nlohmann::json rows = nlohmann::json::array();
         for (std::size_t index = 0; index < step.tasks.size(); ++index) {
             const TaskProgress& task = step.tasks[index];
             if (task.run == 0 && task.phase != TaskPhase::Done)
                 continue;
-            rows.push_back({ index, task.phase == TaskPhase::Done, task.run, task.failedRuns, task.checkpoint });
+            rows.push_back({ index, task.phase == TaskPhase::Done, task.run, task.failedRuns,
+                included ? task.checkpoint : std::string() });
             if (!task.crashedRuns.empty()) {
                 rows.back().push_back(task.crashedRuns);
                 rows.back().push_back(task.unresolvedRuns);
             }
         }
-        return { { "failedRuns", step.gangFailedRuns }, { "checkpoint", step.gangCheckpoint }, { "tasks", rows } };
+        return { { "failedRuns", step.gangFailedRuns },
+            { "checkpoint", included ? step.gangCheckpoint : std::string() }, { "tasks", rows } };
     }
 
     void applyStep(const nlohmann::json& json, StepProgress& step)
@@ -125,7 +134,7 @@
     return job;
 }
 
-std::string progressRecord(const Job& job)
+std::string progressRecord(const Job& job, CheckpointUse checkpoints)
 {
     nlohmann::json json = summaryToJson(job.spec, job.state);
     if (isFinal(job.state))
@@ -134,12 +143,23 @@
     for (const auto& steps : job.occurrences) {
         nlohmann::json rows = nlohmann::json::array();
         for (const StepProgress& step : steps)
-            rows.push_back(stepToJson(step));
+            rows.push_back(stepToJson(step, checkpoints));
         json["occurrences"].push_back(rows);
     }
     return json.dump();
 }
 
+std::size_t expectedProgressBytes(const JobSpec& spec)
+{
+    std::size_t bytes = 0;
+    for (const StepSpec& step : spec.steps) {
+        const std::size_t checkpointBytes = step.checkpointing ? expectedCheckpointBytes : 0;
+        const std::size_t taskBytes = expectedTaskBytes + (step.gang ? 0 : checkpointBytes);
+        bytes += expectedStepBytes + checkpointBytes + taskBytes * static_cast<std::size_t>(step.taskCount);
+    }
+    return firstProgressRecord(spec).size() + bytes * static_cast<std::size_t>(spec.occurrences);
+}
+
 std::string firstProgressRecord(const JobSpec& spec) { return summaryToJson(spec, JobState::Queued).dump(); }
 
 std::optional<ProgressSummary> parseProgressSummary(const std::string& record)
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -255,11 +255,12 @@
     void handleFlushException(const std::exception&);
     void repeatMissingFlush();
     Milliseconds flushAge() const;
-    std::vector<const Job*> dirtyJobs() const;
+    std::vector<Job*> dirtyJobs();
     void handleFlushResponse(
         const std::vector<std::pair<JobId, std::int64_t>>& written, const StoreResponse&, bool complete);
     void updateRevisions(const std::vector<Record>&);
-    bool appendToBatch(Batch&, const Job&) const;
+    std::optional<std::string> storableRecord(Job&);
+    bool appendToBatch(Batch&, const Job&, const std::string& record) const;
     bool mayHoldRuns(const Worker&) const;
     bool mayRenewLease(const Worker&) const;
     bool isIdle(const Worker&) const;
--- a/src/jobs/OwnerSessionRecords.cpp
+++ b/src/jobs/OwnerSessionRecords.cpp
@@ -42,8 +42,29 @@
     flushNow();
 }
 
+// Returns the progress record to store, or nullopt if it exceeds the store's limit. Ends that are not in a stored
+// record are not acknowledged, so that the next owner learns of them from the workers.
+std::optional<std::string> OwnerSession::storableRecord(Job& job)
+{
+    const std::size_t limit = owner_.store_.maximumValueBytes();
+    std::string record = progressRecord(job);
+    if (record.size() <= limit) {
+        job.oversized = false;
+        return record;
+    }
+    std::string shorter = progressRecord(job, CheckpointUse::LeftOut);
+    const bool storable = shorter.size() <= limit;
+    if (!std::exchange(job.oversized, true)) {
+        owner_.metrics_.oversizedRecords.add();
+        logger.error("Progress record exceeds the store's limit",
+            { { "job", job.spec.id }, { "bytes", record.size() }, { "limitBytes", limit },
+                { "stored", storable ? "without checkpoints" : "no, until it is smaller" } });
+    }
+    return storable ? std::optional(std::move(shorter)) : std::nullopt;
+}
+
 // Adds the job's changes to the batch. Returns false, without a change, if they exceed the batch's limit.
-bool OwnerSession::appendToBatch(Batch& batch, const Job& job) const
+bool OwnerSession::appendToBatch(Batch& batch, const Job& job, const std::string& record) const
 {
     // The upper limit of the entries added below: a precondition, a put, the removal of the waiting record and, in a
     // final state, the removals of the submission and the cancellation.
@@ -52,7 +73,7 @@
         return false;
     const JobId& id = job.spec.id;
     batch.preconditions.push_back({ keys::progress(id), job.progressRevision });
-    batch.puts.push_back({ keys::progress(id), progressRecord(job) });
+    batch.puts.push_back({ keys::progress(id), record });
     if (job.hasWaitingRecord && job.state != JobState::Queued)
         batch.removals.push_back(keys::waitingJob(job.spec.policy.queue, id));
     if (isFinal(job.state)) {
@@ -64,10 +85,10 @@
 
 // Jobs with changes to store: first those that have ended, then the others in turn, beginning after the one that was
 // stored last, so that none waits behind jobs that change all the time.
-std::vector<const Job*> OwnerSession::dirtyJobs() const
+std::vector<Job*> OwnerSession::dirtyJobs()
 {
-    std::vector<const Job*> dirty;
-    for (const auto& [id, job] : jobs_) {
+    std::vector<Job*> dirty;
+    for (auto& [id, job] : jobs_) {
         if (job.dirty())
             dirty.push_back(&job);
     }
@@ -96,8 +117,11 @@
     batch.preconditions.push_back(owner_.ownership_.condition());
     std::vector<std::pair<JobId, std::int64_t>> written;
     bool complete = true;
-    for (const Job* job : dirtyJobs()) {
-        complete = appendToBatch(batch, *job);
+    for (Job* job : dirtyJobs()) {
+        const auto record = storableRecord(*job);
+        if (!record)
+            continue; // a batch with it would be rejected whole
+        complete = appendToBatch(batch, *job, *record);
         if (!complete)
             break;
         written.emplace_back(job->spec.id, job->changes);
--- a/tests/jobs/SimFaults.h
+++ b/tests/jobs/SimFaults.h
@@ -26,6 +26,7 @@
     // or empty.
     std::function<CallFault(StoreCall, const std::string& key)> faultFor;
 
+    std::size_t maximumValueBytes() const override { return store_.maximumValueBytes(); }
     void commit(const Batch&, Milliseconds timeout, StoreHandler) override;
     void read(const std::string& key, Milliseconds timeout, StoreHandler) override;
     void list(const std::string& prefix, Milliseconds timeout, StoreHandler) override;
--- a/tests/jobs/SimStore.cpp
+++ b/tests/jobs/SimStore.cpp
@@ -133,6 +133,10 @@
     if (!batch.hasChanges())
         return response;
     for (const Put& put : batch.puts) {
+        if (put.value.size() > valueBytes) {
+            response.outcome = StoreOutcome::Unknown; // as for any status that the client does not know
+            return response;
+        }
         if (put.lease != 0 && leases_.count(put.lease) == 0) {
             response.outcome = StoreOutcome::NotFound;
             return response;
--- a/tests/jobs/SimStore.h
+++ b/tests/jobs/SimStore.h
@@ -30,6 +30,7 @@
 
     Mode mode = Mode::Up;
     Milliseconds oneWayLatency { 3 };
+    std::size_t valueBytes = 1024 * 1024; // limit on a value; a batch with a larger one is rejected
     bool refusesWrites = false; // refuses commits and serves all other calls
     double lostResponseShare = 0; // share of the commits that are executed but get no response
     Milliseconds lostResponseWriteDelay { 0 }; // additional delay until those commits are executed
@@ -121,6 +122,7 @@
     SimLink link;
     std::map<std::string, int> lists; // number of list() calls by prefix
 
+    std::size_t maximumValueBytes() const override { return store_.valueBytes; }
     void commit(const Batch&, Milliseconds timeout, StoreHandler) override;
     void read(const std::string& key, Milliseconds timeout, StoreHandler) override;
     void list(const std::string& prefix, Milliseconds timeout, StoreHandler) override;
