Owner: a stopped run whose end was discarded does not hold its task back for ever

A run that the worker had confirmed waits for its listed end once it is stopped. If a worker discards that end before the owner has seen it, as an acknowledgment can that is carried out late, callers would see the job stand still, and the run's room would stay taken.

Now such a run ends as well if two reports in succession, both made the longest stop and the longest lease after the stop was accepted, on the worker's clock, show neither the run nor its end. A worker that stands still for that long has ended all its runs with the lease, and one that answers calls all the while has finished the stop.

Cost: none while ends are listed.

--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -450,7 +450,7 @@
             run.confirmedAt = now();
         if (!run.confirmedClock)
             run.confirmedClock = worker->clock;
-        run.listsEnd = true;
+        run.noteListsEnd();
         if (job && job->contains(key.first))
             checkSurvivalSoon(*job, key.first, id);
         if (run.phase == TaskPhase::Starting) {
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -302,7 +302,7 @@
             run.confirmedAt = now();
         if (!run.confirmedClock)
             run.confirmedClock = worker.clock;
-        run.listsEnd = true;
+        run.noteListsEnd();
         if (run.phase == TaskPhase::Starting)
             run.phase = TaskPhase::Running;
         if (!job || !job->contains(running.task))
@@ -334,7 +334,7 @@
         run.resources = job->stepSpec(running.task).perTask;
     run.phase = TaskPhase::Stopping;
     run.confirmedAt = now();
-    run.listsEnd = true;
+    run.noteListsEnd();
     worker.runs.emplace(key, run);
     stopRun(worker, key);
 }
@@ -347,7 +347,7 @@
     run.phase = TaskPhase::Running;
     run.confirmedAt = now();
     run.confirmedClock = worker.clock;
-    run.listsEnd = true;
+    run.noteListsEnd();
     run.startedAt = now();
     run.adopted = true;
     expectEnd(job, running.task, run, running.percent);
@@ -383,11 +383,13 @@
 {
     bool noted = false;
     for (auto& [key, run] : worker.runs) {
-        if (run.listsEnd || !run.stopAcceptedAt || run.stopOverAt)
+        if (!run.stopAcceptedAt || run.stopOverAt)
             continue;
         if (!run.stopAcceptedClock && sentAt > *run.stopAcceptedAt)
             run.stopAcceptedClock = report.workerClock; // the response to the stop had no reading
-        if (!run.stopAcceptedClock || report.workerClock < *run.stopAcceptedClock + owner_.limits_.stopTime)
+        const Milliseconds wait
+            = owner_.limits_.stopTime + (run.listsEnd ? owner_.limits_.workerLease : Milliseconds(0));
+        if (!run.stopAcceptedClock || report.workerClock < *run.stopAcceptedClock + wait)
             continue;
         run.stopOverAt = now();
         noted = true;
--- a/src/jobs/RunEvidence.cpp
+++ b/src/jobs/RunEvidence.cpp
@@ -39,7 +39,7 @@
     case Kind::Absence:
         if (run.phase != TaskPhase::Stopping)
             return confirmedBefore ? std::optional(RunEnd::LeaseExpired) : std::nullopt;
-        if (!run.listsEnd && run.stopOverAt && *run.stopOverAt < requestedAt_)
+        if (run.stopOverAt && *run.stopOverAt < requestedAt_)
             return RunEnd::Stopped;
         return std::nullopt;
     }
--- a/src/jobs/RunEvidence.h
+++ b/src/jobs/RunEvidence.h
@@ -17,7 +17,9 @@
 // A run disappears from reports while it is being stopped, and its worker may stand still in the middle of that. A run
 // that the worker has confirmed ends when its end is listed. One that may never have existed is proven gone if two
 // reports in succession, both made after the longest stop on the worker's clock, show neither it nor its end. The
-// second is requested after the first was received, so that the worker has taken up in between what was due.
+// second is requested after the first was received, so that the worker has taken up in between what was due. The same
+// holds for a confirmed run one longest lease later: then its end has been discarded unseen, since a worker that stands
+// still for that long has ended all its runs.
 //
 // A call that timed out, a refused connection and a missing registration prove nothing, alone or together: a worker
 // that is cut off from this instance and from the store shows all three while its runs go on.
--- a/src/jobs/WorkerRun.h
+++ b/src/jobs/WorkerRun.h
@@ -30,10 +30,18 @@
     bool listsEnd = false; // the worker's process has accepted or reported the run, so that it will list its end
     std::optional<Milliseconds> stopAcceptedAt; // when the worker accepted the stop; the run cannot start afterwards
     std::optional<Milliseconds> stopAcceptedClock; // reading of the worker's clock at that time or later
-    // When the first report was received that was made after the longest stop, on the worker's clock.
+    // When the first report was received that was made so long after the stop, on the worker's clock, that its end must
+    // have been listed.
     std::optional<Milliseconds> stopOverAt;
     Milliseconds stopSentAt { 0 };
 
+    // Notes that the worker's process has accepted or reported the run.
+    void noteListsEnd()
+    {
+        if (!std::exchange(listsEnd, true))
+            stopOverAt.reset();
+    }
+
     // Whether no command has been sent for it yet.
     bool isQueued() const { return phase == TaskPhase::Starting && startAttempts == 0 && !adopted && !confirmedAt; }
 };
--- a/tests/jobs/MarginsTest.cpp
+++ b/tests/jobs/MarginsTest.cpp
@@ -49,6 +49,31 @@
     CHECK(cluster.fleet.violations().empty());
 }
 
+// Guards against a task that never runs again, and room that stays taken, because the end of its stopped run was
+// discarded before the owner saw it.
+TEST_CASE("a task starts again although the end of its stopped run is never listed")
+{
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(3000));
+    cluster.submit("batch", "a0", oneStep(1, 8, Milliseconds(5000), /*gang=*/false));
+    cluster.world.run(Milliseconds(500));
+    REQUIRE(cluster.fleet.runningOn(holder) == 1);
+    cluster.instances[0]->faultyWorkers.changeReport = [](const WorkerId& id, WorkerReport& report) {
+        if (id == holder)
+            report.ended.clear();
+    };
+    cluster.submit("urgent", "u0", oneStep(1, 8, Milliseconds(20000), /*gang=*/false));
+    addSpareWorkers(cluster);
+    cluster.world.run(Milliseconds(5500));
+    CHECK(cluster.fleet.startsOf(JobId("a0")) == 1);
+    cluster.world.run(Milliseconds(4500));
+    CHECK(cluster.fleet.startsOf(JobId("a0")) == 2);
+    cluster.world.run(Milliseconds(10000));
+    CHECK(cluster.storedState("a0") == JobState::Completed);
+    CHECK(cluster.fleet.violations() == std::vector<std::string>());
+}
+
 // Guards against two runs of a task at a time: a new owner took the runs on a worker for known a few milliseconds after
 // the longest stop, while the worker stood still in the middle of a stop by the previous owner.
 TEST_CASE("a new owner waits for a stop during which the worker stands still")
