--- a/src/jobs/RunEvidence.cpp
+++ b/src/jobs/RunEvidence.cpp
@@ -47,7 +47,7 @@
     case Kind::Absence:
         if (run.phase != TaskPhase::Stopping)
             return confirmedBefore ? std::optional(RunEnd::LeaseExpired) : std::nullopt;
-        if (!run.listsEnd && run.stopOverAt && *run.stopOverAt < observedAt_)
+        if (run.stopOverAt && *run.stopOverAt < observedAt_)
             return RunEnd::Stopped;
         return std::nullopt;
     }
