--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -23,7 +23,8 @@
         "edge", options::value(&soak.binary)->default_value("build/rosemarylink-edge"), "the program under test")(
         "seed", options::value(&soak.seed)->default_value(soak.seed), "seed of the sequence of faults and jobs")(
         "seconds", options::value(&seconds)->default_value(seconds), "duration of the fault injection")(
-        "cuts-only", options::bool_switch(&soak.cutsOnly), "inject only cuts of workers and late answers")(
+        "cuts-only", options::bool_switch(&soak.cutsOnly), "inject only cuts of workers and late answers")("cut-one-in",
+        options::value(&soak.cutOneIn)->default_value(soak.cutOneIn), "one in so many workers is cut off at a time")(
         "with", options::value(&soak.with)->multitoken(), "with --cuts-only: names of faults to inject during cuts")(
         "instances", options::value(&soak.instances)->default_value(soak.instances),
         "number of processes of the program")("workers", options::value(&soak.workers)->default_value(soak.workers),
--- a/tests/soak/PlatformServers.cpp
+++ b/tests/soak/PlatformServers.cpp
@@ -1,4 +1,5 @@
 #include "PlatformServers.h"
+#include "rosemarylink/jobs/Catalog.h"
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/Base64Encoder.h>
@@ -6,6 +7,7 @@
 #include <Poco/URI.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <map>
 #include <random>
 #include <sstream>
@@ -108,12 +110,23 @@
         return { { "events", events }, { "CurrentRev", answer.revision.value() } };
     }
 
+    bool isProgressOfOwner(const jobs::Batch& batch)
+    {
+        const auto namesOwner = [](const jobs::Precondition& row) { return row.key == jobs::keys::ownership; };
+        const auto isProgress = [](const jobs::Put& put) {
+            return put.key.compare(0, jobs::keys::progressPrefix.size(), jobs::keys::progressPrefix) == 0;
+        };
+        return std::any_of(batch.preconditions.begin(), batch.preconditions.end(), namesOwner)
+            && std::any_of(batch.puts.begin(), batch.puts.end(), isProgress);
+    }
+
     void serveCommit(reactor::EventLoop& loop, jobs::SimStoreClient& store, const WriteFault& configured,
         const ServerRequest& request, const Responder& respond)
     {
         static std::mt19937 random(1);
         const jobs::Batch batch = parseBatch(Json::parse(request.body));
-        const bool harmed = batch.hasChanges() && std::uniform_real_distribution<>(0, 1)(random) < configured.share;
+        const bool matches = configured.progressOnly ? isProgressOfOwner(batch) : batch.hasChanges();
+        const bool harmed = matches && std::uniform_real_distribution<>(0, 1)(random) < configured.share;
         const WriteFault fault = harmed ? configured : WriteFault {};
         const Responder answer = [&loop, fault, respond](const reactor::ServerResponse& response) {
             if (fault.loseAnswers)
--- a/tests/soak/PlatformServers.h
+++ b/tests/soak/PlatformServers.h
@@ -11,6 +11,7 @@
 // The fault of the store that harms commits with changes only; reads, leases and preconditions are served.
 struct WriteFault {
     double share = 0; // of these commits
+    bool progressOnly = false; // harms only the progress that an owner writes
     bool loseAnswers = false;
     Milliseconds executionDelay { 0 };
     Milliseconds answerDelay { 0 };
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -47,7 +47,8 @@
         { "rebirths", &Soak::injectRebirths, 1, Random(options.seed + 5) },
         { "slices", &Soak::injectLittleProcessorTime, 2, Random(options.seed + 6) },
         { "paused-workers", &Soak::pauseWorkers, 2, Random(options.seed + 7) },
-        { "late-delivery", &Soak::suspendLinks, 1, Random(options.seed + 8) } }
+        { "late-delivery", &Soak::suspendLinks, 1, Random(options.seed + 8) },
+        { "unsaved-ends", &Soak::loseOwnershipWithUnsavedEnds, 1, Random(options.seed + 9) } }
     , random_(options.seed + 2)
     , loop_(clock_)
     , callers_(loop_)
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -24,6 +24,7 @@
     Milliseconds faults { 12000 }; // how long faults are injected
     Milliseconds workerLease { 6000 }; // the longest lease of a worker's runs
     Milliseconds registrationLife { 4500 }; // a registration is removed this long after its worker's last heartbeat
+    int cutOneIn = 4; // one in so many workers is cut off at a time
     bool cutsOnly = false; // injects nothing but cuts of workers, late answers and the faults in `with`
     std::vector<std::string> with; // names of faults during cuts; without cutsOnly all are injected
 };
@@ -107,6 +108,7 @@
     void injectLittleProcessorTime(const CutPeriod&);
     void pauseWorkers(const CutPeriod&);
     void suspendLinks(const CutPeriod&);
+    void loseOwnershipWithUnsavedEnds(const CutPeriod&);
     void runInSlices(EdgeInstance&, Milliseconds until, Milliseconds stopped, Milliseconds running);
     EdgeInstance* findOwner();
     Proxy& storeLinkOf(const EdgeInstance&);
--- a/tests/soak/SoakCutFaults.cpp
+++ b/tests/soak/SoakCutFaults.cpp
@@ -18,6 +18,9 @@
 
     constexpr int longestWriteDelayMs = 1200; // exceeds the time-outs of writes
 
+    // A write that is executed this late meets the next owner's records.
+    constexpr Milliseconds lostWriteDelay { 8000 };
+
     constexpr int shortestShortCutMs = 300;
     constexpr int longestShortCutMs = 4400;
     constexpr int shortestDownTimeMs = 50;
@@ -217,4 +220,50 @@
     });
 }
 
+// Loses most writes of progress, then cuts off workers whose last ends the owner has seen and could not store, then
+// takes its ownership: for longer than that of the others, or so that it wins the next one too.
+void Soak::loseOwnershipWithUnsavedEnds(const CutPeriod& cut)
+{
+    // The next owner waits for workers that are cut off while they are idle, so the others are back by then.
+    const Milliseconds delay = cut.duration - Milliseconds(1000);
+    const Milliseconds writesLostFor = randomDuration(cut.random, 3600, 5000);
+    const Milliseconds cutAfter = delay + randomDuration(cut.random, 500, 1500);
+    const Milliseconds lossAfter = cutAfter + randomDuration(cut.random, 700, 2000);
+    const Milliseconds lossDuration = randomDuration(cut.random, shortestOwnershipFaultMs, longestOwnershipFaultMs);
+    const Milliseconds cutFor = randomDuration(cut.random, 5000, 8500);
+    const bool ownerReturns = randomIndex(cut.random, 2) == 0;
+    std::vector<WorkerId> ids;
+    for (const auto& [id, member] : workers_) {
+        if (randomIndex(cut.random, 6) == 0 && cut.workers.count(id) == 0)
+            ids.push_back(id);
+    }
+    schedule(delay, [this, writesLostFor] {
+        if (faultInjectionEnded_)
+            return;
+        writeFault_.share = 1;
+        writeFault_.progressOnly = true;
+        writeFault_.loseAnswers = true;
+        writeFault_.executionDelay = lostWriteDelay;
+        schedule(writesLostFor, [this] { writeFault_ = {}; });
+    });
+    schedule(cutAfter, [this, ids, cutFor] {
+        for (const WorkerId& id : ids) {
+            // The owner notices the cut of a worker with runs, and the next one waits long for others.
+            if (!faultInjectionEnded_ && fleet_.runningOn(id) > 0)
+                cutOff(id, /*resets=*/true, cutFor);
+        }
+    });
+    schedule(lossAfter, [this, lossDuration, ownerReturns] {
+        EdgeInstance* const owner = findOwner();
+        if (faultInjectionEnded_ || !owner)
+            return;
+        ++faultCounts_["ownership-lost-with-unsaved-ends"];
+        holdLink(storeLinkOf(*owner), lossDuration);
+        for (const auto& instance : instances_) {
+            if (ownerReturns && instance.get() != owner)
+                holdLink(storeLinkOf(*instance), lossDuration + ownerAdvance);
+        }
+    });
+}
+
 } // namespace rosemarylink::soak
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -153,7 +153,7 @@
     const Milliseconds duration = randomDuration(cutRandom_, 4700, 8000);
     std::set<WorkerId> cut;
     for (const auto& [id, member] : workers_) {
-        if (randomIndex(cutRandom_, 4) > 0)
+        if (randomIndex(cutRandom_, options_.cutOneIn) > 0)
             continue;
         cutOff(id, resets, duration);
         cut.insert(id);
