HTTP server: connections of silent callers are closed

Callers that went silent kept their connections, each of which costs a file descriptor and memory, until the process ended.

Cause: LoopHttpServer closed a connection only when the peer did, after a response that says so, or in drain().

A request is in progress from when it has been received whole until its response has been sent, however long that takes; one that has arrived in part does not keep the connection open. The default is ten minutes because clients ask for a job's state from time to time, for minutes after its end, and the platform leaves an open channel with its node; a client that asks at least that often is never cut off. The option is on the command line because the settings file is the platform's. The servers for readiness and metrics have no limit.

rosemarylink_caller_connections and rosemarylink_idle_caller_connections_closed count them, and one line for each check that closes some tells how many.

Not covered: a peer that does not read its response keeps the connection until TCP gives it up, since that request is in progress.

Cost: a timer every eighth of the limit that looks at each connection.

Evidence: "a server closes connections that are idle for the limit and no others" fails without the check (8 of 12 assertions, the 4 connections stay open) and passes with it; it uses a manual clock. reactor_tests: all 15 pass, three times.

--- a/apps/rosemarylink-edge/EdgeProcess.cpp
+++ b/apps/rosemarylink-edge/EdgeProcess.cpp
@@ -24,9 +24,11 @@
 
 } // namespace
 
-EdgeProcess::EdgeProcess(const std::string& settingsPath, const platform::PlatformSettings& settings)
+EdgeProcess::EdgeProcess(
+    const std::string& settingsPath, const platform::PlatformSettings& settings, Milliseconds callerIdleLimit)
     : settingsPath_(settingsPath)
     , settings_(settings)
+    , callerIdleLimit_(callerIdleLimit)
     , loop_(clock_)
     , timers_(loop_)
     , http_(loop_)
@@ -55,6 +57,8 @@
         reactor::LoopHttpServer::listen(loop_, settings_.metricsAddress, limits,
             [this](const reactor::ServerRequest&, const reactor::Responder& respond) { respond(metrics()); }));
     callerServer_ = std::move(callerServer);
+    if (callerIdleLimit_ > Milliseconds(0))
+        callerServer_->closeIdleConnections(callerIdleLimit_);
     readinessServer_ = std::move(readinessServer);
     metricsServer_ = std::move(metricsServer);
     config_.start();
@@ -77,6 +81,10 @@
     registry_.gauge("rosemarylink_owner", "1 while this instance schedules the jobs.").set(ownership_.held() ? 1 : 0);
     registry_.gauge("rosemarylink_connections_opened", "Connections opened to the store and to workers.")
         .set(static_cast<double>(http_.connectionsOpened()));
+    registry_.gauge("rosemarylink_caller_connections", "Open connections of callers.")
+        .set(static_cast<double>(callerServer_->connections()));
+    registry_.gauge("rosemarylink_idle_caller_connections_closed", "Connections of callers that were closed as idle.")
+        .set(static_cast<double>(callerServer_->idleConnectionsClosed()));
     return { 200, registry_.renderPrometheus(), {}, "text/plain; version=0.0.4" };
 }
 
--- a/apps/rosemarylink-edge/EdgeProcess.h
+++ b/apps/rosemarylink-edge/EdgeProcess.h
@@ -34,7 +34,8 @@
 // Everything runs on the thread that calls run().
 class EdgeProcess {
 public:
-    EdgeProcess(const std::string& settingsPath, const platform::PlatformSettings&);
+    // Connections of callers that are idle for `callerIdleLimit` are closed; 0 means never.
+    EdgeProcess(const std::string& settingsPath, const platform::PlatformSettings&, Milliseconds callerIdleLimit);
 
     // Starts the servers and connects to the store. Fails with Unavailable when an address cannot be listened on. Must
     // be called once, before run().
@@ -58,6 +59,7 @@
     SystemClock clock_;
     std::string settingsPath_;
     platform::PlatformSettings settings_;
+    Milliseconds callerIdleLimit_;
     reactor::EventLoop loop_;
     LoopTimers timers_;
     reactor::LoopHttpClient http_;
--- a/apps/rosemarylink-edge/Main.cpp
+++ b/apps/rosemarylink-edge/Main.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/program_options.hpp>
 
+#include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <cstdlib>
 #include <iostream>
 #include <unistd.h>
@@ -35,17 +37,23 @@
 
 constexpr int exitUsage = 2;
 
+// Callers ask for a job's state from time to time, for minutes after its end, and keep their connections meanwhile.
+constexpr std::uint32_t defaultCallerIdleLimitSeconds = 600;
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     const char* const environmentPath = std::getenv("ROSEMARYLINK_SETTINGS");
     std::string path = environmentPath ? environmentPath : "/etc/rosemarylink/node.json";
+    std::uint32_t callerIdleLimitSeconds = defaultCallerIdleLimitSeconds;
     options::options_description description(
         "rosemarylink-edge: serves callers and schedules jobs on the platform\n\nOptions");
     description.add_options()("help", "print this text")("version", "print the version")("settings",
         options::value(&path)->default_value(path),
-        "the platform's settings file")("check-settings", "check the settings file and exit");
+        "the platform's settings file")("check-settings", "check the settings file and exit")("caller-idle-limit-s",
+        options::value(&callerIdleLimitSeconds)->default_value(callerIdleLimitSeconds),
+        "a caller's connection without a request in progress is closed after this many idle seconds; 0: never");
     options::variables_map arguments;
     try {
         options::store(options::parse_command_line(argc, argv, description), arguments);
@@ -73,7 +81,7 @@
     }
     handleSignals();
     rosemarylink::startLogging(argv[0], STDOUT_FILENO); // the platform collects standard output
-    rosemarylink::EdgeProcess process(path, settings.value());
+    rosemarylink::EdgeProcess process(path, settings.value(), std::chrono::seconds(callerIdleLimitSeconds));
     if (const auto started = process.start(); !started) {
         rosemarylink::Logger("edge").error("Startup failed", { { "reason", started.error().message } });
         return 1;
--- a/include/rosemarylink/reactor/LoopHttpServer.h
+++ b/include/rosemarylink/reactor/LoopHttpServer.h
@@ -34,6 +34,14 @@
     // Listens on an address of the form "IP:port". Fails with Unavailable if the address is in use or not local.
     static Result<std::unique_ptr<LoopHttpServer>> listen(
         EventLoop&, const std::string& address, const MessageLimits&, RequestHandler);
+
+    // From now on closes each connection on which nothing has arrived or been sent for this long, from its opening on,
+    // and which has no request in progress. A request is in progress from when it has been received whole until its
+    // response has been sent. Connections are closed up to an eighth of the limit late. Must be called at most once.
+    void closeIdleConnections(Milliseconds limit);
+
+    // Number of connections that were closed because they were idle.
+    std::uint64_t idleConnectionsClosed() const { return idleConnectionsClosed_; }
     ~LoopHttpServer();
 
     // Stops accepting connections, closes idle ones immediately and the others after their current response.
@@ -50,6 +58,7 @@
 
     LoopHttpServer(EventLoop&, const Poco::Net::ServerSocket&, const MessageLimits&, RequestHandler);
     void accept();
+    void scheduleIdleCheck();
 
     EventLoop& loop_;
     Poco::Net::ServerSocket socket_;
@@ -58,6 +67,9 @@
     RequestHandler handler_;
     std::shared_ptr<Listener> listener_;
     std::set<std::shared_ptr<Connection>> connections_;
+    Milliseconds idleLimit_ { 0 }; // 0 if idle connections are not closed
+    EventLoop::TimerId idleTimer_ = 0;
+    std::uint64_t idleConnectionsClosed_ = 0;
     bool draining_ = false;
     bool listening_ = true;
 };
--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -15,6 +15,8 @@
     // Limit on connections that wait in the kernel for accept(); callers connect in bursts of a few dozen.
     constexpr int listenBacklog = 256;
 
+    constexpr int idleChecksPerLimit = 8;
+
     const Logger logger("http");
 
 } // namespace
@@ -25,6 +27,7 @@
     Connection(LoopHttpServer& server, const Poco::Net::StreamSocket& socket)
         : server_(&server)
         , buffer_(socket)
+        , activeAt_(server.loop_.clock().monotonic())
     {
     }
 
@@ -34,6 +37,7 @@
 
     void onReadable() override
     {
+        noteActivity();
         if (buffer_.receive() == SocketBuffer::ConnectionState::Closed) {
             close();
             return;
@@ -43,6 +47,7 @@
 
     void onWritable() override
     {
+        noteActivity();
         if (buffer_.send() == SocketBuffer::ConnectionState::Closed) {
             close();
             return;
@@ -57,6 +62,9 @@
         serveNext();
     }
 
+    // A request that has arrived in part is not in progress: its caller may have gone silent.
+    bool idleSince(Milliseconds time) const { return !requestInProgress_ && !buffer_.hasUnsent() && activeAt_ <= time; }
+
     // Closes the connection if it is idle; otherwise it is closed after the current response.
     void drain()
     {
@@ -76,6 +84,12 @@
     }
 
 private:
+    void noteActivity()
+    {
+        if (server_)
+            activeAt_ = server_->loop_.clock().monotonic();
+    }
+
     void serveNext()
     {
         if (!server_ || requestInProgress_ || buffer_.hasUnsent())
@@ -108,6 +122,7 @@
         if (!server_)
             return;
         requestInProgress_ = false;
+        noteActivity();
         if (server_->draining_)
             closeAfterSend_ = true;
         Poco::Net::HTTPResponse head(
@@ -142,6 +157,7 @@
 
     LoopHttpServer* server_; // null once closed
     SocketBuffer buffer_;
+    Milliseconds activeAt_; // when something last arrived or was sent
     bool requestInProgress_ = false;
     bool closeAfterSend_ = false;
 };
@@ -188,6 +204,8 @@
 
 LoopHttpServer::~LoopHttpServer()
 {
+    if (idleTimer_ != 0)
+        loop_.cancel(idleTimer_);
     if (listening_) {
         loop_.unwatch(socket_);
         socket_.close();
@@ -210,6 +228,34 @@
     }
 }
 
+void LoopHttpServer::closeIdleConnections(Milliseconds limit)
+{
+    idleLimit_ = limit;
+    scheduleIdleCheck();
+}
+
+void LoopHttpServer::scheduleIdleCheck()
+{
+    idleTimer_ = loop_.after(idleLimit_ / idleChecksPerLimit, [this] {
+        scheduleIdleCheck();
+        const Milliseconds since = loop_.clock().monotonic() - idleLimit_;
+        std::uint64_t closed = 0;
+        const auto open = connections_;
+        for (const auto& connection : open) {
+            if (!connection->idleSince(since))
+                continue;
+            connection->close();
+            ++closed;
+        }
+        if (closed == 0)
+            return;
+        idleConnectionsClosed_ += closed;
+        logger.info("Idle connections are closed",
+            { { "address", address_ }, { "closed", closed }, { "open", connections_.size() },
+                { "idleForMs", idleLimit_.count() } });
+    });
+}
+
 void LoopHttpServer::drain()
 {
     draining_ = true;
--- a/tests/reactor/EventLoopTest.cpp
+++ b/tests/reactor/EventLoopTest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <fcntl.h>
 #include <filesystem>
@@ -106,6 +107,72 @@
     CHECK(afterDrain == Verdict::NotRun);
 }
 
+// Guards against connections of silent callers that stay open until the process has no file descriptors left, and
+// against a limit that cuts a request in progress or a connection in use.
+TEST_CASE("a server closes connections that are idle for the limit and no others")
+{
+    ManualClock clock;
+    EventLoop loop(clock);
+    std::vector<Responder> held;
+    auto listening = LoopHttpServer::listen(
+        loop, "127.0.0.1:0", {}, [&held](const ServerRequest& request, const Responder& respond) {
+            if (request.head.getURI() == "/hold")
+                held.push_back(respond);
+            else
+                respond({ 200, "{}", {} });
+        });
+    REQUIRE(listening.has_value());
+    LoopHttpServer& server = *listening.value();
+    server.closeIdleConnections(Milliseconds(80000));
+    const Poco::Net::SocketAddress address(server.address());
+    Poco::Net::StreamSocket silent(address);
+    Poco::Net::StreamSocket partial(address);
+    Poco::Net::StreamSocket waiting(address);
+    Poco::Net::StreamSocket inUse(address);
+    const auto send = [](Poco::Net::StreamSocket& socket, const std::string& text) {
+        socket.sendBytes(text.data(), static_cast<int>(text.size()));
+    };
+    send(partial, "POST / HTTP/1.1\r\nContent-");
+    send(waiting, "GET /hold HTTP/1.1\r\n\r\n");
+    const auto isClosed = [](Poco::Net::StreamSocket& socket) {
+        char byte = 0;
+        return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) && socket.receiveBytes(&byte, 1) == 0;
+    };
+    const std::function<void()> keepAwake = [&] { loop.after(Milliseconds(1), keepAwake); };
+    keepAwake();
+    Milliseconds elapsed { 0 };
+    loop.run([&] {
+        constexpr Milliseconds step { 2500 };
+        constexpr Milliseconds requestInterval { 50000 };
+        constexpr Milliseconds inUseUntil { 400000 };
+        clock.advance(step);
+        elapsed += step;
+        if (elapsed % requestInterval == Milliseconds(0) && elapsed <= inUseUntil)
+            send(inUse, "GET / HTTP/1.1\r\n\r\n");
+        if (elapsed == Milliseconds(75000))
+            CHECK(server.connections() == 4);
+        if (elapsed == Milliseconds(100000)) {
+            CHECK(server.connections() == 2);
+            CHECK(isClosed(silent));
+            CHECK(isClosed(partial));
+        }
+        if (elapsed == inUseUntil) {
+            CHECK(server.connections() == 2);
+            CHECK(server.idleConnectionsClosed() == 2);
+            REQUIRE(held.size() == 1);
+            held.front()({ 200, "{}", {} });
+            CHECK(waiting.poll(Poco::Timespan(1, 0), Poco::Net::Socket::SELECT_READ));
+        }
+        if (elapsed == inUseUntil + Milliseconds(75000))
+            CHECK(server.connections() == 2);
+        if (elapsed == inUseUntil + Milliseconds(100000)) {
+            CHECK(server.connections() == 0);
+            CHECK(server.idleConnectionsClosed() == 4);
+            loop.stop();
+        }
+    });
+}
+
 // Guards against requests that wait indefinitely for a server that does not respond.
 TEST_CASE("a request without a response times out and is reported as MayHaveRun")
 {
