Store client: a success without its revision or lease is not a success

Seen in the review, not shown: a 200 without a JSON object. All callers of records.front() (Admission: five, Ownership: one, OwnerSession: one) handle a read(), whose success without a readable record has been Unknown already (OddStoreResponsesTest), so none of them can find the list empty. The cases beside it did break promises:

- A commit without a JSON object or Revision was Done with revision 0.
An owner would have taken 0 as its fencing token, and progressRevision would have meant "absent".
- A precondition without changes that was answered with anything but an object confirmed the configuration.
- A lease grant without Lease gave lease 0, which binds a record to no lease: own/pools would never have been removed.
- A list with neither items nor CurrentRev looked like no items: no workers, or no jobs.

They are Unknown now, like other malformed responses. A list without items but with CurrentRev stays empty, since the platform may omit empty fields.

--- a/tests/platform/OddStoreResponsesTest.cpp
+++ b/tests/platform/OddStoreResponsesTest.cpp
@@ -43,6 +43,24 @@
         return result;
     }
 
+    // Makes a call to a store that answers with the body, and returns the response.
+    jobs::StoreResponse call(
+        const std::string& body, const std::function<void(StoreClient&, const jobs::StoreHandler&)>& make)
+    {
+        FixedResponse store(200, body);
+        MetricsRegistry metrics;
+        StoreClient client(store.http(), store.address(), metrics);
+        jobs::StoreResponse result;
+        const int calls = store.handlerCalls([&](const std::function<void()>& handled) {
+            make(client, [&result, handled](const jobs::StoreResponse& response) {
+                result = response;
+                handled();
+            });
+        });
+        CHECK(calls == 1);
+        return result;
+    }
+
 } // namespace
 
 // Guards against an owner that no longer learns of workers because one entry among theirs cannot be read.
@@ -82,4 +100,39 @@
     CHECK(read(R"({"Key":"own/pools","Value":"","Revision":3,"CurrentRev":9})").done());
 }
 
+// Guards against a success without its content: a fencing token 0, an ownership record that no lease ever removes, or a
+// list of workers that looks empty.
+TEST_CASE("a success of the store without the revision or lease is not a success")
+{
+    const auto commit = [](StoreClient& client, const jobs::StoreHandler& handler) {
+        jobs::Batch batch;
+        batch.puts = { { "own/pools", "x" } };
+        client.commit(batch, callTimeout, handler);
+    };
+    const auto confirm = [](StoreClient& client, const jobs::StoreHandler& handler) {
+        jobs::Batch batch;
+        batch.preconditions = { { "op/config", Revision(3) } };
+        client.commit(batch, callTimeout, handler);
+    };
+    const auto grant = [](StoreClient& client, const jobs::StoreHandler& handler) {
+        client.grantLease(callTimeout, callTimeout, handler);
+    };
+    const auto listWorkers
+        = [](StoreClient& client, const jobs::StoreHandler& handler) { client.list("servers/", callTimeout, handler); };
+    for (const char* const body : { "", "null", "[]", "5", "{", "{}" }) {
+        INFO(body);
+        CHECK(call(body, commit).outcome == jobs::StoreOutcome::Unknown);
+        CHECK(call(body, grant).outcome == jobs::StoreOutcome::Unknown);
+        CHECK(call(body, listWorkers).outcome == jobs::StoreOutcome::Unknown);
+        if (body != std::string("{}"))
+            CHECK(call(body, confirm).outcome == jobs::StoreOutcome::Unknown);
+    }
+    CHECK(call(R"({"Revision":0})", commit).outcome == jobs::StoreOutcome::Unknown);
+    CHECK(call(R"({"Lease":0,"TtlMs":1800})", grant).outcome == jobs::StoreOutcome::Unknown);
+    CHECK(call(R"({"Revision":4})", commit).done());
+    CHECK(call(R"({"Revision":4})", confirm).done());
+    CHECK(call(R"({"Lease":7,"TtlMs":1800})", grant).lease == 7);
+    CHECK(call(R"({"items":[],"CurrentRev":4})", listWorkers).done());
+}
+
 } // namespace rosemarylink::platform
