Admission: a lost list of waiting jobs does not end the count of a queue

Callers who asked for the number of a queue's waiting jobs would have been answered 503 for good, at the instance where one list of them got no response or threw an exception: later callers waited for that list, and none sent another.

Cause: whether a list is on its way was told from the callers that wait for it, who are forgotten only when it ends.

WaitingCounts, taken out of Admission, sends the list again for the next caller once it has been without a response for 10 s, and at once after an exception. Lists are numbered, so that a late or second response is ignored. Both causes are counted in rosemarylink_duty_restarts_total{duty="waiting-count"} and logged. It is not a Duty, because it runs on demand only; with nobody asking there is no list.

Cost: none in calls; one list a second for each queue that is asked for, as before.

--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -3,9 +3,9 @@
 #include "rosemarylink/jobs/ConfigView.h"
 #include "rosemarylink/jobs/JobMetrics.h"
 #include "rosemarylink/jobs/JobProgress.h"
+#include "rosemarylink/jobs/WaitingCounts.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -98,7 +98,6 @@
     static Milliseconds resolutionLimit(const Call&);
     void readState(const CallPointer&);
     void countWaiting(const CallPointer&, const QueueId&);
-    void finishCount(const CallPointer&, std::size_t jobs);
     void readForCancel(const CallPointer&);
     void commitCancel(const CallPointer&, Revision jobRevision);
     void resolveAbsentJob(const CallPointer&);
@@ -121,12 +120,7 @@
         std::vector<CallPointer> callers; // that wait for the lease that is being granted
     };
 
-    struct WaitingCount {
-        std::vector<CallPointer> callers; // of the list that is on its way, if not empty
-        std::optional<Milliseconds> requestedAt; // of the last complete list
-        std::size_t jobs = 0; // in that list
-    };
-    std::map<QueueId, WaitingCount> waitingCounts_;
+    WaitingCounts waitingCounts_;
     WithdrawalLease withdrawalLease_;
 };
 
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -25,9 +25,6 @@
     // at another instance, which may reach the store.
     constexpr int resolutionDivisor = 2;
 
-    // A count of waiting jobs is used for this long after it was requested; the platform allows 2 s.
-    constexpr Milliseconds maximumCountAge { 1000 };
-
     // Reserved out of the caller's deadline for delivering the response.
     constexpr Milliseconds responseMargin { 150 };
 
@@ -62,6 +59,7 @@
     , timers_(timers)
     , clock_(clock)
     , metrics_(metrics)
+    , waitingCounts_(store, clock, metrics)
 {
 }
 
@@ -559,39 +557,17 @@
     });
 }
 
-// Callers that ask at the same time share one list, because it grows with the number of waiting jobs.
 void Admission::countWaiting(const CallPointer& call, const QueueId& queue)
 {
-    WaitingCount& count = waitingCounts_[queue];
-    if (count.requestedAt && clock_.monotonic() - *count.requestedAt <= maximumCountAge) {
-        finishCount(call, count.jobs);
-        return;
-    }
-    count.callers.push_back(call);
-    if (count.callers.size() > 1)
-        return;
-    const Milliseconds requestedAt = clock_.monotonic();
-    store_.list(keys::waitingPrefix(queue), storeTimeout, [this, queue, requestedAt](const StoreResponse& response) {
-        WaitingCount& counted = waitingCounts_[queue];
-        const std::vector<CallPointer> callers = std::exchange(counted.callers, {});
-        if (response.done()) {
-            counted.jobs = response.records.size();
-            counted.requestedAt = requestedAt;
-        }
-        for (const CallPointer& caller : callers) {
-            if (response.done())
-                finishCount(caller, response.records.size());
-            else
-                retryLater(caller, /*mayHaveWritten=*/false, [this, caller, queue] { countWaiting(caller, queue); });
+    waitingCounts_.count(queue, [this, call, queue](std::optional<std::size_t> jobs) {
+        if (jobs) {
+            AdmissionResponse waiting { AdmissionOutcome::Accepted, "" };
+            waiting.pending = jobs;
+            finish(call, waiting);
+        } else {
+            retryLater(call, /*mayHaveWritten=*/false, [this, call, queue] { countWaiting(call, queue); });
         }
     });
 }
 
-void Admission::finishCount(const CallPointer& call, std::size_t jobs)
-{
-    AdmissionResponse waiting { AdmissionOutcome::Accepted, "" };
-    waiting.pending = jobs;
-    finish(call, waiting);
-}
-
 } // namespace rosemarylink::jobs
