Owner: keep runs alive through an outage of the store again

It limited the extensions of workers' leases to one lease after the end of the store lease, so that a worker that only a former owner reaches is free of runs when the next owner counts on it. The users' store is 'down or slow for long periods', and most of their jobs run for hours; a worker that one owner reaches and the next does not, while they share no other worker with runs, is rarer.

--- a/include/rosemarylink/jobs/Ownership.h
+++ b/include/rosemarylink/jobs/Ownership.h
@@ -46,13 +46,9 @@
     bool valid() const { return held_ && clock_.monotonic() < validUntil_; }
     bool held() const { return held_; }
 
-    // No other instance can have become the owner before this time on the local monotonic clock.
-    Milliseconds exclusiveUntil() const;
-
-    // True while runs that this owner has started may be followed or stopped: the lease is valid, or a renewal that was
-    // sent after its end failed because the store did not respond. Without the latter, a process that resumes after a
-    // pause would command workers that another owner may command by now. Another instance may have become the owner,
-    // so no run may be kept alive for longer than exclusiveUntil() allows.
+    // True while runs that this owner has started may be kept alive or stopped: the lease is valid, or a renewal that
+    // was sent after its end failed because the store did not respond. Without the latter, a process that resumes after
+    // a pause would command workers that another owner may command by now.
     bool mayCommand() const { return held_ && (valid() || (failedRenewalAt_ && *failedRenewalAt_ >= validUntil_)); }
     FencingToken token() const { return token_; }
 
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -39,17 +39,12 @@
 
 } // namespace
 
-// The end of a lease that is granted now, on the worker's clock. The next owner takes a worker that it cannot reach for
-// free of runs after one lease of its own ownership, so no lease counts from a time at which there may be a next owner.
-// The time since the worker's clock was read counts as on the slowest clock. Otherwise the lease of a worker that was
-// read long ago would be longer than the longest one if its call is executed late.
+// The end of a lease that is granted now, on the worker's clock. The time since the clock was read counts as on the
+// slowest clock. Otherwise the lease of a worker that was read long ago would be longer than the longest one, for which
+// a new owner waits, if its call is executed late.
 Milliseconds OwnerSession::leaseEndFor(const Worker& worker) const
 {
-    const Milliseconds grantedAt = std::min(now(), owner_.ownership_.exclusiveUntil());
-    const Milliseconds sinceReading = grantedAt - worker.clockReadAt;
-    const Milliseconds leastAdvance
-        = sinceReading > Milliseconds(0) ? scaled(sinceReading, slowestClockRate) : sinceReading;
-    return *worker.clock + leastAdvance + owner_.limits_.workerLease;
+    return *worker.clock + scaled(now() - worker.clockReadAt, slowestClockRate) + owner_.limits_.workerLease;
 }
 
 Milliseconds OwnerSession::latestLeaseEnd(const Worker& worker, Milliseconds leaseEnd)
@@ -124,7 +119,6 @@
         worker.strayAcknowledgments[number] = sentAt + longestCommandDelay;
     worker.skipWait = worker.skipWait || (pending && !sameIncarnation);
     const bool renewsLease = worker.clock && !worker.runs.empty() && mayRenewLease(worker)
-        && now() < owner_.ownership_.exclusiveUntil() + owner_.limits_.workerLease
         && permittedFleet_.allowsRenewal(worker.entry.id);
     const Milliseconds leaseEnd = renewsLease ? leaseEndFor(worker) : Milliseconds(0);
     WorkerLease::Extension extension = 0;
--- a/src/jobs/Ownership.cpp
+++ b/src/jobs/Ownership.cpp
@@ -66,8 +66,6 @@
 
 Precondition Ownership::condition() const { return { keys::ownership, Revision(token_.value()) }; }
 
-Milliseconds Ownership::exclusiveUntil() const { return validUntil_ + validityMargin; }
-
 void Ownership::checkRecord()
 {
     if (resigning_ || held_)
