Owner: the lease of a restarted worker is not measured on its earlier process's clock

A task whose worker had restarted, and then fell silent for good, waited for about as long as the earlier process had run, although other workers had room. The lease end of a poll that the new process answers is on the clock of the earlier one, and the clock of the new one starts anew, so that the owner counted a lease that was longer by the earlier process's uptime.

A worker shortens longer leases to the longest one, so the end counts as no later than that after the report.

--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -247,8 +247,11 @@
     // Runs on the worker may have a lease from a previous owner, of the longest duration that the worker grants.
     if (!worker.firstReportAt)
         worker.lease.extend(latestLeaseEnd(worker, *worker.clock + owner_.limits_.workerLease));
-    if (leaseEnd > Milliseconds(0))
-        worker.lease.extend(latestLeaseEnd(worker, leaseEnd));
+    if (leaseEnd > Milliseconds(0)) {
+        // A lease end for an earlier process of the worker may be hours ahead of the present one's clock, but the
+        // worker shortens longer leases to the longest one.
+        worker.lease.extend(latestLeaseEnd(worker, std::min(leaseEnd, *worker.clock + owner_.limits_.workerLease)));
+    }
     for (const EndedRun& ended : report.ended)
         handleEnd(worker, ended);
     // Ends are numbered, but what runs is told only by the newest report. Of two from the same millisecond either may
