--- a/src/jobs/FleetRecord.h
+++ b/src/jobs/FleetRecord.h
@@ -15,8 +15,8 @@
     // owner still renews its lease.
     std::optional<Milliseconds> leaseLimit;
 
-    // The jobs of all runs that may exist on the worker, and of its ends that are not stored. Absent if the owner does not
-    // know all of them.
+    // The jobs of all runs that may exist on the worker, and of its ends that are not stored. Absent if the owner does
+    // not know all of them.
     std::optional<std::set<JobId>> jobs;
 
     bool operator==(const SilentWorker& other) const { return leaseLimit == other.leaseLimit && jobs == other.jobs; }
