Owner: a worker that is registered again is polled if it did not respond last

A worker got no work any more, until its process started again or the owner changed, after an outage of 2 to 11 s in which its registration expired. A worker that is no longer registered and does not respond is not polled. Since it is kept while an acknowledgment to it has no response, and since while a start has none, instead of being removed at once. When it was registered again, only a worker whose runs were not known was polled, so that this one counted as unresponsive for ever.

--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -372,7 +372,7 @@
     logger.info("Worker is registered",
         { { "worker", entry.id }, { "rack", entry.rack }, { "accelerators", entry.capacity.accelerators },
             { "draining", entry.draining }, { "restarted", restarted } });
-    if (!worker.reconciled)
+    if (!worker.reconciled || worker.unresponsiveSince)
         poll(worker);
     schedulePlan();
 }
--- a/tests/jobs/ReviewTest.cpp
+++ b/tests/jobs/ReviewTest.cpp
@@ -32,4 +32,29 @@
     CHECK(cluster.fleet.violations().empty());
 }
 
+// Guards against a worker that never gets work again: it was cut off and no longer registered, was kept for a call that
+// might still be executed, and was not polled when it was registered again.
+TEST_CASE("a worker that is registered again while a call to it has no response yet gets work")
+{
+    const int outage = GENERATE(range(2000, 14000, 1000));
+    CAPTURE(outage);
+    const WorkerId worker("w0-0");
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(3000));
+    cluster.submit("batch", "a0", oneStep(8, 1, Milliseconds(300), /*gang=*/false));
+    while (cluster.storedState("a0") != JobState::Completed && cluster.world.now() < Milliseconds(10000))
+        cluster.world.run(Milliseconds(1));
+    cluster.fleet.silent = { worker }; // before it receives the acknowledgment
+    cluster.fleet.setEntry(worker, /*listed=*/false);
+    cluster.world.run(Milliseconds(outage));
+    cluster.fleet.silent.clear();
+    cluster.fleet.setEntry(worker, /*listed=*/true);
+    cluster.world.run(Milliseconds(2500));
+    cluster.submit("batch", "b0", oneStep(1, 1, Milliseconds(300), /*gang=*/false));
+    cluster.world.run(Milliseconds(20000));
+    CHECK(cluster.fleet.violations().empty());
+    CHECK(cluster.storedState("b0") == JobState::Completed);
+}
+
 } // namespace rosemarylink::jobs
