--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -180,12 +180,6 @@
     void resolveAbsentRuns(Worker&, const WorkerReport&, Milliseconds sentAt);
     Milliseconds longestStop() const;
     void adoptRun(Worker&, Job&, const RunningRun&);
-    void noteStrayStart(Worker&, const RunKey&, CommandOutcome);
-    void forgetStrayCalls();
-    // Reserves the worker for the runs that late starts may bring about.
-    void addStrayRuns(Worker&);
-    // When the last of the worker's runs is over if the worker does not respond again.
-    Milliseconds runsOverBy(const Worker&) const;
     void handleRestart(Worker&);
     void handleLeaseOver(Worker&);
     // Ends the runs that are proven gone.
@@ -230,6 +224,14 @@
     void logStepActivity();
     void markChanged(Job&, bool urgent);
 
+    // OwnerSessionStrays.cpp: calls without a response, which may still be executed.
+    void noteStrayStart(Worker&, const RunKey&, CommandOutcome);
+    void forgetStrayCalls();
+    // Reserves the worker for the runs that late starts may bring about.
+    void addStrayRuns(Worker&);
+    // When the last of the worker's runs is over if the worker does not respond again.
+    Milliseconds runsOverBy(const Worker&) const;
+
     // OwnerSessionPlanning.cpp
     // Plans soon after an event: almost at once if urgent work arrives, otherwise together with the events of the next
     // while, which grows with the cost of a plan.
