Owner: a restarted worker's lease counts polls that may still be executed

Two runs of a task at a time were possible on a worker that had started again under its id, got work, and was cut off. A poll for its earlier process that had got no response was executed seconds later. Its lease end is on the earlier process's clock, far ahead of the new one's, so that the worker granted its longest lease from that moment, while the owner counted the lease from the last poll that it knew of.

The lease of the new process now counts from the end of the time in which such a poll may be executed.

Not covered: a worker that was removed from the fleet in between, and an owner that takes over from the one whose poll is late.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -81,6 +81,9 @@
     // meanwhile, they make it discard ends that have not been seen, so that it gets no work until `idleUntil`.
     std::map<std::uint64_t, Milliseconds> strayAcknowledgments;
     Milliseconds idleUntil { 0 };
+    // Polls with a lease end that may still be executed, by number, and until when. A process that has started again
+    // meanwhile has another clock, so that they extend its lease however late they are executed.
+    std::map<std::uint64_t, Milliseconds> strayRenewals;
     // Runs that ended with the lease of an unresponsive worker, which may have crashed under them or been cut off. The
     // worker is polled until that is known, but not for longer than `undecidedUntil`.
     std::vector<RunKey> undecidedRuns;
--- a/src/jobs/OwnerSessionStrays.cpp
+++ b/src/jobs/OwnerSessionStrays.cpp
@@ -27,6 +27,7 @@
     for (auto& [id, worker] : workers_) {
         forgetIn(worker.strayStarts);
         forgetIn(worker.strayAcknowledgments);
+        forgetIn(worker.strayRenewals);
     }
 }
 
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -128,8 +128,10 @@
         && permittedFleet_.allowsRenewal(worker.entry.id);
     const Milliseconds leaseEnd = renewsLease ? leaseEndFor(worker) : Milliseconds(0);
     WorkerLease::Extension extension = 0;
-    if (renewsLease)
+    if (renewsLease) {
         extension = worker.lease.extendBy(latestLeaseEnd(worker, leaseEnd));
+        worker.strayRenewals[number] = sentAt + longestCommandDelay;
+    }
     const bool waitsForEnd = renewsLease && !worker.unresponsiveSince && worker.pendingEnds.empty()
         && !std::exchange(worker.skipWait, false);
     const Milliseconds wait = waitsForEnd ? pollWait : Milliseconds(0);
@@ -141,8 +143,10 @@
                 return;
             const bool settled = report || report.error().verdict == Verdict::NotRun;
             polled->lease.settle(extension, report || !settled);
-            if (settled)
+            if (settled) {
                 polled->strayAcknowledgments.erase(number);
+                polled->strayRenewals.erase(number);
+            }
             handlePollResponse(id, number, [&](Worker& current, bool newest) {
                 if (report
                     && (report.value().startTimeMs == 0 || report.value().startTimeMs == current.entry.startTimeMs))
@@ -474,12 +478,14 @@
         else
             unconfirmed.push_back(key);
     }
-    // The lease end of a late start is on the clock of the earlier incarnation, so the new incarnation does not reject
-    // it as late.
-    Milliseconds lastStart = now();
+    // The lease end of a late start or poll is on the clock of the earlier incarnation, so the new incarnation neither
+    // rejects it as late nor has had a lease up to it.
+    Milliseconds lastExtension = now();
     for (const auto& [key, until] : worker.strayStarts)
-        lastStart = std::max(lastStart, until);
-    worker.lease.reset(lastStart + scaled(owner_.limits_.workerLease, 1.0 / slowestClockRate));
+        lastExtension = std::max(lastExtension, until);
+    for (const auto& [number, until] : worker.strayRenewals)
+        lastExtension = std::max(lastExtension, until);
+    worker.lease.reset(lastExtension + scaled(owner_.limits_.workerLease, 1.0 / slowestClockRate));
     for (const RunKey& key : unconfirmed) {
         Job* const job = find(key.first.job);
         if (job && job->contains(key.first) && job->task(key.first).run == key.second
--- a/tests/jobs/ReviewTest.cpp
+++ b/tests/jobs/ReviewTest.cpp
@@ -57,4 +57,35 @@
     CHECK(cluster.storedState("b0") == JobState::Completed);
 }
 
+// Guards against two runs of a task at a time: a late poll for the earlier process of a worker extended the lease of
+// its next process, which had been cut off meanwhile.
+TEST_CASE("a late poll for the earlier process of a worker does not keep runs beyond the lease that the owner counts")
+{
+    const int pollDelay = GENERATE(range(5000, 12000, 500));
+    const int cutAfter = GENERATE(500, 1500, 3000);
+    CAPTURE(pollDelay, cutAfter);
+    const WorkerId worker("w0-0");
+    const WorkerId spare("spare");
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(60000));
+    cluster.submit("batch", "a0", oneStep(1, 1, Milliseconds(60000), /*gang=*/false));
+    cluster.world.run(Milliseconds(3000));
+    REQUIRE(cluster.fleet.runningOn(worker) == 1);
+    cluster.fleet.pollDelay = Milliseconds(pollDelay);
+    cluster.fleet.delayedPollShare = 1;
+    cluster.world.run(Milliseconds(2000));
+    cluster.fleet.delayedPollShare = 0;
+    cluster.fleet.restart(worker);
+    while (cluster.fleet.startsOf(JobId("a0")) < 2 && cluster.world.now() < Milliseconds(90000))
+        cluster.world.run(Milliseconds(10));
+    REQUIRE(cluster.fleet.runningOn(worker) == 1);
+    cluster.world.run(Milliseconds(cutAfter));
+    cluster.fleet.silent = { worker };
+    cluster.fleet.add(spare, "r0", { 32000, 64000, 8 });
+    cluster.world.run(Milliseconds(30000));
+    CHECK(cluster.fleet.violations() == std::vector<std::string>());
+    CHECK(cluster.fleet.runningOn(spare) == 1);
+}
+
 } // namespace rosemarylink::jobs
