Owner: a run whose end may be discarded unseen is not waited for until it is listed

A job never went on after this sequence: a worker starts again under its id, a start for its earlier process is executed late by the new one, the owner sees the run and stops it, and a poll with an acknowledgment for the earlier process is executed late and discards the end before the owner has seen it.

Until such acknowledgments cannot be executed any more, the run ends as one that was never confirmed: by two reports in succession after the longest stop.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -230,6 +230,7 @@
     // OwnerSessionStrays.cpp: calls without a response, which may still be executed.
     void noteStrayStart(Worker&, const RunKey&, CommandOutcome);
     void forgetStrayCalls();
+    bool keepsEnds(const Worker&) const;
     // Reserves the worker for the runs that late starts may bring about.
     void addStrayRuns(Worker&);
     // When the last of the worker's runs is over if the worker does not respond again.
--- a/src/jobs/OwnerSessionStrays.cpp
+++ b/src/jobs/OwnerSessionStrays.cpp
@@ -31,6 +31,10 @@
     }
 }
 
+// Whether all ends that the worker lists from now on are seen. Those of a process that has started again may be
+// discarded by acknowledgments for the earlier one.
+bool OwnerSession::keepsEnds(const Worker& worker) const { return now() >= worker.idleUntil; }
+
 // The new process does not know that a run has ended, so it would execute a late start for it.
 void OwnerSession::addStrayRuns(Worker& worker)
 {
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -453,7 +453,7 @@
             run.confirmedAt = now();
         if (!run.confirmedClock)
             run.confirmedClock = worker->clock;
-        run.listsEnd = true;
+        run.listsEnd = run.listsEnd || keepsEnds(*worker);
         if (job && job->contains(key.first))
             checkSurvivalSoon(*job, key.first, id);
         if (run.phase == TaskPhase::Starting) {
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -322,7 +322,7 @@
             run.confirmedAt = now();
         if (!run.confirmedClock)
             run.confirmedClock = worker.clock;
-        run.listsEnd = true;
+        run.listsEnd = keepsEnds(worker);
         if (run.phase == TaskPhase::Starting)
             run.phase = TaskPhase::Running;
         if (!job || !job->contains(running.task))
@@ -354,7 +354,7 @@
         run.resources = job->stepSpec(running.task).perTask;
     run.phase = TaskPhase::Stopping;
     run.confirmedAt = now();
-    run.listsEnd = true;
+    run.listsEnd = keepsEnds(worker);
     worker.runs.emplace(key, run);
     stopRun(worker, key);
 }
@@ -367,7 +367,7 @@
     run.phase = TaskPhase::Running;
     run.confirmedAt = now();
     run.confirmedClock = worker.clock;
-    run.listsEnd = true;
+    run.listsEnd = keepsEnds(worker);
     run.startedAt = now();
     run.adopted = true;
     expectEnd(job, running.task, run, running.percent);
--- a/src/jobs/WorkerRun.h
+++ b/src/jobs/WorkerRun.h
@@ -27,7 +27,9 @@
     // after the run's start, whatever responses have overtaken each other.
     std::optional<Milliseconds> confirmedAt;
     std::optional<Milliseconds> confirmedClock; // reading of the worker's clock when it first confirmed the run
-    bool listsEnd = false; // the worker's process has accepted or reported the run, so that it will list its end
+    // The worker's process has accepted or reported the run, and nothing can make it discard the end before that is
+    // seen.
+    bool listsEnd = false;
     std::optional<Milliseconds> stopAcceptedAt; // when the worker accepted the stop; the run cannot start afterwards
     std::optional<Milliseconds> stopAcceptedClock; // reading of the worker's clock at that time or later
     // When the first report was received that was made after the longest stop, on the worker's clock.
--- a/tests/jobs/ReviewTest.cpp
+++ b/tests/jobs/ReviewTest.cpp
@@ -88,4 +88,44 @@
     CHECK(cluster.fleet.runningOn(spare) == 1);
 }
 
+// Guards against a task that waits for a listed end for ever: a late poll for the earlier process of a worker made its
+// next process discard the end of a run that had been started late there and was being stopped.
+TEST_CASE("a task does not wait for an end that a late acknowledgment for an earlier process discards")
+{
+    const int pollDelay = GENERATE(1300, 1600, 2000);
+    CAPTURE(pollDelay);
+    const WorkerId worker("w0-0");
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(3000));
+    cluster.submit("batch", "a0", oneStep(8, 1, Milliseconds(300), /*gang=*/false));
+    while (cluster.storedState("a0") != JobState::Completed && cluster.world.now() < Milliseconds(10000))
+        cluster.world.run(Milliseconds(1));
+    cluster.fleet.delayedPollShare = 1; // of the acknowledgments
+    cluster.fleet.pollDelay = Milliseconds(pollDelay);
+    cluster.fleet.delayedCommandShare = 1;
+    cluster.fleet.commandDelay = Milliseconds(300);
+    cluster.submit("batch", "b0", oneStep(1, 1, Milliseconds(2000), /*gang=*/false));
+    cluster.world.run(Milliseconds(50));
+    cluster.fleet.delayedPollShare = 0;
+    cluster.fleet.delayedCommandShare = 0;
+    cluster.fleet.restart(worker);
+    cluster.fleet.setEntry(worker, /*listed=*/false); // not registered anew yet
+    // The worker is cut off once it has received the stop.
+    cluster.instances[0]->faultyWorkers.faultFor = [&](WorkerCall call, const WorkerId&) {
+        if (call == WorkerCall::Stop)
+            cluster.world.after(Milliseconds(5), [&] { cluster.fleet.silent = { worker }; });
+        return CallFault::None;
+    };
+    cluster.world.run(Milliseconds(2500));
+    REQUIRE(cluster.fleet.startsOf(JobId("b0")) == 1);
+    REQUIRE(cluster.fleet.runningOn(worker) == 0);
+    cluster.instances[0]->faultyWorkers.faultFor = nullptr;
+    cluster.fleet.silent.clear();
+    cluster.fleet.setEntry(worker, /*listed=*/true);
+    cluster.world.run(Milliseconds(60000));
+    CHECK(cluster.fleet.violations().empty());
+    CHECK(cluster.storedState("b0") == JobState::Completed);
+}
+
 } // namespace rosemarylink::jobs
