--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -81,6 +81,9 @@
     // meanwhile, they make it discard ends that have not been seen, so that it gets no work until `idleUntil`.
     std::map<std::uint64_t, Milliseconds> strayAcknowledgments;
     Milliseconds idleUntil { 0 };
+    // Polls with a lease end that may still be executed, by number, and until when. A process that has started again
+    // meanwhile has another clock, so that they extend its lease however late they are executed.
+    std::map<std::uint64_t, Milliseconds> strayRenewals;
     // Runs that ended with the lease of an unresponsive worker, which may have crashed under them or been cut off. The
     // worker is polled until that is known, but not for longer than `undecidedUntil`.
     std::vector<RunKey> undecidedRuns;
@@ -180,12 +183,6 @@
     void resolveAbsentRuns(Worker&, const WorkerReport&, Milliseconds sentAt);
     Milliseconds longestStop() const;
     void adoptRun(Worker&, Job&, const RunningRun&);
-    void noteStrayStart(Worker&, const RunKey&, CommandOutcome);
-    void forgetStrayCalls();
-    // Reserves the worker for the runs that late starts may bring about.
-    void addStrayRuns(Worker&);
-    // When the last of the worker's runs is over if the worker does not respond again.
-    Milliseconds runsOverBy(const Worker&) const;
     void handleRestart(Worker&);
     void handleLeaseOver(Worker&);
     // Ends the runs that are proven gone.
@@ -230,6 +227,14 @@
     void logStepActivity();
     void markChanged(Job&, bool urgent);
 
+    // OwnerSessionStrays.cpp: calls without a response, which may still be executed.
+    void noteStrayStart(Worker&, const RunKey&, CommandOutcome);
+    void forgetStrayCalls();
+    // Reserves the worker for the runs that late starts may bring about.
+    void addStrayRuns(Worker&);
+    // When the last of the worker's runs is over if the worker does not respond again.
+    Milliseconds runsOverBy(const Worker&) const;
+
     // OwnerSessionPlanning.cpp
     // Plans soon after an event: almost at once if urgent work arrives, otherwise together with the events of the next
     // while, which grows with the cost of a plan.
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -122,8 +122,10 @@
         && permittedFleet_.allowsRenewal(worker.entry.id);
     const Milliseconds leaseEnd = renewsLease ? leaseEndFor(worker) : Milliseconds(0);
     WorkerLease::Extension extension = 0;
-    if (renewsLease)
+    if (renewsLease) {
         extension = worker.lease.extendBy(latestLeaseEnd(worker, leaseEnd));
+        worker.strayRenewals[number] = sentAt + longestCommandDelay;
+    }
     const bool waitsForEnd = renewsLease && !worker.unresponsiveSince && worker.pendingEnds.empty()
         && !std::exchange(worker.skipWait, false);
     const Milliseconds wait = waitsForEnd ? pollWait : Milliseconds(0);
@@ -135,8 +137,10 @@
                 return;
             const bool settled = report || report.error().verdict == Verdict::NotRun;
             polled->lease.settle(extension, report || !settled);
-            if (settled)
+            if (settled) {
                 polled->strayAcknowledgments.erase(number);
+                polled->strayRenewals.erase(number);
+            }
             handlePollResponse(id, number, [&](Worker& current, bool newest) {
                 if (report
                     && (report.value().startTimeMs == 0 || report.value().startTimeMs == current.entry.startTimeMs))
@@ -437,59 +441,6 @@
     }
 }
 
-// Notes from the response to a start command whether one for the run may still be executed.
-void OwnerSession::noteStrayStart(Worker& worker, const RunKey& key, CommandOutcome outcome)
-{
-    const auto run = worker.runs.find(key);
-    if (outcome == CommandOutcome::Unknown) {
-        const Milliseconds until = now() + longestCommandDelay;
-        worker.strayStarts[key] = until;
-        if (run != worker.runs.end())
-            run->second.strayStartUntil = until;
-    } else if (run != worker.runs.end() && !run->second.strayStartUntil) {
-        worker.strayStarts.erase(key);
-    }
-}
-
-void OwnerSession::forgetStrayCalls()
-{
-    const auto forgetIn = [time = now()](auto& calls) {
-        for (auto call = calls.begin(); call != calls.end();)
-            call = time < call->second ? std::next(call) : calls.erase(call);
-    };
-    for (auto& [id, worker] : workers_) {
-        forgetIn(worker.strayStarts);
-        forgetIn(worker.strayAcknowledgments);
-    }
-}
-
-// The new process does not know that a run has ended, so it would execute a late start for it.
-void OwnerSession::addStrayRuns(Worker& worker)
-{
-    for (const auto& [key, until] : worker.strayStarts) {
-        if (now() >= until)
-            continue;
-        const Job* const job = find(key.first.job);
-        WorkerRun run;
-        if (job && job->contains(key.first))
-            run.resources = job->stepSpec(key.first).perTask;
-        run.phase = TaskPhase::Stopping;
-        run.strayStartUntil = until;
-        run.startedAt = now();
-        worker.runs.emplace(key, run);
-    }
-}
-
-Milliseconds OwnerSession::runsOverBy(const Worker& worker) const
-{
-    Milliseconds latest = worker.lease.end();
-    for (const auto& [key, run] : worker.runs) {
-        if (run.strayStartUntil)
-            latest = std::max(latest, *run.strayStartUntil + longestLease());
-    }
-    return latest;
-}
-
 // Resets the state of a restarted worker: it has seen no token, numbers its ends anew, and its earlier runs are gone.
 // A start command in flight may have reached the new incarnation, so only its report tells which runs exist.
 void OwnerSession::handleRestart(Worker& worker)
@@ -523,12 +474,14 @@
         else
             unconfirmed.push_back(key);
     }
-    // The lease end of a late start is on the clock of the earlier incarnation, so the new incarnation does not reject
-    // it as late.
-    Milliseconds lastStart = now();
+    // The lease end of a late start or poll is on the clock of the earlier incarnation, so the new incarnation neither
+    // rejects it as late nor has had a lease up to it.
+    Milliseconds lastExtension = now();
     for (const auto& [key, until] : worker.strayStarts)
-        lastStart = std::max(lastStart, until);
-    worker.lease.reset(lastStart + scaled(owner_.limits_.workerLease, 1.0 / slowestClockRate));
+        lastExtension = std::max(lastExtension, until);
+    for (const auto& [number, until] : worker.strayRenewals)
+        lastExtension = std::max(lastExtension, until);
+    worker.lease.reset(lastExtension + scaled(owner_.limits_.workerLease, 1.0 / slowestClockRate));
     for (const RunKey& key : unconfirmed) {
         Job* const job = find(key.first.job);
         if (job && job->contains(key.first) && job->task(key.first).run == key.second
