--- a/tests/jobs/RunEvidencePropertyTest.cpp
+++ b/tests/jobs/RunEvidencePropertyTest.cpp
@@ -178,4 +178,13 @@
     CHECK(play.unfinished().empty());
 }
 
+// Guards against a task that starts again although it is done: its end was discarded unseen, by an acknowledgment for
+// the earlier process of its worker that an owner sent because it had handled a report late.
+TEST_CASE("an owner that handles a report late sends no acknowledgment to a worker that has restarted since")
+{
+    Play play(1036884478);
+    play.run();
+    CHECK(play.violations().empty());
+}
+
 } // namespace rosemarylink::jobs
