Tests: the faulty upstream of a retried request is met however the draws fall

Cause, by reading: of two upstreams without load one is drawn at random (ServicePool seeds its generator from the system), and the test sent ten requests.

The check stays. Up to 90 more requests are sent until one has met the faulty upstream, each checked as before.

--- a/tests/gateway/UpstreamFailureTest.cpp
+++ b/tests/gateway/UpstreamFailureTest.cpp
@@ -73,7 +73,8 @@
         faults.shares[fault] = 1;
         fleet.upstreams.setFaults(UpstreamId("1"), faults);
         TestGateway gateway(store, fleet.specs, settingsWithRetries());
-        for (int index = 0; index < 10; ++index) {
+        // The upstream is drawn at random, so that the first few requests may all miss the faulty one.
+        for (int index = 0; index < 10 || (fleet.upstreams.arrivals(UpstreamId("1")) == 0 && index < 100); ++index) {
             const auto reply = gateway.post("photo").value();
             CHECK(reply.status == 200);
             CHECK(reply.body == headerOf(reply, "Rosemarylink-Request-Id") + ":photo");
