Observability: renewals without the store lease, and when a new owner gives up a worker

New are one line a second of such an owner, invalidForMs in 'Ownership lost', and takeoverMsAgo and token in 'Lease of an unresponsive worker has expired'. No decision is changed.

--- a/include/rosemarylink/jobs/Ownership.h
+++ b/include/rosemarylink/jobs/Ownership.h
@@ -46,6 +46,9 @@
     bool valid() const { return held_ && clock_.monotonic() < validUntil_; }
     bool held() const { return held_; }
 
+    // When valid() ends, or has ended, on the local monotonic clock.
+    Milliseconds validUntil() const { return validUntil_; }
+
     // True while runs that this owner has started may be kept alive or stopped: the lease is valid, or a renewal that
     // was sent after its end failed because the store did not respond. Without the latter, a process that resumes after
     // a pause would command workers that another owner may command by now.
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -268,6 +268,7 @@
     void logRestart(const Job&, const RunKey&, const Worker&) const;
     void logHeldBackWork();
     void logTakeoverWait();
+    void logUnsafeRenewals();
     void logWithheldSteps(const ServiceId& pool);
     void logWithheldStep(const Job&, int occurrence, int step, const PlannerFleet&);
     std::string withheldReason(const Job&, int occurrence, int step) const;
@@ -357,6 +358,8 @@
     std::map<TaskKey, GoneRun> goneRuns_;
     Milliseconds activityLoggedAt_ { 0 };
     Milliseconds heldBackLoggedAt_ { 0 };
+    // Workers whose leases were renewed since the last log line although the store lease is not known to be valid.
+    std::set<WorkerId> unsafeRenewals_;
     CommandWindow commandWindow_;
     std::deque<std::pair<RunKey, WorkerId>> queuedStarts_;
     std::optional<Milliseconds> planDueAt_; // when the pending plan is made
--- a/src/jobs/OwnerSessionDiagnosis.cpp
+++ b/src/jobs/OwnerSessionDiagnosis.cpp
@@ -23,6 +23,7 @@
     const Logger logger("plan");
     const Logger taskLogger("tasks");
     const Logger recoveryLogger("recovery");
+    const Logger workerLogger("workers");
 
 } // namespace
 
@@ -85,6 +86,7 @@
         return;
     heldBackLoggedAt_ = now();
     logTakeoverWait();
+    logUnsafeRenewals();
     std::set<ServiceId> pools;
     for (const auto& [id, job] : jobs_) {
         if (!isFinal(job.state))
@@ -110,6 +112,25 @@
             { "token", token_ } });
 }
 
+// Another instance may be the owner by now. If it does not reach one of these workers, it takes the runs there for over
+// after one lease.
+void OwnerSession::logUnsafeRenewals()
+{
+    if (unsafeRenewals_.empty())
+        return;
+    std::string names;
+    std::size_t named = 0;
+    for (const WorkerId& id : unsafeRenewals_) {
+        if (++named > maximumNames)
+            break;
+        names += (names.empty() ? "" : ",") + id.value();
+    }
+    workerLogger.warning("Leases are renewed although the store lease has ended",
+        { { "workers", unsafeRenewals_.size() }, { "names", names },
+            { "invalidForMs", (now() - owner_.ownership_.validUntil()).count() }, { "token", token_ } });
+    unsafeRenewals_.clear();
+}
+
 // Reports the steps of which no task runs although they are ready, fit more than once and the pool is mostly free.
 void OwnerSession::logWithheldSteps(const ServiceId& pool)
 {
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -422,7 +422,8 @@
             ++position;
             continue;
         }
-        logger.warning("Lease of an unresponsive worker has expired", { { "worker", position->first } });
+        logger.warning("Lease of an unresponsive worker has expired",
+            { { "worker", position->first }, { "takeoverMsAgo", (now() - startedAt_).count() }, { "token", token_ } });
         position = unconfirmedWorkers_.erase(position);
     }
     for (auto& [id, job] : jobs_) {
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -123,6 +123,8 @@
     const Milliseconds leaseEnd = renewsLease ? leaseEndFor(worker) : Milliseconds(0);
     WorkerLease::Extension extension = 0;
     if (renewsLease) {
+        if (!owner_.ownership_.valid())
+            unsafeRenewals_.insert(id);
         extension = worker.lease.extendBy(latestLeaseEnd(worker, leaseEnd));
         worker.strayRenewals[number] = sentAt + longestCommandDelay;
     }
--- a/src/jobs/Ownership.cpp
+++ b/src/jobs/Ownership.cpp
@@ -4,6 +4,8 @@
 #include "rosemarylink/base/RandomId.h"
 #include "rosemarylink/jobs/Catalog.h"
 
+#include <algorithm>
+
 namespace rosemarylink::jobs {
 
 namespace {
@@ -221,7 +223,9 @@
         return;
     held_ = false;
     renewal_.reset();
-    logger.warning("Ownership lost", { { "token", token_ }, { "reason", reason } });
+    logger.warning("Ownership lost",
+        { { "token", token_ }, { "reason", reason },
+            { "invalidForMs", std::max(Milliseconds(0), clock_.monotonic() - validUntil_).count() } });
     listener_.lost(reason);
     timers_.after(retryDelay, [this] { checkRecord(); });
 }
