Soak: a path for each pair of instance and worker, and a split of the fleet

The soak had one proxy for each worker, so that what was cut off was cut off from every instance. Each instance now has its own view of the store with the addresses of its own paths. The fault 'split' cuts the owner off from the store for longer than a lease, and the other instances off from a few workers with runs; in two of three cases the owner reaches only these.

--- a/tests/soak/PlatformServers.cpp
+++ b/tests/soak/PlatformServers.cpp
@@ -45,19 +45,21 @@
         return bytes;
     }
 
-    Json recordJson(const jobs::Record& record)
+    Json recordJson(const jobs::Record& record, const RecordView& view)
     {
-        return { { "Key", record.key }, { "Value", encode(record.value) }, { "Revision", record.revision.value() } };
+        return { { "Key", record.key }, { "Value", encode(view(record)) }, { "Revision", record.revision.value() } };
     }
 
-    Json recordsJson(const StoreResponse& answer)
+    Json recordsJson(const StoreResponse& answer, const RecordView& view)
     {
         Json rows = Json::array();
         for (const jobs::Record& record : answer.records)
-            rows.push_back(recordJson(record));
+            rows.push_back(recordJson(record, view));
         return rows;
     }
 
+    std::string storedValue(const jobs::Record& record) { return record.value; }
+
     // Returns a handler that responds with the body on success, and otherwise with the error status of the platform's
     // store.
     jobs::StoreHandler storeResponder(const Responder& respond, const std::function<Json(const StoreResponse&)>& body)
@@ -68,7 +70,7 @@
                 respond({ 200, body(answer).dump(), {} });
                 return;
             case StoreOutcome::Conflict:
-                respond({ 412, Json({ { "items", recordsJson(answer) } }).dump(), {} });
+                respond({ 412, Json({ { "items", recordsJson(answer, storedValue) } }).dump(), {} });
                 return;
             case StoreOutcome::NotFound:
                 respond({ 404, Json({ { "CurrentRev", answer.revision.value() } }).dump(), {} });
@@ -102,9 +104,9 @@
         return { { "Lease", answer.lease }, { "TtlMs", answer.leaseTtl.count() } };
     }
 
-    Json watchBody(const StoreResponse& answer)
+    Json watchBody(const StoreResponse& answer, const RecordView& view)
     {
-        Json events = recordsJson(answer);
+        Json events = recordsJson(answer, view);
         for (const std::string& key : answer.removedKeys)
             events.push_back({ { "Key", key }, { "Revision", answer.revision.value() }, { "Deleted", true } });
         return { { "events", events }, { "CurrentRev", answer.revision.value() } };
@@ -148,7 +150,7 @@
     }
 
     void serveStoreCall(reactor::EventLoop& loop, jobs::SimStoreClient& store, const WriteFault& fault,
-        const ServerRequest& request, const Responder& respond)
+        const RecordView& view, const ServerRequest& request, const Responder& respond)
     {
         static const std::string root = "/rosemarylink/kv-";
         const Poco::URI uri(request.head.getURI());
@@ -160,16 +162,16 @@
         const auto number = [&query](const char* name) { return std::stoll(query.at(name)); };
         const auto lease = [&path] { return std::stoll(path.substr(path.rfind('/') + 1)); };
         if (kind == "key") {
-            store.read(query.at("Key"), serverTimeout, storeResponder(respond, [](const StoreResponse& answer) {
-                return recordJson(answer.records.front());
+            store.read(query.at("Key"), serverTimeout, storeResponder(respond, [view](const StoreResponse& answer) {
+                return recordJson(answer.records.front(), view);
             }));
         } else if (kind == "range") {
-            store.list(query.at("Prefix"), serverTimeout, storeResponder(respond, [](const StoreResponse& answer) {
-                return Json({ { "items", recordsJson(answer) }, { "CurrentRev", answer.revision.value() } });
+            store.list(query.at("Prefix"), serverTimeout, storeResponder(respond, [view](const StoreResponse& answer) {
+                return Json({ { "items", recordsJson(answer, view) }, { "CurrentRev", answer.revision.value() } });
             }));
         } else if (kind == "watch") {
             store.watch(query.at("Prefix"), Revision(number("After")), Milliseconds(number("WaitMs")),
-                storeResponder(respond, watchBody));
+                storeResponder(respond, [view](const StoreResponse& answer) { return watchBody(answer, view); }));
         } else if (kind == "txn") {
             serveCommit(loop, store, fault, request, respond);
         } else if (kind == "lease") {
@@ -271,10 +273,10 @@
 } // namespace
 
 std::unique_ptr<reactor::LoopHttpServer> serveStore(
-    reactor::EventLoop& loop, jobs::SimStoreClient& store, const WriteFault& fault)
+    reactor::EventLoop& loop, jobs::SimStoreClient& store, const WriteFault& fault, const RecordView& view)
 {
-    return serve(loop, [&loop, &store, &fault](const ServerRequest& request, const Responder& respond) {
-        serveStoreCall(loop, store, fault, request, respond);
+    return serve(loop, [&loop, &store, &fault, view](const ServerRequest& request, const Responder& respond) {
+        serveStoreCall(loop, store, fault, view, request, respond);
     });
 }
 
--- a/tests/soak/PlatformServers.h
+++ b/tests/soak/PlatformServers.h
@@ -3,6 +3,7 @@
 #include "SimFleet.h"
 #include "rosemarylink/reactor/LoopHttpServer.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -17,9 +18,13 @@
     Milliseconds answerDelay { 0 };
 };
 
-// Serves a simulated store in the platform's protocol on a free port of 127.0.0.1. The fault may change meanwhile.
-// Throws if it cannot listen.
-std::unique_ptr<reactor::LoopHttpServer> serveStore(reactor::EventLoop&, jobs::SimStoreClient&, const WriteFault&);
+// Returns the value that a reader of the store gets for the record.
+using RecordView = std::function<std::string(const jobs::Record&)>;
+
+// Serves a simulated store in the platform's protocol on a free port of 127.0.0.1, with the records as `view` returns
+// them. The fault may change meanwhile. Throws if it cannot listen.
+std::unique_ptr<reactor::LoopHttpServer> serveStore(
+    reactor::EventLoop&, jobs::SimStoreClient&, const WriteFault&, const RecordView& view);
 
 // Serves one simulated worker in the platform's protocol on a free port of 127.0.0.1. Throws if it cannot listen.
 std::unique_ptr<reactor::LoopHttpServer> serveWorker(
--- a/tests/soak/Proxy.cpp
+++ b/tests/soak/Proxy.cpp
@@ -266,4 +266,39 @@
     }
 }
 
+ProxyGroup::ProxyGroup(reactor::EventLoop& loop, const std::string& target, int paths)
+{
+    for (int count = 0; count < paths; ++count)
+        paths_.push_back(std::make_unique<Proxy>(loop, target));
+}
+
+void ProxyGroup::setFault(const ProxyFault& fault)
+{
+    for (const auto& path : paths_)
+        path->setFault(fault);
+}
+
+void ProxyGroup::breakConnections(bool reset)
+{
+    for (const auto& path : paths_)
+        path->breakConnections(reset);
+}
+
+void ProxyGroup::setOpen(bool open)
+{
+    for (const auto& path : paths_)
+        path->setOpen(open);
+}
+
+bool ProxyGroup::isOpen() const
+{
+    return std::all_of(paths_.begin(), paths_.end(), [](const auto& path) { return path->isOpen(); });
+}
+
+void ProxyGroup::setSuspended(bool suspended)
+{
+    for (const auto& path : paths_)
+        path->setSuspended(suspended);
+}
+
 } // namespace rosemarylink::soak
--- a/tests/soak/Proxy.h
+++ b/tests/soak/Proxy.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace rosemarylink::soak {
 
@@ -67,4 +68,20 @@
     std::set<std::shared_ptr<Connection>> stalled_;
 };
 
+// The paths from each instance to one server. What is not done to a single path happens to all of them.
+class ProxyGroup {
+public:
+    ProxyGroup(reactor::EventLoop&, const std::string& target, int paths);
+
+    Proxy& path(std::size_t instance) { return *paths_[instance]; }
+    void setFault(const ProxyFault&);
+    void breakConnections(bool reset);
+    void setOpen(bool open);
+    bool isOpen() const; // whether all paths are open
+    void setSuspended(bool suspended);
+
+private:
+    std::vector<std::unique_ptr<Proxy>> paths_; // by instance
+};
+
 } // namespace rosemarylink::soak
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -34,6 +34,12 @@
         return options;
     }
 
+    // Prefix of the keys under which workers are registered.
+    const std::string registrations = "servers/";
+
+    // Stands in the store for the address of a worker, which is another one for each instance.
+    const std::string pathPlaceholder = "path-to-worker";
+
     int statusOf(const Result<reactor::ClientResponse>& reply) { return reply ? reply.value().status : 0; }
 
 } // namespace
@@ -48,7 +54,8 @@
         { "slices", &Soak::injectLittleProcessorTime, 2, Random(options.seed + 6) },
         { "paused-workers", &Soak::pauseWorkers, 2, Random(options.seed + 7) },
         { "late-delivery", &Soak::suspendLinks, 1, Random(options.seed + 8) },
-        { "unsaved-ends", &Soak::loseOwnershipWithUnsavedEnds, 1, Random(options.seed + 9) } }
+        { "unsaved-ends", &Soak::loseOwnershipWithUnsavedEnds, 1, Random(options.seed + 9) },
+        { "split", &Soak::splitFleet, 1, Random(options.seed + 10) } }
     , random_(options.seed + 2)
     , loop_(clock_)
     , callers_(loop_)
@@ -58,7 +65,6 @@
 {
     store_.random.seed(static_cast<std::uint32_t>(options.seed));
     fleet_.random.seed(static_cast<std::uint32_t>(options.seed + 1));
-    storeServer_ = serveStore(loop_, storeClient_, writeFault_);
     storeConfiguration();
     for (int number = 0; number < options.workers; ++number) {
         const WorkerId id("w" + std::to_string(number));
@@ -66,11 +72,14 @@
         SimulatedWorker& member = workers_[id];
         member.client = std::make_unique<jobs::SimWorkerClient>(world_, fleet_);
         member.server = serveWorker(loop_, *member.client, fleet_.entry(id));
-        member.proxy = std::make_unique<Proxy>(loop_, member.server->address());
+        member.proxy = std::make_unique<ProxyGroup>(loop_, member.server->address(), options.instances);
         publishWorker(id);
     }
     for (int number = 0; number < options.instances; ++number) {
-        storeProxies_.push_back(std::make_unique<Proxy>(loop_, storeServer_->address()));
+        const auto instance = static_cast<std::size_t>(number);
+        storeServers_.push_back(serveStore(loop_, storeClient_, writeFault_,
+            [this, instance](const jobs::Record& record) { return valueFor(instance, record); }));
+        storeProxies_.push_back(std::make_unique<Proxy>(loop_, storeServers_.back()->address()));
         instances_.push_back(std::make_unique<EdgeInstance>(
             options.binary, options.directory, number, storeProxies_.back()->address(), options.workerLease));
     }
@@ -101,7 +110,18 @@
 
 void Soak::publishWorker(const WorkerId& id)
 {
-    store_.put("servers/" + id.value(), platformEntry(fleet_.entry(id), workers_.at(id).proxy->address()));
+    store_.put(registrations + id.value(), platformEntry(fleet_.entry(id), pathPlaceholder));
+}
+
+// Each instance reads the address of its own path to a worker.
+std::string Soak::valueFor(std::size_t instance, const jobs::Record& record)
+{
+    const std::size_t position = record.value.find(pathPlaceholder);
+    if (record.key.compare(0, registrations.size(), registrations) != 0 || position == std::string::npos)
+        return record.value;
+    const WorkerId id(record.key.substr(registrations.size()));
+    std::string value = record.value;
+    return value.replace(position, pathPlaceholder.size(), workers_.at(id).proxy->path(instance).address());
 }
 
 // Advances the simulated time of the platform to real time.
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -60,7 +60,7 @@
     struct SimulatedWorker {
         std::unique_ptr<jobs::SimWorkerClient> client;
         std::unique_ptr<reactor::LoopHttpServer> server;
-        std::unique_ptr<Proxy> proxy;
+        std::unique_ptr<ProxyGroup> proxy; // with a path for each instance
     };
 
     using Random = std::mt19937_64;
@@ -81,6 +81,7 @@
 
     void storeConfiguration();
     void publishWorker(const WorkerId&);
+    std::string valueFor(std::size_t instance, const jobs::Record&);
     void advanceSimulation();
     void checkProcesses();
     void scheduleRestart(EdgeInstance&, Milliseconds);
@@ -97,7 +98,7 @@
 
     void injectNext();
     void injectProcessFault(int kind);
-    void injectProxyFault(Proxy&);
+    template <typename Link> void injectProxyFault(Link&); // a Proxy or a ProxyGroup
     void injectStoreFault(int kind);
     void injectWorkerFault(int kind);
     void cutOffNext();
@@ -109,6 +110,8 @@
     void pauseWorkers(const CutPeriod&);
     void suspendLinks(const CutPeriod&);
     void loseOwnershipWithUnsavedEnds(const CutPeriod&);
+    void splitFleet(const CutPeriod&);
+    void cutPath(std::size_t instance, const WorkerId&, Milliseconds duration);
     void runInSlices(EdgeInstance&, Milliseconds until, Milliseconds stopped, Milliseconds running);
     EdgeInstance* findOwner();
     Proxy& storeLinkOf(const EdgeInstance&);
@@ -144,7 +147,7 @@
     WriteFault writeFault_;
     jobs::SimFleet fleet_;
     Milliseconds simulatedUntil_ { 0 };
-    std::unique_ptr<reactor::LoopHttpServer> storeServer_;
+    std::vector<std::unique_ptr<reactor::LoopHttpServer>> storeServers_; // one for each instance
     std::map<WorkerId, SimulatedWorker> workers_;
     std::vector<std::unique_ptr<Proxy>> storeProxies_; // one for each instance
     std::vector<std::unique_ptr<EdgeInstance>> instances_;
@@ -154,6 +157,7 @@
     std::map<std::string, int> faultCounts_; // injected faults by name
     Milliseconds startedAt_ { 0 };
     Milliseconds settleDeadline_ { 0 };
+    Milliseconds splitUntil_ { 0 };
     std::int64_t version_ = 0;
     bool faultInjectionEnded_ = false;
 };
--- a/tests/soak/SoakCutFaults.cpp
+++ b/tests/soak/SoakCutFaults.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <sstream>
 
 // The faults of the soak test that are injected while workers are cut off.
 namespace rosemarylink::soak {
@@ -266,4 +267,45 @@
     });
 }
 
+void Soak::cutPath(std::size_t instance, const WorkerId& id, Milliseconds duration)
+{
+    Proxy& path = workers_.at(id).proxy->path(instance);
+    path.setOpen(false);
+    path.breakConnections(/*reset=*/false);
+    schedule(duration, [&path] { path.setOpen(true); });
+}
+
+// Cuts the owner off from the store for longer than a lease, and the other instances off from a few workers with runs,
+// which the owner reaches. Mostly, it reaches no others. The runs are long enough to be there at the end.
+void Soak::splitFleet(const CutPeriod& cut)
+{
+    const Milliseconds delay = randomDuration(cut.random, 1500, 2500);
+    const Milliseconds duration = options_.workerLease + randomDuration(cut.random, 3000, 8000);
+    const bool ownerReachesOthers = randomIndex(cut.random, 3) == 0;
+    const int keptOneIn = 2 + randomIndex(cut.random, 6);
+    std::ostringstream name;
+    name << std::hex << cut.random();
+    jobs::JobSpec spec = jobs::oneStep(options_.workers / 2, 1, delay + duration, /*gang=*/false);
+    spec.payload = "work";
+    if (now() < splitUntil_)
+        return;
+    splitUntil_ = now() + delay + duration;
+    add(name.str(), "batch", spec);
+    schedule(delay, [this, duration, ownerReachesOthers, keptOneIn, &random = cut.random] {
+        EdgeInstance* const owner = findOwner();
+        if (faultInjectionEnded_ || !owner)
+            return;
+        ++faultCounts_[ownerReachesOthers ? "owner-without-store-and-dark-workers" : "fleet-split"];
+        holdLink(storeLinkOf(*owner), duration);
+        for (const auto& [id, member] : workers_) {
+            const bool kept = fleet_.runningOn(id) > 0 && randomIndex(random, keptOneIn) == 0;
+            for (std::size_t instance = 0; instance < instances_.size(); ++instance) {
+                const bool isOwner = instances_[instance].get() == owner;
+                if (kept != isOwner && (kept || !ownerReachesOthers))
+                    cutPath(instance, id, duration);
+            }
+        }
+    });
+}
+
 } // namespace rosemarylink::soak
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -69,7 +69,7 @@
     }
 }
 
-void Soak::injectProxyFault(Proxy& link)
+template <typename Link> void Soak::injectProxyFault(Link& link)
 {
     ProxyFault fault;
     switch (randomIndex(faultRandom_, 5)) {
@@ -164,7 +164,7 @@
 
 void Soak::cutOff(const WorkerId& id, bool resets, Milliseconds duration)
 {
-    Proxy& link = *workers_.at(id).proxy;
+    ProxyGroup& link = *workers_.at(id).proxy;
     link.setOpen(false);
     link.breakConnections(resets);
     if (duration > options_.registrationLife) {
