Fleet record: how long late calls may extend the lease of a worker that has started again

Cause: a poll of the previous owner for a worker's earlier process may be executed up to 12 s late by the next process, whose clock is another one, and extends its lease. The owner counts that; the next owner, if it does not reach the worker, did not know of it.

Change: the record states how much longer such calls may be executed; the worker gets work only after that is stored, and the next owner counts the lease from there. A worker that starts again within 12 s of a takeover counts the calls of the earlier owner as well.

Price: one write of the record when a worker starts again with a call on its way, one when that is over; work of such a worker that falls silent with its owner waits up to 12 s longer.

--- a/src/jobs/FleetRecord.cpp
+++ b/src/jobs/FleetRecord.cpp
@@ -68,6 +68,8 @@
         json.push_back(worker.value());
     for (const auto& [worker, silent] : record.silent)
         json.push_back(toJson(worker, silent));
+    for (const auto& [worker, limit] : record.lateCalls)
+        json.push_back({ { "worker", worker.value() }, { "lateCallsMs", limit.count() } });
     return json.dump();
 }
 
@@ -83,7 +85,11 @@
             continue;
         }
         try {
-            record.silent[WorkerId(element.at("worker").get<std::string>())] = silentFromJson(element);
+            const WorkerId worker(element.at("worker").get<std::string>());
+            if (element.contains("lateCallsMs"))
+                record.lateCalls[worker] = Milliseconds(element["lateCallsMs"].get<std::int64_t>());
+            else
+                record.silent[worker] = silentFromJson(element);
         } catch (const nlohmann::json::exception& problem) {
             logger.error("Entry of the fleet record is malformed", { { "reason", problem.what() } });
         }
--- a/src/jobs/FleetRecord.h
+++ b/src/jobs/FleetRecord.h
@@ -29,6 +29,10 @@
     std::set<WorkerId> workers;
     std::map<WorkerId, SilentWorker> silent; // some of them
 
+    // Workers that have started again, and how long after the writing of the record a call of the owner for an earlier
+    // process may still be executed. It extends the lease of the present process, which has another clock.
+    std::map<WorkerId, Milliseconds> lateCalls;
+
     bool allowsWork(const WorkerId& worker) const { return workers.count(worker) > 0 && silent.count(worker) == 0; }
     bool allowsRenewal(const WorkerId& worker) const
     {
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -84,6 +84,10 @@
     // Polls with a lease end that may still be executed, by number, and until when. A process that has started again
     // meanwhile has another clock, so that they extend its lease however late they are executed.
     std::map<std::uint64_t, Milliseconds> strayRenewals;
+    // Until when calls for an earlier process may be executed by the present one, and the same as stored in the fleet
+    // record, by which the next owner learns of it.
+    Milliseconds lateCallsUntil { 0 };
+    Milliseconds storedLateCallsUntil { 0 };
     // Runs that ended with the lease of an unresponsive worker, which may have crashed under them or been cut off. The
     // worker is polled until that is known, but not for longer than `undecidedUntil`.
     std::vector<RunKey> undecidedRuns;
@@ -106,6 +110,7 @@
 // A worker on which runs of a previous owner may exist.
 struct UnconfirmedWorker {
     Milliseconds runsEndBy { 0 }; // unless the worker responds before
+    Milliseconds lateCallsUntil { 0 }; // as in Worker
     std::optional<std::set<JobId>> jobs; // the jobs of these runs; absent if they may be of any job
 };
 
@@ -297,12 +302,14 @@
     std::optional<std::string> storableRecord(Job&);
     bool appendToBatch(Batch&, const Job&, const std::string& record) const;
     bool mayHoldRuns(const Worker&) const;
+    bool mayGetWork(const Worker&) const;
     bool mayRenewLease(const Worker&) const;
     bool isIdle(const Worker&) const;
     std::set<JobId> jobsOfUnstoredEnds(const Worker&) const;
     std::optional<SilentWorker> silentWorker(const Worker&) const;
     FleetRecord currentFleet() const;
     bool needsFleetWrite(const FleetRecord&) const;
+    void noteLateCallsStored(const FleetRecord&, Milliseconds writtenAt);
     void noteSilentWorkers();
     void writeFleet();
     void handleProgressStored();
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -162,8 +162,8 @@
     }
     std::sort(row.expectedEnds.begin(), row.expectedEnds.end(),
         [](const ExpectedEnd& a, const ExpectedEnd& b) { return a.at < b.at; });
-    row.schedulable = worker.reconciled && permittedFleet_.allowsWork(worker.entry.id) && worker.clock
-        && !worker.entry.draining && !worker.unresponsiveSince && worker.idleUntil <= now();
+    row.schedulable = worker.reconciled && mayGetWork(worker) && worker.clock && !worker.entry.draining
+        && !worker.unresponsiveSince && worker.idleUntil <= now();
     row.suspect = worker.avoidUntil > now() || isRecentlyCrashed(worker);
     return row;
 }
--- a/src/jobs/OwnerSessionRecords.cpp
+++ b/src/jobs/OwnerSessionRecords.cpp
@@ -260,6 +260,13 @@
     return !worker.runs.empty() || !worker.lease.isOver(now()) || (worker.firstReportAt && !worker.unresponsiveSince);
 }
 
+// Whether the stored fleet record lets the next owner know enough of a worker that gets work now.
+bool OwnerSession::mayGetWork(const Worker& worker) const
+{
+    return permittedFleet_.allowsWork(worker.entry.id)
+        && (worker.lateCallsUntil <= now() || worker.storedLateCallsUntil >= worker.lateCallsUntil);
+}
+
 // Whether a worker that does not respond is still kept from losing its runs.
 bool OwnerSession::mayRenewLease(const Worker& worker) const
 {
@@ -311,10 +318,16 @@
         fleet.workers.insert(id);
         if (const auto silent = silentWorker(worker))
             fleet.silent[id] = *silent;
+        if (worker.lateCallsUntil > now())
+            fleet.lateCalls[id] = worker.lateCallsUntil - now();
     }
     // Workers of a previous owner stay in the record until they are reconciled or their leases have expired.
     for (const auto& [id, unconfirmed] : unconfirmedWorkers_) {
         fleet.workers.insert(id);
+        if (unconfirmed.lateCallsUntil > now()) {
+            Milliseconds& limit = fleet.lateCalls[id];
+            limit = std::max(limit, unconfirmed.lateCallsUntil - now());
+        }
         const Worker* const worker = find(id);
         if (!worker || !mayHoldRuns(*worker))
             fleet.silent[id] = { std::max(Milliseconds(0), unconfirmed.runsEndBy - now()), unconfirmed.jobs };
@@ -332,11 +345,25 @@
             || stored->second.leaseLimit.has_value() != silent.leaseLimit.has_value())
             return true;
     }
+    const auto isStored = [this](const auto& entry) {
+        const Worker* const worker = find(entry.first);
+        return !worker || worker->storedLateCallsUntil >= worker->lateCallsUntil;
+    };
+    if (!std::all_of(fleet.lateCalls.begin(), fleet.lateCalls.end(), isStored))
+        return true;
     // Limits fall all the time. A later owner that reads old ones waits longer than it has to, which adds up only where
     // owners follow each other during their takeovers.
     return !recovered_ && fleet.hasLimits() && now() - fleetWrittenAt_ >= leaseLimitInterval;
 }
 
+void OwnerSession::noteLateCallsStored(const FleetRecord& fleet, Milliseconds writtenAt)
+{
+    for (const auto& [id, limit] : fleet.lateCalls) {
+        if (Worker* const worker = find(id))
+            worker->storedLateCallsUntil = std::max(worker->storedLateCallsUntil, writtenAt + limit);
+    }
+}
+
 void OwnerSession::noteSilentWorkers()
 {
     const bool anySilent = std::any_of(
@@ -360,12 +387,14 @@
     fleetWriting_ = true;
     const FleetRecord before = permittedFleet_;
     permittedFleet_.restrictTo(fleet);
-    owner_.store_.commit(batch, commitTimeout, guarded([this, fleet, before](const StoreResponse& response) {
+    const Milliseconds writtenAt = now();
+    owner_.store_.commit(batch, commitTimeout, guarded([this, fleet, before, writtenAt](const StoreResponse& response) {
         fleetWriting_ = false;
         if (response.done()) {
             fleetRevision_ = response.revision;
             permittedFleet_ = fleet;
             fleetWrittenAt_ = now();
+            noteLateCallsStored(fleet, writtenAt);
             schedulePlan();
             writeFleet();
             return;
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -180,6 +180,9 @@
             permittedFleet_ = fleet.value_or(FleetRecord());
             for (const WorkerId& id : permittedFleet_.workers) {
                 UnconfirmedWorker& unconfirmed = unconfirmedWorkers_[id];
+                const auto lateCalls = permittedFleet_.lateCalls.find(id);
+                if (lateCalls != permittedFleet_.lateCalls.end())
+                    unconfirmed.lateCallsUntil = now() + lateCalls->second;
                 unconfirmed.runsEndBy = startedAt_ + longestUnsafeRenewal + longestLease();
                 const auto silent = permittedFleet_.silent.find(id);
                 if (silent == permittedFleet_.silent.end())
--- a/src/jobs/OwnerSessionRenewals.cpp
+++ b/src/jobs/OwnerSessionRenewals.cpp
@@ -93,8 +93,10 @@
     if (responded == 0 || !isTakeoverQuorum(responded, knownWorkers()))
         return;
     takeoverQuorum_ = true;
-    for (auto& [id, unconfirmed] : unconfirmedWorkers_)
-        unconfirmed.runsEndBy = std::min(unconfirmed.runsEndBy, now() + renewalWindow + longestLease());
+    for (auto& [id, unconfirmed] : unconfirmedWorkers_) {
+        const Milliseconds lastRenewal = std::max(now() + renewalWindow, unconfirmed.lateCallsUntil);
+        unconfirmed.runsEndBy = std::min(unconfirmed.runsEndBy, lastRenewal + longestLease());
+    }
     recoveryLogger.info("Earlier owners renew no more leases",
         { { "responded", responded }, { "workers", knownWorkers() }, { "takeoverMsAgo", (now() - startedAt_).count() },
             { "token", token_ } });
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -354,7 +354,7 @@
         const auto run = worker->runs.find(key);
         if (run == worker->runs.end() || !run->second.isQueued())
             continue;
-        if (!permittedFleet_.allowsWork(id)) {
+        if (!mayGetWork(*worker)) {
             // The worker fell silent while the command waited; a start would extend a lease that the record limits.
             stopTask(*job, key.first);
             continue;
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -265,7 +265,7 @@
     }
     if (!worker.reconciled && report.endsComplete)
         updateReconciled(worker, report, sentAt);
-    if (!permittedFleet_.allowsWork(id))
+    if (!mayGetWork(worker))
         writeFleet();
     schedulePlan();
     if (!newest)
@@ -484,6 +484,8 @@
         lastExtension = std::max(lastExtension, until);
     for (const auto& [number, until] : worker.strayRenewals)
         lastExtension = std::max(lastExtension, until);
+    lastExtension = std::max(lastExtension, startedAt_ + longestCommandDelay); // calls of an earlier owner
+    worker.lateCallsUntil = lastExtension;
     worker.lease.reset(lastExtension + scaled(owner_.limits_.workerLease, 1.0 / slowestClockRate));
     for (const RunKey& key : unconfirmed) {
         Job* const job = find(key.first.job);
