Owner: the age of a report counts from its making when an acknowledgment is sent

Cause: an acknowledgment is sent only if the worker has reported within 250 ms, since one that has started again numbers its ends anew. The 250 ms counted from the handling of the report, so an owner that handles it late sent one to the next process.

Change: they count from the earliest time at which the report can have been made: its request, or the report before plus what the worker's clock has advanced since. The clock is at most 2% slow, so that a worker with a series of waiting polls costs an additional poll before an acknowledgment only every ten seconds or so, not for each as counting from the request would.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -72,6 +72,7 @@
     Milliseconds clockReadAt { 0 }; // when that reading was received
     Milliseconds reportedAt { 0 }; // when the last report was received
     std::optional<Milliseconds> reportClock; // reading of the worker's clock in its newest report
+    Milliseconds reportMadeAt { 0 }; // the newest report was made at this time or later
     Milliseconds aliveAt { 0 }; // when the newest poll that got a report was sent
     WorkerLease lease; // all runs on the worker, known or not, have ended by its end
     std::map<RunKey, WorkerRun> runs;
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -113,7 +113,7 @@
     // recently that it cannot have restarted since; otherwise its report is requested first. A restarted worker numbers
     // its ends anew, and an old cursor would make it discard ends that have not been seen.
     const bool pending = acknowledgeableEnd(worker) > worker.acknowledged;
-    const bool sameIncarnation = now() - worker.reportedAt <= minimumRestartTime;
+    const bool sameIncarnation = now() - worker.reportMadeAt <= minimumRestartTime;
     const std::int64_t cursor = pending && sameIncarnation ? acknowledgeableEnd(worker) : 0;
     if (cursor > 0)
         worker.strayAcknowledgments[number] = sentAt + longestCommandDelay;
@@ -257,6 +257,11 @@
     // Ends are numbered, but what runs is told only by the newest report. Of two from the same millisecond either may
     // be the older one.
     if (!worker.reportClock || report.workerClock > *worker.reportClock) {
+        // A report may be handled long after it was made. It was requested before that, and the worker's clock, which
+        // is never fast, tells how long after the report before.
+        if (worker.reportClock)
+            worker.reportMadeAt += report.workerClock - *worker.reportClock;
+        worker.reportMadeAt = std::min(std::max(worker.reportMadeAt, sentAt), now());
         worker.reportClock = report.workerClock;
         for (const RunningRun& running : report.running)
             handleRunning(worker, running);
@@ -457,6 +462,7 @@
     worker.stopsOverAt.reset();
     worker.clock.reset();
     worker.reportClock.reset();
+    worker.reportMadeAt = Milliseconds(0);
     worker.lastSeenEnd = 0;
     worker.acknowledged = 0;
     worker.pendingEnds.clear();
