Cells: no lease of a gang is renewed that the next owner takes for over; renewal quorum in base

What callers would see: two runs of a gang at a time.

Change: WorkerFleet follows RenewalQuorum.h, which moves to base. Without a valid lease of the cell all workers are called each second, and leases are renewed only by a renewal quorum; a new owner counts the lease of a worker that has not reported from its takeover quorum.

On the platform, workers that take longer than a tick to respond are renewed in the same round, too, and polls for acknowledgments resume when the store lease is valid again (by reading).

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -45,6 +45,9 @@
 // it is left to expire, so that the runs can start elsewhere if the worker is cut off.
 inline constexpr Milliseconds silentRenewalLimit { 3000 };
 
+// An owner renews no lease for longer than this without its store lease; see RenewalQuorum.h.
+inline constexpr Milliseconds longestUnsafeRenewal { 120000 };
+
 // A task that crashes its workers does so at once, so that a run is not to blame if its worker lived on for this long.
 inline constexpr Milliseconds survivalTime { 300 };
 
@@ -99,6 +102,7 @@
     bool pollInFlight = false;
     Milliseconds pollSentAt { 0 }; // time of the newest poll
     bool skipWait = false; // the next poll must return immediately instead of waiting for an end
+    Milliseconds renewalSentAt { 0 }; // time of the newest poll that renews the lease
     std::uint64_t lastPoll = 0; // number of the newest poll; reports of older polls are used but trigger no new poll
     // Number of the worker's process, by which responses to calls for an earlier one are ignored. Unique in the
     // session, because a worker that has been removed may be registered again.
@@ -196,11 +200,13 @@
     std::int64_t acknowledgeableEnd(Worker&);
 
     // OwnerSessionRenewals.cpp: renewals of leases around a change of the owner.
-    enum class WorkersToPoll { All, WithRuns };
+    // Whether leases may be renewed now, as far as a later owner is concerned.
     bool mayRenewLeases() const;
     Milliseconds unsafeRenewalsEnd() const;
     void followWorkersWithoutStore();
-    void pollNow(WorkersToPoll);
+    void startPollRound();
+    void pollForRenewal();
+    void resumePolls();
     std::vector<Milliseconds> acceptedCalls() const;
     std::size_t knownWorkers() const;
     void noteTakeoverQuorum();
@@ -338,7 +344,6 @@
     // Without a valid store lease: until when leases may be renewed, and the present round of polls.
     Milliseconds renewalQuorumUntil_ { 0 };
     std::optional<Milliseconds> roundStartedAt_;
-    bool renewedInRound_ = false;
     // The stored fleet record as far as it is certain: less what writes on their way may take away.
     FleetRecord permittedFleet_;
     Milliseconds fleetWrittenAt_ { 0 };
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -1,5 +1,4 @@
 #include "OwnerSession.h"
-#include "RenewalQuorum.h"
 
 #include "rosemarylink/base/JsonReader.h"
 #include "rosemarylink/base/Log.h"
--- a/src/jobs/OwnerSessionRenewals.cpp
+++ b/src/jobs/OwnerSessionRenewals.cpp
@@ -1,7 +1,7 @@
 #include "OwnerSession.h"
-#include "RenewalQuorum.h"
 
 #include "rosemarylink/base/Log.h"
+#include "rosemarylink/base/RenewalQuorum.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,12 +14,14 @@
     // Without the store lease, all workers are polled at this interval, so that several rounds fall into a lease.
     constexpr Milliseconds roundInterval { 1500 };
 
-    const Logger logger("workers");
-    const Logger recoveryLogger("recovery");
+    // A round takes less than this in a fleet that responds.
+    constexpr Milliseconds renewalWindow { 500 };
+
+    const Logger logger("recovery");
 
 } // namespace
 
-// Whether leases may be renewed: no later owner counts on their end yet.
+// Whether no later owner can count on the end of the leases yet.
 bool OwnerSession::mayRenewLeases() const
 {
     return owner_.ownership_.valid() || now() < std::min(renewalQuorumUntil_, unsafeRenewalsEnd());
@@ -33,29 +35,26 @@
 {
     if (owner_.ownership_.valid()) {
         if (std::exchange(roundStartedAt_, std::nullopt))
-            pollNow(WorkersToPoll::WithRuns);
+            resumePolls();
         return;
     }
     if (!owner_.ownership_.mayCommand())
         return;
     if (!roundStartedAt_ || now() - *roundStartedAt_ >= roundInterval) {
-        roundStartedAt_ = now();
-        renewedInRound_ = false;
-        pollNow(WorkersToPoll::All);
+        startPollRound();
         return;
     }
-    renewalQuorumUntil_ = renewalQuorumUntil(acceptedCalls(), knownWorkers());
-    if (!renewedInRound_ && mayRenewLeases()) {
-        renewedInRound_ = true;
-        pollNow(WorkersToPoll::WithRuns);
-    }
+    renewalQuorumUntil_ = renewalQuorumUntil(acceptedCalls(), knownWorkers(), renewalWindow);
+    if (mayRenewLeases())
+        pollForRenewal();
 }
 
-// Polls workers that respond, also those whose last poll still waits for an end.
-void OwnerSession::pollNow(WorkersToPoll selection)
+// Polls all workers that respond, also those whose last poll still waits for an end.
+void OwnerSession::startPollRound()
 {
+    roundStartedAt_ = now();
     for (auto& [id, worker] : workers_) {
-        if (worker.unresponsiveSince || (selection == WorkersToPoll::WithRuns && worker.runs.empty()))
+        if (worker.unresponsiveSince)
             continue;
         if (now() - worker.pollSentAt >= renewalWindow)
             worker.pollInFlight = false;
@@ -63,6 +62,24 @@
     }
 }
 
+// Polls the workers with runs whose leases have not been renewed in this round.
+void OwnerSession::pollForRenewal()
+{
+    for (auto& [id, worker] : workers_) {
+        if (!worker.runs.empty() && !worker.unresponsiveSince && worker.renewalSentAt < *roundStartedAt_)
+            poll(worker);
+    }
+}
+
+// Polls the workers that the rounds have taken over from the ordinary polls.
+void OwnerSession::resumePolls()
+{
+    for (auto& [id, worker] : workers_) {
+        if (!worker.unresponsiveSince && (!worker.runs.empty() || worker.acknowledged < worker.lastSeenEnd))
+            poll(worker);
+    }
+}
+
 // When the newest accepted call to each worker that counts for a renewal quorum was sent.
 std::vector<Milliseconds> OwnerSession::acceptedCalls() const
 {
@@ -97,7 +114,7 @@
         const Milliseconds lastRenewal = std::max(now() + renewalWindow, unconfirmed.lateCallsUntil);
         unconfirmed.runsEndBy = std::min(unconfirmed.runsEndBy, lastRenewal + longestLease());
     }
-    recoveryLogger.info("Earlier owners renew no more leases",
+    logger.info("Earlier owners renew no more leases",
         { { "responded", responded }, { "workers", knownWorkers() }, { "takeoverMsAgo", (now() - startedAt_).count() },
             { "token", token_ } });
 }
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -125,6 +125,7 @@
     if (renewsLease) {
         if (!owner_.ownership_.valid())
             unsafeRenewals_.insert(id);
+        worker.renewalSentAt = sentAt;
         extension = worker.lease.extendBy(latestLeaseEnd(worker, leaseEnd));
         worker.strayRenewals[number] = sentAt + longestCommandDelay;
     }
--- a/src/state/CellOwnership.cpp
+++ b/src/state/CellOwnership.cpp
@@ -207,13 +207,13 @@
         context_.dependencies.storeCalls,
         [&store = context_.dependencies.store, cell = context_.cell(), self = context_.settings.self,
             ttl = context_.timings().leaseTtl] { return claimCell(store, cell, self, ttl); },
-        [this](Result<ClaimedCell> result) {
+        [this, sent = context_.now()](Result<ClaimedCell> result) {
             callInProgress_ = false;
-            applyClaim(std::move(result));
+            applyClaim(std::move(result), sent);
         });
 }
 
-void CellOwnership::applyClaim(Result<ClaimedCell> result)
+void CellOwnership::applyClaim(Result<ClaimedCell> result, Milliseconds sent)
 {
     absentSince_.reset();
     if (!result) {
@@ -225,6 +225,7 @@
     }
     retry_.succeeded();
     state_ = State::Holding;
+    validUntil_ = sent + context_.timings().leaseTtl;
     lease_ = result.value().lease;
     leaseOperation_ = result.value().leaseOperation;
     owner_ = context_.settings.self;
@@ -251,6 +252,7 @@
     if (status) {
         retry_.succeeded();
         confirmed_ = confirmed_ || sent >= unconfirmedSince_;
+        validUntil_ = sent + context_.timings().leaseTtl;
         nextCall_ = sent + context_.timings().leaseRenewal;
         return;
     }
@@ -271,19 +273,20 @@
         [&store = context_.dependencies.store, cell = context_.cell(), self = context_.settings.self,
             ttl = context_.timings().leaseTtl,
             token = context_.token] { return reacquireCell(store, cell, self, ttl, token); },
-        [this](const Result<std::pair<LeaseId, OperationId>>& result) {
+        [this, sent = context_.now()](const Result<std::pair<LeaseId, OperationId>>& result) {
             callInProgress_ = false;
             if (state_ == State::Reacquiring)
-                applyReacquisition(result);
+                applyReacquisition(result, sent);
         });
 }
 
-void CellOwnership::applyReacquisition(const Result<std::pair<LeaseId, OperationId>>& result)
+void CellOwnership::applyReacquisition(const Result<std::pair<LeaseId, OperationId>>& result, Milliseconds sent)
 {
     if (result) {
         retry_.succeeded();
         state_ = State::Holding;
         confirmed_ = true;
+        validUntil_ = sent + context_.timings().leaseTtl;
         lease_ = result.value().first;
         leaseOperation_ = result.value().second;
         nextCall_ = context_.now();
--- a/src/state/WorkerFleet.cpp
+++ b/src/state/WorkerFleet.cpp
@@ -1,7 +1,22 @@
 #include "WorkerFleet.h"
 
+#include "rosemarylink/base/RenewalQuorum.h"
+
+#include <algorithm>
+#include <utility>
+
 namespace rosemarylink::state::internal {
 
+namespace {
+
+    // Without a valid lease of the cell, all workers are called at this interval.
+    constexpr Milliseconds unsafeRenewalInterval { 1000 };
+
+    // Calls to all workers take less than this in a fleet that responds.
+    constexpr Milliseconds renewalWindow { 3000 };
+
+} // namespace
+
 model::ResourceState FleetWorker::state() const
 {
     if (lost || !spec)
@@ -23,6 +38,10 @@
     hasWorkerList_ = false;
     listInProgress_ = false;
     nextList_ = context_.now();
+    takenOverAt_ = context_.now();
+    takeoverQuorumAt_.reset();
+    renewalQuorumUntil_ = Milliseconds(0);
+    leaseValid_ = true;
 }
 
 bool WorkerFleet::inScope(const model::WorkerSpec& spec) const
@@ -35,7 +54,6 @@
 {
     const auto [at, added] = workers_.try_emplace(id);
     if (added) {
-        // The last contact is unknown. A lease that an earlier owner renewed expires at most one term from now.
         at->second.lastContact = context_.now();
         ++unreported_;
         schedule(id, at->second, context_.now());
@@ -68,9 +86,42 @@
     handlers_.stateChanged(id, found->second.state());
 }
 
-void WorkerFleet::step()
+bool WorkerFleet::mayRenewLeases() const
+{
+    return leaseValid_
+        || context_.now() < std::min(renewalQuorumUntil_, leaseValidUntil_ + context_.timings().longestUnsafeRenewal);
+}
+
+void WorkerFleet::followLease(Milliseconds leaseValidUntil)
+{
+    const Milliseconds now = context_.now();
+    leaseValidUntil_ = leaseValidUntil;
+    const bool wasValid = std::exchange(leaseValid_, now < leaseValidUntil);
+    if (leaseValid_)
+        return;
+    std::vector<Milliseconds> acceptedAt;
+    for (const auto& [id, worker] : workers_) {
+        if (worker.reported)
+            acceptedAt.push_back(worker.acceptedAt);
+        if (wasValid)
+            renewWithin(id, Milliseconds(0));
+    }
+    renewalQuorumUntil_ = renewalQuorumUntil(std::move(acceptedAt), workers_.size(), renewalWindow);
+}
+
+Milliseconds WorkerFleet::earlierRenewalsEnd() const
+{
+    return takeoverQuorumAt_ ? *takeoverQuorumAt_ + renewalWindow
+                             : takenOverAt_ + context_.timings().longestUnsafeRenewal;
+}
+
+void WorkerFleet::step(Milliseconds leaseValidUntil)
 {
     const Milliseconds now = context_.now();
+    followLease(leaseValidUntil);
+    const std::size_t responded = workers_.size() - static_cast<std::size_t>(unreported_);
+    if (!takeoverQuorumAt_ && hasWorkerList_ && isTakeoverQuorum(responded, workers_.size()))
+        takeoverQuorumAt_ = now;
     if (!listInProgress_ && now >= nextList_)
         list();
     while (!due_.empty() && due_.begin()->first <= now) {
@@ -124,7 +175,7 @@
 void WorkerFleet::renew(const WorkerId& id, FleetWorker& worker)
 {
     worker.callInProgress = true;
-    std::vector<JobId> jobs = handlers_.jobsToRenew(id);
+    std::vector<JobId> jobs = mayRenewLeases() ? handlers_.jobsToRenew(id) : std::vector<JobId>();
     context_.call(
         context_.dependencies.workerCalls,
         [&agent = context_.dependencies.workers, id, token = context_.token, jobs,
@@ -149,8 +200,10 @@
         return;
     }
     recordContact(id, worker);
+    worker.acceptedAt = std::max(worker.acceptedAt, sent);
     const CellTimings& timings = context_.timings();
-    schedule(id, worker, sent + (worker.busy ? timings.workerRenewal : timings.idleWorkerPoll));
+    const Milliseconds interval = worker.busy ? timings.workerRenewal : timings.idleWorkerPoll;
+    schedule(id, worker, sent + (leaseValid_ ? interval : unsafeRenewalInterval));
     handlers_.reported(result.value(), sent);
 }
 
@@ -171,7 +224,8 @@
 void WorkerFleet::recordFailure(const WorkerId& id, FleetWorker& worker)
 {
     ++worker.failures;
-    const Milliseconds leaseEnd = worker.lastContact + context_.timings().workerLeaseTtl;
+    const Milliseconds lastRenewal = worker.reported ? worker.lastContact : earlierRenewalsEnd();
+    const Milliseconds leaseEnd = lastRenewal + context_.timings().workerLeaseTtl;
     const bool leasesOver = context_.now() >= leaseEnd;
     if (!leasesOver && leaseEnd < worker.due)
         schedule(id, worker, leaseEnd);
--- a/src/state/WorkerFleet.h
+++ b/src/state/WorkerFleet.h
@@ -17,6 +17,7 @@
     std::int64_t failures = 0; // consecutive failed calls
     Milliseconds due { 0 }; // time of the next renewal
     Milliseconds lastContact { 0 };
+    Milliseconds acceptedAt { 0 }; // when the last renewal that the worker accepted was sent
 
     model::ResourceState state() const;
 };
@@ -38,8 +39,12 @@
 
     WorkerFleet(CellContext&, Handlers);
 
+    // Forgets all workers at a takeover.
     void clear();
-    void step();
+
+    // Sends the renewals that are due. The cell's lease is known to be valid until `leaseValidUntil`; afterwards,
+    // RenewalQuorum.h says which leases of tasks may be renewed.
+    void step(Milliseconds leaseValidUntil);
 
     // Schedules the worker's next renewal within the given time. Adds the worker if it is unknown.
     void renewWithin(const WorkerId&, Milliseconds);
@@ -61,6 +66,10 @@
     void applyRenewal(const WorkerId&, const Result<WorkerReport>&, const std::vector<JobId>&, Milliseconds sent);
     void recordFailure(const WorkerId&, FleetWorker&);
     void recordContact(const WorkerId&, FleetWorker&);
+    bool mayRenewLeases() const;
+    void followLease(Milliseconds leaseValidUntil);
+    // When the last renewal by an earlier owner of a worker that has not reported since the takeover was sent at most.
+    Milliseconds earlierRenewalsEnd() const;
 
     CellContext& context_;
     Handlers handlers_;
@@ -70,6 +79,11 @@
     bool hasWorkerList_ = false;
     bool listInProgress_ = false;
     Milliseconds nextList_ { 0 };
+    Milliseconds takenOverAt_ { 0 };
+    std::optional<Milliseconds> takeoverQuorumAt_;
+    Milliseconds leaseValidUntil_ { 0 };
+    Milliseconds renewalQuorumUntil_ { 0 };
+    bool leaseValid_ = true;
 };
 
 } // namespace rosemarylink::state::internal
--- a/tests/jobs/RenewalQuorumTest.cpp
+++ b/tests/jobs/RenewalQuorumTest.cpp
@@ -1,5 +1,4 @@
-#include "RenewalQuorum.h"
-
+#include "rosemarylink/base/RenewalQuorum.h"
 #include "SimCluster.h"
 
 #include <catch2/catch.hpp>
@@ -8,6 +7,8 @@
 
 namespace {
 
+    constexpr Milliseconds window { 500 };
+    constexpr Milliseconds longestUnsafeRenewal { 120000 }; // of the owner
     const WorkerId dark("w0-0"); // reached by the first owner only
 
     // Starts long runs on all workers of a cluster with one instance.
@@ -27,10 +28,10 @@
 {
     for (std::size_t workers = 1; workers <= 1500; ++workers) {
         std::size_t renewing = 0;
-        while (internal::renewalQuorumUntil(std::vector<Milliseconds>(renewing, Milliseconds(1)), workers).count() == 0)
+        while (renewalQuorumUntil(std::vector<Milliseconds>(renewing, Milliseconds(1)), workers, window).count() == 0)
             ++renewing;
         std::size_t responded = 0;
-        while (!internal::isTakeoverQuorum(responded, workers))
+        while (!isTakeoverQuorum(responded, workers))
             ++responded;
         CAPTURE(workers, renewing, responded);
         REQUIRE(renewing <= workers);
@@ -43,10 +44,10 @@
 {
     const std::vector<Milliseconds> acceptedAt { Milliseconds(100), Milliseconds(900), Milliseconds(300),
         Milliseconds(500) };
-    CHECK(internal::renewalQuorumUntil(acceptedAt, 4) == Milliseconds(100) + internal::renewalWindow);
-    CHECK(internal::renewalQuorumUntil(acceptedAt, 5) == Milliseconds(100) + internal::renewalWindow);
-    CHECK(internal::renewalQuorumUntil(acceptedAt, 3) == Milliseconds(300) + internal::renewalWindow);
-    CHECK(internal::renewalQuorumUntil(acceptedAt, 6) == Milliseconds(0));
+    CHECK(renewalQuorumUntil(acceptedAt, 4, window) == Milliseconds(100) + window);
+    CHECK(renewalQuorumUntil(acceptedAt, 5, window) == Milliseconds(100) + window);
+    CHECK(renewalQuorumUntil(acceptedAt, 3, window) == Milliseconds(300) + window);
+    CHECK(renewalQuorumUntil(acceptedAt, 6, window) == Milliseconds(0));
 }
 
 // Guards against two runs of a task at a time: an owner that the store had turned away renewed the lease of a worker
@@ -127,7 +128,7 @@
         WorkerId("w2-1"), WorkerId("w3-0") };
     cluster.currentOwner()->kill();
     cluster.addInstance();
-    cluster.world.run(internal::longestUnsafeRenewal);
+    cluster.world.run(longestUnsafeRenewal);
     CHECK(cluster.fleet.startsOf(JobId("a0")) == 8);
     cluster.world.run(Milliseconds(120000));
     CHECK(cluster.fleet.violations().empty());
--- a/tests/state/FailurePairTest.cpp
+++ b/tests/state/FailurePairTest.cpp
@@ -299,6 +299,36 @@
         CHECK(harness.fleet.startedAttempts(JobId("j1")).size() == 2);
     }
 
+    // Guards against two runs of a gang at a time: an owner without the store renewed the leases on a worker that the
+    // next owner did not reach and took for free of tasks after one lease.
+    TEST_CASE("an owner that is cut off from the store renews no task leases that the next owner takes for over")
+    {
+        const bool firstReachesOthers = GENERATE(true, false);
+        CAPTURE(firstReachesOthers);
+        const WorkerId shared("worker-10001");
+        CellHarness harness;
+        CellChecks checks(harness);
+        Scheduler& first = harness.addScheduler();
+        REQUIRE(harness.waitForOwner());
+        const auto job = makeJob("j1", 8);
+        REQUIRE(first.controller->submit(job));
+        checks.accept(job);
+        REQUIRE(harness.runUntil([&] { return harness.runs("j1", 8); }));
+        harness.run(Milliseconds(15000));
+        Scheduler& second = harness.addScheduler();
+        second.workers->cutOffFrom.insert(WorkerId("worker-10000"));
+        first.store->faults.down = true;
+        if (!firstReachesOthers)
+            first.workers->cutOffFrom = { shared, WorkerId("worker-10002"), WorkerId("worker-10003") };
+        for (int index = 0; index < 2400; ++index) {
+            harness.step();
+            checks.observe();
+            CAPTURE(index);
+            REQUIRE(harness.fleet.runningTasks(JobId("j1")) <= 8);
+        }
+        CHECK(checks.violations() == "");
+    }
+
     TEST_CASE("a scheduler does not claim a cell with a job record of an unsupported schema version")
     {
         CellHarness harness;
