--- a/src/state/WorkerFleet.cpp
+++ b/src/state/WorkerFleet.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-    // Without a valid lease of the cell, all workers are called at this interval.
-    constexpr Milliseconds unsafeRenewalInterval { 1000 };
-
     // Calls to all workers take less than this in a fleet that responds.
     constexpr Milliseconds renewalWindow { 3000 };
 
@@ -42,6 +39,7 @@
     takeoverQuorumAt_.reset();
     renewalQuorumUntil_ = Milliseconds(0);
     leaseValid_ = true;
+    roundStartedAt_.reset();
 }
 
 bool WorkerFleet::inScope(const model::WorkerSpec& spec) const
@@ -94,19 +92,34 @@
 
 void WorkerFleet::followLease(Milliseconds leaseValidUntil)
 {
-    const Milliseconds now = context_.now();
     leaseValidUntil_ = leaseValidUntil;
-    const bool wasValid = std::exchange(leaseValid_, now < leaseValidUntil);
+    leaseValid_ = context_.now() < leaseValidUntil;
     if (leaseValid_)
+        roundStartedAt_.reset();
+    else
+        callInRounds();
+}
+
+void WorkerFleet::callInRounds()
+{
+    if (!roundStartedAt_ || context_.now() - *roundStartedAt_ >= context_.timings().workerRenewal) {
+        roundStartedAt_ = context_.now();
+        for (const auto& [id, worker] : workers_)
+            renewWithin(id, Milliseconds(0));
         return;
+    }
     std::vector<Milliseconds> acceptedAt;
     for (const auto& [id, worker] : workers_) {
         if (worker.reported)
             acceptedAt.push_back(worker.acceptedAt);
-        if (wasValid)
-            renewWithin(id, Milliseconds(0));
     }
     renewalQuorumUntil_ = renewalQuorumUntil(std::move(acceptedAt), workers_.size(), renewalWindow);
+    if (!mayRenewLeases())
+        return;
+    for (const auto& [id, worker] : workers_) {
+        if (worker.busy && worker.renewedAt < *roundStartedAt_)
+            renewWithin(id, Milliseconds(0));
+    }
 }
 
 Milliseconds WorkerFleet::earlierRenewalsEnd() const
@@ -175,7 +188,11 @@
 void WorkerFleet::renew(const WorkerId& id, FleetWorker& worker)
 {
     worker.callInProgress = true;
-    std::vector<JobId> jobs = mayRenewLeases() ? handlers_.jobsToRenew(id) : std::vector<JobId>();
+    std::vector<JobId> jobs;
+    if (mayRenewLeases()) {
+        jobs = handlers_.jobsToRenew(id);
+        worker.renewedAt = context_.now();
+    }
     context_.call(
         context_.dependencies.workerCalls,
         [&agent = context_.dependencies.workers, id, token = context_.token, jobs,
@@ -202,8 +219,7 @@
     recordContact(id, worker);
     worker.acceptedAt = std::max(worker.acceptedAt, sent);
     const CellTimings& timings = context_.timings();
-    const Milliseconds interval = worker.busy ? timings.workerRenewal : timings.idleWorkerPoll;
-    schedule(id, worker, sent + (leaseValid_ ? interval : unsafeRenewalInterval));
+    schedule(id, worker, sent + (worker.busy ? timings.workerRenewal : timings.idleWorkerPoll));
     handlers_.reported(result.value(), sent);
 }
 
--- a/src/state/WorkerFleet.h
+++ b/src/state/WorkerFleet.h
@@ -17,7 +17,8 @@
     std::int64_t failures = 0; // consecutive failed calls
     Milliseconds due { 0 }; // time of the next renewal
     Milliseconds lastContact { 0 };
-    Milliseconds acceptedAt { 0 }; // when the last renewal that the worker accepted was sent
+    Milliseconds acceptedAt { 0 }; // when the last call that the worker accepted was sent
+    Milliseconds renewedAt { 0 }; // when the last call that renews the leases of its tasks was sent
 
     model::ResourceState state() const;
 };
@@ -68,6 +69,9 @@
     void recordContact(const WorkerId&, FleetWorker&);
     bool mayRenewLeases() const;
     void followLease(Milliseconds leaseValidUntil);
+    // Calls all workers in rounds without a valid lease of the cell, and those with gangs once more when a renewal
+    // quorum has accepted, which renews their leases.
+    void callInRounds();
     // When the last renewal by an earlier owner of a worker that has not reported since the takeover was sent at most.
     Milliseconds earlierRenewalsEnd() const;
 
@@ -84,6 +88,7 @@
     Milliseconds leaseValidUntil_ { 0 };
     Milliseconds renewalQuorumUntil_ { 0 };
     bool leaseValid_ = true;
+    std::optional<Milliseconds> roundStartedAt_; // without a valid lease
 };
 
 } // namespace rosemarylink::state::internal
