Owner: a worker that responds while the store lease lapses for a moment is polled again

The series is now resumed whenever it was left to the rounds. 'runs continue after an outage of the store that ends about when the store lease does' looks for it and passes before, too: the simulation did not bring it about.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -344,6 +344,7 @@
     // Without a valid store lease: until when leases may be renewed, and the present round of polls.
     Milliseconds renewalQuorumUntil_ { 0 };
     std::optional<Milliseconds> roundStartedAt_;
+    bool pollsInRounds_ = false; // workers are left to the rounds, also before the first one
     // The stored fleet record as far as it is certain: less what writes on their way may take away.
     FleetRecord permittedFleet_;
     Milliseconds fleetWrittenAt_ { 0 };
--- a/src/jobs/OwnerSessionRenewals.cpp
+++ b/src/jobs/OwnerSessionRenewals.cpp
@@ -34,7 +34,8 @@
 void OwnerSession::followWorkersWithoutStore()
 {
     if (owner_.ownership_.valid()) {
-        if (std::exchange(roundStartedAt_, std::nullopt))
+        roundStartedAt_.reset();
+        if (std::exchange(pollsInRounds_, false))
             resumePolls();
         return;
     }
@@ -53,6 +54,7 @@
 void OwnerSession::startPollRound()
 {
     roundStartedAt_ = now();
+    pollsInRounds_ = true;
     for (auto& [id, worker] : workers_) {
         if (worker.unresponsiveSince)
             continue;
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -279,8 +279,10 @@
     if (!worker.pendingEnds.empty()) {
         schedulePoll(id, pendingEndsPollInterval); // polled earlier once the ends are stored
     } else if (!worker.runs.empty() || worker.acknowledged < worker.lastSeenEnd) {
-        if (owner_.ownership_.valid()) // otherwise it is polled in rounds
+        if (owner_.ownership_.valid())
             poll(worker);
+        else
+            pollsInRounds_ = true;
     }
 }
 
--- a/tests/jobs/RenewalQuorumTest.cpp
+++ b/tests/jobs/RenewalQuorumTest.cpp
@@ -119,6 +119,25 @@
     CHECK(cluster.storedState("a0") == JobState::Completed);
 }
 
+// Guards against runs that end with their leases after the store was away for a moment: workers that had responded in
+// it were not polled again.
+TEST_CASE("runs continue after an outage of the store that ends about when the store lease does")
+{
+    const SimStore::Mode mode = GENERATE(SimStore::Mode::Silent, SimStore::Mode::Refusing);
+    const int outage = GENERATE(range(1200, 1900, 100));
+    const int offset = GENERATE(range(0, 2000, 80));
+    CAPTURE(mode, outage, offset);
+    SimCluster cluster(1);
+    startRuns(cluster, 8, Milliseconds(20000));
+    cluster.world.run(Milliseconds(offset));
+    cluster.store.mode = mode;
+    cluster.world.run(Milliseconds(outage));
+    cluster.store.mode = SimStore::Mode::Up;
+    cluster.world.run(Milliseconds(30000));
+    CHECK(cluster.fleet.startsOf(JobId("a0")) == 8);
+    CHECK(cluster.storedState("a0") == JobState::Completed);
+}
+
 // Guards against work that waits for ever: most workers are gone, so that no takeover quorum responds.
 TEST_CASE("a new owner that few workers respond to waits until earlier owners must have given up")
 {
