--- a/include/rosemarylink/state/CellController.h
+++ b/include/rosemarylink/state/CellController.h
@@ -32,9 +32,6 @@
     Milliseconds batchInterval { 100 }; // at most one write of the placements record per interval
     Milliseconds workerLeaseTtl { 20000 };
     Milliseconds workerRenewal { 6000 };
-    // How long leases of tasks are renewed without the cell's lease; see RenewalQuorum.h. Gangs go on through an outage
-    // of the store of this length, and a new owner waits for it if fewer workers than a takeover quorum respond.
-    Milliseconds longestUnsafeRenewal { 900000 };
     Milliseconds idleWorkerPoll { 30000 }; // workers without gangs; finds orphaned tasks
     Milliseconds workerListPoll { 2500 }; // below 3 s, the time after which a leaving worker must get no new tasks
     Milliseconds orderRetryDelay { 1000 };
--- a/src/state/CellCore.cpp
+++ b/src/state/CellCore.cpp
@@ -135,7 +135,7 @@
             ownership_.step(config_.has_value());
     }
     if (!lostReason_ && role_ != Role::NotOwner && !left_ && ownership_.confirmed()) {
-        fleet_.step(ownership_.validUntil());
+        fleet_.step();
         stepRecovery();
     }
     if (!lostReason_ && managesGangs() && !leaving_ && ownership_.confirmed()) {
--- a/src/state/CellOwnership.cpp
+++ b/src/state/CellOwnership.cpp
@@ -207,13 +207,13 @@
         context_.dependencies.storeCalls,
         [&store = context_.dependencies.store, cell = context_.cell(), self = context_.settings.self,
             ttl = context_.timings().leaseTtl] { return claimCell(store, cell, self, ttl); },
-        [this, sent = context_.now()](Result<ClaimedCell> result) {
+        [this](Result<ClaimedCell> result) {
             callInProgress_ = false;
-            applyClaim(std::move(result), sent);
+            applyClaim(std::move(result));
         });
 }
 
-void CellOwnership::applyClaim(Result<ClaimedCell> result, Milliseconds sent)
+void CellOwnership::applyClaim(Result<ClaimedCell> result)
 {
     absentSince_.reset();
     if (!result) {
@@ -225,7 +225,6 @@
     }
     retry_.succeeded();
     state_ = State::Holding;
-    validUntil_ = sent + context_.timings().leaseTtl;
     lease_ = result.value().lease;
     leaseOperation_ = result.value().leaseOperation;
     owner_ = context_.settings.self;
@@ -252,7 +251,6 @@
     if (status) {
         retry_.succeeded();
         confirmed_ = confirmed_ || sent >= unconfirmedSince_;
-        validUntil_ = sent + context_.timings().leaseTtl;
         nextCall_ = sent + context_.timings().leaseRenewal;
         return;
     }
@@ -273,20 +271,19 @@
         [&store = context_.dependencies.store, cell = context_.cell(), self = context_.settings.self,
             ttl = context_.timings().leaseTtl,
             token = context_.token] { return reacquireCell(store, cell, self, ttl, token); },
-        [this, sent = context_.now()](const Result<std::pair<LeaseId, OperationId>>& result) {
+        [this](const Result<std::pair<LeaseId, OperationId>>& result) {
             callInProgress_ = false;
             if (state_ == State::Reacquiring)
-                applyReacquisition(result, sent);
+                applyReacquisition(result);
         });
 }
 
-void CellOwnership::applyReacquisition(const Result<std::pair<LeaseId, OperationId>>& result, Milliseconds sent)
+void CellOwnership::applyReacquisition(const Result<std::pair<LeaseId, OperationId>>& result)
 {
     if (result) {
         retry_.succeeded();
         state_ = State::Holding;
         confirmed_ = true;
-        validUntil_ = sent + context_.timings().leaseTtl;
         lease_ = result.value().first;
         leaseOperation_ = result.value().second;
         nextCall_ = context_.now();
--- a/src/state/CellOwnership.h
+++ b/src/state/CellOwnership.h
@@ -38,9 +38,6 @@
     void requireConfirmation();
     bool confirmed() const { return confirmed_; }
 
-    // The lease that the store has confirmed last cannot have expired before this time.
-    Milliseconds validUntil() const { return validUntil_; }
-
     bool holds() const { return state_ == State::Holding || state_ == State::Reacquiring; }
     bool claiming() const { return state_ == State::Claiming; }
     bool leaseExpired() const { return state_ == State::Reacquiring; }
@@ -54,11 +51,11 @@
     void poll();
     void applyPoll(const Result<std::optional<StoredValue>>&);
     void claim();
-    void applyClaim(Result<ClaimedCell>, Milliseconds sent);
+    void applyClaim(Result<ClaimedCell>);
     void renew();
     void applyRenewal(const Status&, Milliseconds sent);
     void reacquire();
-    void applyReacquisition(const Result<std::pair<LeaseId, OperationId>>&, Milliseconds sent);
+    void applyReacquisition(const Result<std::pair<LeaseId, OperationId>>&);
     Milliseconds retryTime() { return context_.now() + retry_.next(context_); }
 
     CellContext& context_;
@@ -73,7 +70,6 @@
     std::optional<InstanceId> owner_;
     bool confirmed_ = true;
     Milliseconds unconfirmedSince_ { 0 };
-    Milliseconds validUntil_ { 0 };
     LeaseId lease_;
     OperationId leaseOperation_;
 };
--- a/src/state/WorkerFleet.cpp
+++ b/src/state/WorkerFleet.cpp
@@ -1,19 +1,7 @@
 #include "WorkerFleet.h"
 
-#include "rosemarylink/base/RenewalQuorum.h"
-
-#include <algorithm>
-#include <utility>
-
 namespace rosemarylink::state::internal {
 
-namespace {
-
-    // Calls to all workers take less than this in a fleet that responds.
-    constexpr Milliseconds renewalWindow { 3000 };
-
-} // namespace
-
 model::ResourceState FleetWorker::state() const
 {
     if (lost || !spec)
@@ -35,11 +23,6 @@
     hasWorkerList_ = false;
     listInProgress_ = false;
     nextList_ = context_.now();
-    takenOverAt_ = context_.now();
-    takeoverQuorumAt_.reset();
-    renewalQuorumUntil_ = Milliseconds(0);
-    leaseValid_ = true;
-    roundStartedAt_.reset();
 }
 
 bool WorkerFleet::inScope(const model::WorkerSpec& spec) const
@@ -52,6 +35,7 @@
 {
     const auto [at, added] = workers_.try_emplace(id);
     if (added) {
+        // The last contact is unknown. A lease that an earlier owner renewed expires at most one term from now.
         at->second.lastContact = context_.now();
         ++unreported_;
         schedule(id, at->second, context_.now());
@@ -84,57 +68,9 @@
     handlers_.stateChanged(id, found->second.state());
 }
 
-bool WorkerFleet::mayRenewLeases() const
-{
-    return leaseValid_
-        || context_.now() < std::min(renewalQuorumUntil_, leaseValidUntil_ + context_.timings().longestUnsafeRenewal);
-}
-
-void WorkerFleet::followLease(Milliseconds leaseValidUntil)
-{
-    leaseValidUntil_ = leaseValidUntil;
-    leaseValid_ = context_.now() < leaseValidUntil;
-    if (leaseValid_)
-        roundStartedAt_.reset();
-    else
-        callInRounds();
-}
-
-void WorkerFleet::callInRounds()
-{
-    if (!roundStartedAt_ || context_.now() - *roundStartedAt_ >= context_.timings().workerRenewal) {
-        roundStartedAt_ = context_.now();
-        for (const auto& [id, worker] : workers_)
-            renewWithin(id, Milliseconds(0));
-        return;
-    }
-    std::vector<Milliseconds> acceptedAt;
-    for (const auto& [id, worker] : workers_) {
-        if (worker.reported)
-            acceptedAt.push_back(worker.acceptedAt);
-    }
-    renewalQuorumUntil_ = renewalQuorumUntil(std::move(acceptedAt), workers_.size(), renewalWindow);
-    if (!mayRenewLeases())
-        return;
-    for (const auto& [id, worker] : workers_) {
-        if (worker.busy && worker.renewedAt < *roundStartedAt_)
-            renewWithin(id, Milliseconds(0));
-    }
-}
-
-Milliseconds WorkerFleet::earlierRenewalsEnd() const
-{
-    return takeoverQuorumAt_ ? *takeoverQuorumAt_ + renewalWindow
-                             : takenOverAt_ + context_.timings().longestUnsafeRenewal;
-}
-
-void WorkerFleet::step(Milliseconds leaseValidUntil)
+void WorkerFleet::step()
 {
     const Milliseconds now = context_.now();
-    followLease(leaseValidUntil);
-    const std::size_t responded = workers_.size() - static_cast<std::size_t>(unreported_);
-    if (!takeoverQuorumAt_ && hasWorkerList_ && isTakeoverQuorum(responded, workers_.size()))
-        takeoverQuorumAt_ = now;
     if (!listInProgress_ && now >= nextList_)
         list();
     while (!due_.empty() && due_.begin()->first <= now) {
@@ -188,11 +124,7 @@
 void WorkerFleet::renew(const WorkerId& id, FleetWorker& worker)
 {
     worker.callInProgress = true;
-    std::vector<JobId> jobs;
-    if (mayRenewLeases()) {
-        jobs = handlers_.jobsToRenew(id);
-        worker.renewedAt = context_.now();
-    }
+    std::vector<JobId> jobs = handlers_.jobsToRenew(id);
     context_.call(
         context_.dependencies.workerCalls,
         [&agent = context_.dependencies.workers, id, token = context_.token, jobs,
@@ -217,7 +149,6 @@
         return;
     }
     recordContact(id, worker);
-    worker.acceptedAt = std::max(worker.acceptedAt, sent);
     const CellTimings& timings = context_.timings();
     schedule(id, worker, sent + (worker.busy ? timings.workerRenewal : timings.idleWorkerPoll));
     handlers_.reported(result.value(), sent);
@@ -240,8 +171,7 @@
 void WorkerFleet::recordFailure(const WorkerId& id, FleetWorker& worker)
 {
     ++worker.failures;
-    const Milliseconds lastRenewal = worker.reported ? worker.lastContact : earlierRenewalsEnd();
-    const Milliseconds leaseEnd = lastRenewal + context_.timings().workerLeaseTtl;
+    const Milliseconds leaseEnd = worker.lastContact + context_.timings().workerLeaseTtl;
     const bool leasesOver = context_.now() >= leaseEnd;
     if (!leasesOver && leaseEnd < worker.due)
         schedule(id, worker, leaseEnd);
--- a/src/state/WorkerFleet.h
+++ b/src/state/WorkerFleet.h
@@ -17,8 +17,6 @@
     std::int64_t failures = 0; // consecutive failed calls
     Milliseconds due { 0 }; // time of the next renewal
     Milliseconds lastContact { 0 };
-    Milliseconds acceptedAt { 0 }; // when the last call that the worker accepted was sent
-    Milliseconds renewedAt { 0 }; // when the last call that renews the leases of its tasks was sent
 
     model::ResourceState state() const;
 };
@@ -40,12 +38,8 @@
 
     WorkerFleet(CellContext&, Handlers);
 
-    // Forgets all workers at a takeover.
     void clear();
-
-    // Sends the renewals that are due. The cell's lease is known to be valid until `leaseValidUntil`; afterwards,
-    // RenewalQuorum.h says which leases of tasks may be renewed.
-    void step(Milliseconds leaseValidUntil);
+    void step();
 
     // Schedules the worker's next renewal within the given time. Adds the worker if it is unknown.
     void renewWithin(const WorkerId&, Milliseconds);
@@ -67,13 +61,6 @@
     void applyRenewal(const WorkerId&, const Result<WorkerReport>&, const std::vector<JobId>&, Milliseconds sent);
     void recordFailure(const WorkerId&, FleetWorker&);
     void recordContact(const WorkerId&, FleetWorker&);
-    bool mayRenewLeases() const;
-    void followLease(Milliseconds leaseValidUntil);
-    // Calls all workers in rounds without a valid lease of the cell, and those with gangs once more when a renewal
-    // quorum has accepted, which renews their leases.
-    void callInRounds();
-    // When the last renewal by an earlier owner of a worker that has not reported since the takeover was sent at most.
-    Milliseconds earlierRenewalsEnd() const;
 
     CellContext& context_;
     Handlers handlers_;
@@ -83,12 +70,6 @@
     bool hasWorkerList_ = false;
     bool listInProgress_ = false;
     Milliseconds nextList_ { 0 };
-    Milliseconds takenOverAt_ { 0 };
-    std::optional<Milliseconds> takeoverQuorumAt_;
-    Milliseconds leaseValidUntil_ { 0 };
-    Milliseconds renewalQuorumUntil_ { 0 };
-    bool leaseValid_ = true;
-    std::optional<Milliseconds> roundStartedAt_; // without a valid lease
 };
 
 } // namespace rosemarylink::state::internal
