--- a/review/lab-2/Worker.cpp
+++ b/review/lab-2/Worker.cpp
@@ -21,6 +21,7 @@
     constexpr std::int64_t missedBeats = 3;
     constexpr std::int64_t tickMs = 5;
     constexpr std::int64_t gangTimeoutMs = 3000;
+    constexpr std::int64_t forever = 1000000000;
     constexpr std::size_t listedEnds = 500;
 
     // The number behind the name in the payload.
@@ -235,9 +236,12 @@
     const int needed = numberIn(payload, "gpu", 1);
     if (used + needed > accelerators)
         return refusal("room");
-    const bool fails = number == 1 && payload.find("fail-first") != std::string::npos;
-    runs_[task]
-        = { number, needed, numberIn(payload, "gang", 1), numberIn(payload, "work", 1000), fails, clock(), 0, 0 };
+    const int index = std::stoi(task.substr(task.rfind('.') + 1));
+    const bool fails = number == 1
+        && (payload.find("fail-first") != std::string::npos || numberIn(payload, "fail-index", -1) == index);
+    const bool lasts = !fails && payload.find("lasting") != std::string::npos;
+    runs_[task] = { number, needed, numberIn(payload, "gang", 1), lasts ? forever : numberIn(payload, "work", 1000),
+        fails, clock(), 0, 0 };
     log_.noteStart({ task, number, id_, monotonicMs(), 0, "" });
     record_.add("run " + task + " run " + std::to_string(number) + " starts on " + id_);
     return { 200, Json({ { "ClockMs", clock() } }).dump() };
--- a/review/lab-2/Worker.h
+++ b/review/lab-2/Worker.h
@@ -54,7 +54,8 @@
 
 // A worker that guards its capacity. A task's payload says what the worker cannot know from the order: how long the
 // task works ("work=MILLISECONDS"), the accelerators that it needs ("gpu=NUMBER", otherwise 1), the size of its gang
-// ("gang=NUMBER"; all members have to be on one worker), and that its first run fails by its own fault ("fail-first").
+// ("gang=NUMBER"; all members have to be on one worker), that its first run fails by its own fault ("fail-first", or
+// "fail-index=NUMBER" for one task of the step), and that its other runs last until they are stopped ("lasting").
 class Worker {
 public:
     Worker(Store&, Record&, RunLog&, std::string id, std::vector<std::string> labels, std::string service);
