--- a/review/lab-2/Deployment.cpp
+++ b/review/lab-2/Deployment.cpp
@@ -101,6 +101,13 @@
         ::kill(process_, number);
 }
 
+bool Edge::hasEnded()
+{
+    if (process_ > 0 && ::waitpid(process_, nullptr, WNOHANG) == process_)
+        process_ = 0;
+    return process_ <= 0;
+}
+
 void Edge::kill()
 {
     if (process_ <= 0)
--- a/review/lab-2/Deployment.h
+++ b/review/lab-2/Deployment.h
@@ -22,6 +22,8 @@
 
     void start();
     void signal(int number) const;
+    // Whether the process has ended by itself or after a signal.
+    bool hasEnded();
     // Kills the process and waits for its end.
     void kill();
 
