--- a/review/lab-2/Deployment.cpp
+++ b/review/lab-2/Deployment.cpp
@@ -170,6 +170,8 @@
 
 void Deployment::leave(int code)
 {
+    if (code == couldNotRun)
+        record_.add("the case could not run");
     for (const auto& edge : edges_)
         edge->kill();
     std::fflush(stdout);
