Move start commands of an owner session to their own file

Change: OwnerSessionStarts.cpp holds what sends, repeats and gives up start commands; no behavior changes.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -221,7 +221,7 @@
     void checkSurvivalSoon(const Job&, const TaskKey&, const WorkerId&);
     std::vector<Placement> withoutSharedBlame(const std::vector<Placement>&);
 
-    // OwnerSessionTasks.cpp: commands to workers and ends of runs.
+    // OwnerSessionTasks.cpp: ends of runs and stop commands.
     void handleEnd(Worker&, const EndedRun&);
     void learnRunTime(Job&, const EndedRun&, const WorkerRun&);
     void endRun(Job&, const TaskKey&, int run, RunEnd, const std::string& checkpoint, const WorkerId&);
@@ -232,6 +232,15 @@
     void stopTask(Job&, const TaskKey&);
     void stopJob(Job&);
     void finishJob(Job&, JobState);
+    void stopRun(Worker&, const RunKey&);
+    void handleStopResponse(const RunKey&, const WorkerId&, std::uint64_t incarnation, const CommandResponse&);
+    void stopIncompleteGangs();
+    void recordFailure(Worker&, const JobId&);
+    void logEnd(const StepSpec&, const TaskKey&, int run, RunEnd, const WorkerId&, Milliseconds ran, bool current);
+    void logStepActivity();
+    void markChanged(Job&, bool urgent);
+
+    // OwnerSessionStarts.cpp: start commands.
     void startTasks(const std::vector<Placement>&);
     void startTask(Job&, const TaskKey&, Worker&);
     // Sends the start commands that are queued as far as the command window allows.
@@ -241,13 +250,6 @@
     void repeatStartLater(const RunKey&, const WorkerId&, std::uint64_t incarnation);
     void abandonStart(const RunKey&, Worker&);
     void handleStartResponse(const RunKey&, const WorkerId&, std::uint64_t incarnation, const CommandResponse&);
-    void stopRun(Worker&, const RunKey&);
-    void handleStopResponse(const RunKey&, const WorkerId&, std::uint64_t incarnation, const CommandResponse&);
-    void stopIncompleteGangs();
-    void recordFailure(Worker&, const JobId&);
-    void logEnd(const StepSpec&, const TaskKey&, int run, RunEnd, const WorkerId&, Milliseconds ran, bool current);
-    void logStepActivity();
-    void markChanged(Job&, bool urgent);
 
     // OwnerSessionStrays.cpp: calls without a response, which may still be executed.
     void noteStrayStart(Worker&, const RunKey&, CommandOutcome);
