Bound the planner's counts of places by the step's tasks

Change: countFitting takes the limit, which is the number of tasks that the step has to place, so every count on one worker is bounded by it. GangReservations keeps only the earliest slots while it collects them, so that their number does not grow with the workers either. countAnywhere counts up to what is asked for instead of the step's tasks on each worker. Preemption adds up counts in 64 bits.

--- a/src/jobs/GangReservations.cpp
+++ b/src/jobs/GangReservations.cpp
@@ -49,13 +49,13 @@
     if (worker.hold || !PlannerFleet::isEligible(gang, worker))
         return;
     const Resources& perTask = gang.spec->perTask;
-    const int most
-        = PlannerFleet::applySpreadLimit(gang, worker, PlannerFleet::countFitting(perTask, worker.row->capacity));
+    const int most = PlannerFleet::applySpreadLimit(
+        gang, worker, PlannerFleet::countFitting(perTask, worker.row->capacity, gang.tasks.size()));
     const Milliseconds bonus = gang.reservedWorkers.count(worker.row->id) > 0 ? reservationStability : Milliseconds(0);
     Resources available = worker.free;
     int counted = 0;
     const auto addFitting = [&](Milliseconds time) {
-        const int fitting = std::min(most, PlannerFleet::countFitting(perTask, available));
+        const int fitting = std::min(most, PlannerFleet::countFitting(perTask, available, gang.tasks.size()));
         for (; counted < fitting; ++counted)
             slots.push_back({ time - bonus, &worker });
     };
@@ -68,16 +68,25 @@
     }
 }
 
+void GangReservations::keepEarliest(std::vector<Slot>& slots, std::size_t count)
+{
+    std::stable_sort(slots.begin(), slots.end(), [](const Slot& a, const Slot& b) { return a.freeAt < b.freeAt; });
+    slots.resize(std::min(slots.size(), count));
+}
+
 std::vector<GangReservations::Slot> GangReservations::earliestSlots(
     const PlanStep& gang, const FleetWorkers& candidates) const
 {
     std::vector<Slot> slots;
-    for (FleetWorker* worker : candidates)
+    for (FleetWorker* worker : candidates) {
         addSlots(gang, *worker, slots);
+        // Bounds the memory by the number of tasks, not by that of the workers as well.
+        if (slots.size() > 2 * gang.tasks.size())
+            keepEarliest(slots, gang.tasks.size());
+    }
     if (slots.size() < gang.tasks.size())
         return {};
-    std::stable_sort(slots.begin(), slots.end(), [](const Slot& a, const Slot& b) { return a.freeAt < b.freeAt; });
-    slots.resize(gang.tasks.size());
+    keepEarliest(slots, gang.tasks.size());
     return slots;
 }
 
--- a/src/jobs/GangReservations.h
+++ b/src/jobs/GangReservations.h
@@ -27,8 +27,10 @@
         FleetWorker* worker = nullptr;
     };
 
-    // Adds a slot for each task of the gang that fits on the worker at some time.
+    // Adds a slot for each task of the gang that fits on the worker at some time, at most one for each of its tasks.
     void addSlots(const PlanStep& gang, FleetWorker&, std::vector<Slot>&) const;
+    // Removes all but the earliest slots, of equal ones those that were added last.
+    static void keepEarliest(std::vector<Slot>&, std::size_t count);
     std::vector<Slot> earliestSlots(const PlanStep& gang, const FleetWorkers& candidates) const;
     void hold(const PlanStep& gang, const std::vector<Slot>&);
 
--- a/src/jobs/PlannerFleet.cpp
+++ b/src/jobs/PlannerFleet.cpp
@@ -22,11 +22,9 @@
     // Ranks racks other than the one with the step's data behind it.
     constexpr std::int64_t otherRackPenalty = 1000000;
 
-    int countFittingOne(std::int64_t perTask, std::int64_t available)
+    std::int64_t countFittingOne(std::int64_t perTask, std::int64_t available, std::int64_t limit)
     {
-        if (perTask <= 0)
-            return std::numeric_limits<int>::max();
-        return static_cast<int>(std::max<std::int64_t>(0, available) / perTask);
+        return perTask <= 0 ? limit : std::min(limit, std::max<std::int64_t>(0, available) / perTask);
     }
 
     Resources smallerOf(const Resources& a, const Resources& b)
@@ -82,11 +80,12 @@
     mostlyFree_ = isMostlyFreePool(input.workers);
 }
 
-int PlannerFleet::countFitting(const Resources& perTask, const Resources& available)
+int PlannerFleet::countFitting(const Resources& perTask, const Resources& available, std::size_t limit)
 {
-    return std::min({ countFittingOne(perTask.milliCores, available.milliCores),
-        countFittingOne(perTask.megabytes, available.megabytes),
-        countFittingOne(perTask.accelerators, available.accelerators) });
+    std::int64_t count = std::min<std::size_t>(limit, std::numeric_limits<int>::max());
+    count = countFittingOne(perTask.milliCores, available.milliCores, count);
+    count = countFittingOne(perTask.megabytes, available.megabytes, count);
+    return static_cast<int>(countFittingOne(perTask.accelerators, available.accelerators, count));
 }
 
 bool PlannerFleet::mustStart(const PlanStep& step) const
@@ -136,7 +135,7 @@
         if (input_.now + Milliseconds(longestRun) > worker.hold->from)
             available = smallerOf(available, worker.hold->spare);
     }
-    const int fitting = countFitting(step.spec->perTask, available);
+    const int fitting = countFitting(step.spec->perTask, available, step.tasks.size());
     if (fitting == 0 || !mayRun(step, worker))
         return 0;
     return applySpreadLimit(step, worker, fitting);
@@ -194,20 +193,18 @@
     return chooseBest(fitting, count);
 }
 
-int PlannerFleet::capacityAnywhere(const PlanStep& step, const FleetWorker& worker)
+int PlannerFleet::capacityAnywhere(const PlanStep& step, const FleetWorker& worker, std::size_t limit)
 {
     if (!mayRun(step, worker))
         return 0;
-    // A task without any demand would fit without limit.
-    const int fitting = std::min(countFitting(step.spec->perTask, worker.free), step.spec->taskCount);
-    return applySpreadLimit(step, worker, fitting);
+    return applySpreadLimit(step, worker, countFitting(step.spec->perTask, worker.free, limit));
 }
 
 FleetWorkers PlannerFleet::selectAnywhere(const PlanStep& step, std::size_t count) const
 {
     std::vector<Candidate> fitting;
     for (FleetWorker* worker : all_) {
-        const int capacity = capacityAnywhere(step, *worker);
+        const int capacity = capacityAnywhere(step, *worker, count);
         if (capacity > 0)
             fitting.push_back(rank(step, worker, capacity));
     }
@@ -218,7 +215,7 @@
 {
     std::size_t count = 0;
     for (const FleetWorker* worker : all_) {
-        count += static_cast<std::size_t>(capacityAnywhere(step, *worker));
+        count += static_cast<std::size_t>(capacityAnywhere(step, *worker, enough));
         if (count >= enough)
             return enough;
     }
@@ -256,8 +253,8 @@
         std::size_t available = 0;
         for (const FleetWorker* worker : members) {
             if (isEligible(step, *worker))
-                available += static_cast<std::size_t>(
-                    applySpreadLimit(step, *worker, countFitting(step.spec->perTask, worker->row->capacity)));
+                available += static_cast<std::size_t>(applySpreadLimit(
+                    step, *worker, countFitting(step.spec->perTask, worker->row->capacity, step.tasks.size())));
         }
         return available >= step.tasks.size();
     });
--- a/src/jobs/PlannerFleet.h
+++ b/src/jobs/PlannerFleet.h
@@ -44,8 +44,9 @@
     // and there is room for more than its tasks.
     bool mustStart(const PlanStep&) const;
 
-    // Number of tasks of this size that fit into the available resources.
-    static int countFitting(const Resources& perTask, const Resources& available);
+    // Number of tasks of this size that fit into the available resources, at most `limit`. A task without any demand
+    // would fit without limit.
+    static int countFitting(const Resources& perTask, const Resources& available, std::size_t limit);
 
     // Whether the worker may be given work and has the label that the step needs.
     static bool mayRun(const PlanStep&, const FleetWorker&);
@@ -58,9 +59,9 @@
     // Once many workers are suspect the cause is rather in the jobs, and all workers are used.
     bool isTooRisky(const PlanStep&, const FleetWorker&) const;
 
-    // Number of the step's tasks that fit on the worker beside what it may run already, optionally counting resources
-    // that are being released. On a worker with a hold that binds the step, tasks that may still run when the hold
-    // begins get only what is spare then.
+    // Number of the step's waiting tasks that fit on the worker beside what it may run already, optionally counting
+    // resources that are being released. On a worker with a hold that binds the step, tasks that may still run when the
+    // hold begins get only what is spare then.
     int capacityOn(const PlanStep&, const FleetWorker&, bool includeReleasing) const;
 
     // Selects workers for `count` tasks, one element per task. Prefers workers that the previous plan reserved for the
@@ -95,7 +96,7 @@
 
     Candidate rank(const PlanStep&, FleetWorker*, int capacity) const;
     static FleetWorkers chooseBest(std::vector<Candidate>& fitting, std::size_t count);
-    static int capacityAnywhere(const PlanStep&, const FleetWorker&);
+    static int capacityAnywhere(const PlanStep&, const FleetWorker&, std::size_t limit);
 
     const PlanInput& input_;
     std::vector<FleetWorker> workers_;
--- a/src/jobs/PreemptionChoice.cpp
+++ b/src/jobs/PreemptionChoice.cpp
@@ -110,7 +110,7 @@
 }
 
 std::vector<PreemptionChooser::Slot> PreemptionChooser::slotsOn(
-    const PlanStep& step, std::size_t worker, int needed) const
+    const PlanStep& step, std::size_t worker, std::int64_t needed) const
 {
     // Work of the step's own priority is preempted last.
     std::vector<std::tuple<bool, double, const Share*>> victims;
@@ -136,11 +136,11 @@
             continue;
         slots.push_back(next);
         // Further tasks that fit into the same freed capacity cost nothing.
-        for (int more = capacity + 1; more < now && static_cast<int>(slots.size()) < needed; ++more)
+        for (int more = capacity + 1; more < now && static_cast<std::int64_t>(slots.size()) < needed; ++more)
             slots.push_back({ 0, worker, {} });
         capacity = now;
         next = { 0, worker, {} };
-        if (static_cast<int>(slots.size()) >= needed)
+        if (static_cast<std::int64_t>(slots.size()) >= needed)
             break;
     }
     return slots;
@@ -149,8 +149,8 @@
 std::optional<PreemptionChoice> PreemptionChooser::choose(const PlanStep& step, const FleetWorkers& candidates)
 {
     buildIndex();
-    int needed = static_cast<int>(step.tasks.size());
-    int most = 0;
+    auto needed = static_cast<std::int64_t>(step.tasks.size());
+    std::int64_t most = 0;
     for (const FleetWorker* worker : candidates)
         most += mostOn(step, indexOf(*worker));
     if (most < needed)
@@ -205,7 +205,7 @@
                 freed[worker] += share(work, worker);
         }
     }
-    int available = 0;
+    std::int64_t available = 0;
     for (std::size_t worker : isCandidate)
         available += capacityWith(step, worker, freed.count(worker) > 0 ? freed.at(worker) : Resources {});
     std::vector<std::size_t> byCost = choice.work;
@@ -213,7 +213,7 @@
         return std::make_pair(costOf(input_.running[a]), a) > std::make_pair(costOf(input_.running[b]), b);
     });
     for (std::size_t work : byCost) {
-        int without = available;
+        std::int64_t without = available;
         for (std::size_t worker : workersOf_[work]) {
             if (isCandidate.count(worker) == 0)
                 continue;
@@ -222,7 +222,7 @@
             reduced -= share(work, worker);
             without += capacityWith(step, worker, reduced);
         }
-        if (without < static_cast<int>(step.tasks.size()))
+        if (without < static_cast<std::int64_t>(step.tasks.size()))
             continue;
         available = without;
         for (std::size_t worker : workersOf_[work]) {
--- a/src/jobs/PreemptionChoice.h
+++ b/src/jobs/PreemptionChoice.h
@@ -54,7 +54,7 @@
     std::size_t indexOf(const FleetWorker& worker) const;
     bool mayPreempt(const PlanStep&, std::size_t work) const;
     int capacityWith(const PlanStep&, std::size_t worker, const Resources& freed) const;
-    std::vector<Slot> slotsOn(const PlanStep&, std::size_t worker, int needed) const;
+    std::vector<Slot> slotsOn(const PlanStep&, std::size_t worker, std::int64_t needed) const;
     // Drops work that is not needed, most expensive first, because a stopped gang frees capacity on several workers.
     void dropNeedless(const PlanStep&, const FleetWorkers& candidates, PreemptionChoice&) const;
 
