Place rack-local steps without a rack in one rack that has room

Cause: a locality-sensitive step that is no gang and names no rack was placed on workers of the rack "" only, that is nowhere, for as long as its declared run time. Change: such a step uses the rack of its active tasks, or else the rack in which all of its tasks fit best, or else the one in which most of them fit. While the pool is mostly free it may use other racks 2 s after it became ready. A step that is no gang then starts, 2 s after anything of it ran, as many tasks as there is room for twice over, if there is room for two. A step whose data rack has no worker on which a task of it could ever fit does not wait for it.

--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -97,6 +97,10 @@
                 return true;
             if (step.spec->rackLocal && !fleet_.fitsAnyEmptyRack(step))
                 return true;
+            if (fleet_.mustSpread(step))
+                return true;
+            if (!step.spec->dataRack.empty() && !fleet_.fitsEmptyDataRack(step))
+                return true;
             const Milliseconds waited = input_.now - step.readyAt;
             if (step.priority == 0)
                 return waited >= input_.urgentRackWait;
@@ -179,24 +183,25 @@
             return true;
         }
 
-        // Places a step that must start wherever there is room. Returns whether it does.
+        // Places the tasks of a step that must start wherever there is room. Returns whether there are any.
         bool placeAnywhere(const PlanStep& step)
         {
-            if (step.tasks.empty() || isKnown(withoutRoom_, step, /*spread=*/true) || !fleet_.mustStart(step))
+            const std::size_t count = fleet_.countMustStart(step);
+            if (count == 0)
                 return false;
-            const FleetWorkers chosen = fleet_.selectAnywhere(step, step.tasks.size());
-            if (chosen.empty())
-                remember(withoutRoom_, step, /*spread=*/true);
+            const FleetWorkers chosen = fleet_.selectAnywhere(step, count);
             place(step, chosen);
             return !chosen.empty();
         }
 
         void planTasks(const PlanStep& step, bool otherRacksAllowed)
         {
+            // A step that names no rack may use any, but only one.
+            const bool anyRack = !otherRacksAllowed && step.spec->dataRack.empty();
             FleetWorkers candidates;
             std::size_t fitting = 0;
-            for (FleetWorker* worker : fleet_.all()) {
-                if (!otherRacksAllowed && worker->row->rack != step.spec->dataRack)
+            for (FleetWorker* worker : anyRack ? fleet_.selectRackFor(step) : fleet_.all()) {
+                if (!otherRacksAllowed && !anyRack && worker->row->rack != step.spec->dataRack)
                     continue;
                 const int capacity = fleet_.capacityOn(step, *worker, /*includeReleasing=*/false);
                 if (capacity <= 0)
@@ -332,7 +337,6 @@
         const PlanInput& input_;
         PlannerFleet fleet_;
         std::vector<GangSize> withoutCapacity_; // gangs that do not fit
-        std::vector<GangSize> withoutRoom_; // steps that must start and do not fit anywhere
         std::vector<GangSize> withoutVictims_; // gangs that are not urgent and do not fit with preemptions either
         GangReservations gangReservations_;
         PreemptionChooser preemptions_;
--- a/src/jobs/PlannerFleet.cpp
+++ b/src/jobs/PlannerFleet.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <map>
 #include <tuple>
+#include <utility>
 
 namespace rosemarylink::jobs::internal {
 
@@ -33,6 +34,11 @@
             std::min(a.accelerators, b.accelerators) };
     }
 
+    bool hasLabel(const PlanStep& step, const FleetWorker& worker)
+    {
+        return step.spec->workerLabel.empty() || worker.row->labels->count(step.spec->workerLabel) > 0;
+    }
+
     // The platform counts a job as lost of which nothing runs for 3 s while less than half of the pool is in use and
     // there is room for it twice over.
     constexpr Milliseconds longestHoldBack { 2000 };
@@ -88,16 +94,23 @@
     return static_cast<int>(countFittingOne(perTask.accelerators, available.accelerators, count));
 }
 
-bool PlannerFleet::mustStart(const PlanStep& step) const
+std::size_t PlannerFleet::countMustStart(const PlanStep& step) const
 {
-    const std::size_t enough = roomFactor * step.tasks.size();
-    return mostlyFree_ && input_.now - step.idleSince >= longestHoldBack && countAnywhere(step, enough) >= enough;
+    if (!mostlyFree_ || input_.now - step.idleSince < longestHoldBack)
+        return 0;
+    const std::size_t startable = countAnywhere(step, roomFactor * step.tasks.size()) / roomFactor;
+    return step.spec->gang && startable < step.tasks.size() ? 0 : startable;
+}
+
+bool PlannerFleet::mustSpread(const PlanStep& step) const
+{
+    return mostlyFree_ && !step.spec->gang && step.spec->dataRack.empty()
+        && input_.now - step.readyAt >= longestHoldBack;
 }
 
 bool PlannerFleet::mayRun(const PlanStep& step, const FleetWorker& worker)
 {
-    return worker.schedulable
-        && (step.spec->workerLabel.empty() || worker.row->labels->count(step.spec->workerLabel) > 0);
+    return worker.schedulable && hasLabel(step, worker);
 }
 
 bool PlannerFleet::isEligible(const PlanStep& step, const FleetWorker& worker)
@@ -247,6 +260,40 @@
     return best;
 }
 
+FleetWorkers PlannerFleet::selectRackFor(const PlanStep& step) const
+{
+    FleetWorkers active;
+    const FleetWorkers* best = nullptr;
+    std::pair<std::size_t, std::int64_t> bestOrder; // tasks that fit, and free accelerators below zero
+    for (const FleetWorkers& members : racks_) {
+        if (std::any_of(members.begin(), members.end(),
+                [&step](const FleetWorker* worker) { return step.activeTasks.count(worker->row->id) > 0; }))
+            active.insert(active.end(), members.begin(), members.end());
+        std::size_t fitting = 0;
+        std::int64_t freeInRack = 0;
+        for (const FleetWorker* worker : members) {
+            fitting += static_cast<std::size_t>(capacityOn(step, *worker, /*includeReleasing=*/false));
+            freeInRack += worker->free.accelerators;
+        }
+        const std::pair<std::size_t, std::int64_t> order { std::min(fitting, step.tasks.size()), -freeInRack };
+        if (!best || order > bestOrder) {
+            best = &members;
+            bestOrder = order;
+        }
+    }
+    if (!active.empty())
+        return active;
+    return best ? *best : FleetWorkers();
+}
+
+bool PlannerFleet::fitsEmptyDataRack(const PlanStep& step) const
+{
+    return std::any_of(workers_.begin(), workers_.end(), [&step](const FleetWorker& worker) {
+        return worker.row->rack == step.spec->dataRack && hasLabel(step, worker)
+            && step.spec->perTask.fitsIn(worker.row->capacity);
+    });
+}
+
 bool PlannerFleet::fitsAnyEmptyRack(const PlanStep& step) const
 {
     return std::any_of(racks_.begin(), racks_.end(), [&step](const FleetWorkers& members) {
--- a/src/jobs/PlannerFleet.h
+++ b/src/jobs/PlannerFleet.h
@@ -40,9 +40,13 @@
     const FleetWorkers& all() const { return all_; }
     const std::vector<FleetWorkers>& racks() const { return racks_; }
 
-    // Whether the step must start wherever there is room: nothing of it has run for a while, the pool is mostly free,
-    // and there is room for more than its tasks.
-    bool mustStart(const PlanStep&) const;
+    // The number of the step's tasks that must start now wherever there is room, because nothing of it has run for a
+    // while and the pool is mostly free. For a gang that is all of its tasks if there is room for them twice over,
+    // otherwise 0; for another step as many as there is room for twice over.
+    std::size_t countMustStart(const PlanStep&) const;
+
+    // Whether a step that is no gang and names no rack must not wait for a single rack any longer.
+    bool mustSpread(const PlanStep&) const;
 
     // Number of tasks of this size that fit into the available resources, at most `limit`. A task without any demand
     // would fit without limit.
@@ -81,6 +85,14 @@
     // otherwise the fitting one with the fewest free accelerators.
     FleetWorkers selectInOneRack(const PlanStep&, bool includeReleasing) const;
 
+    // The workers of the rack on which tasks of a step that is no gang are to be placed together: of the racks of its
+    // active tasks if it has any, otherwise of the rack in which all of its tasks fit with the fewest free
+    // accelerators, or in which most of them fit.
+    FleetWorkers selectRackFor(const PlanStep&) const;
+
+    // Whether the rack of the step's data has a worker on which a task of the step fits if nothing runs there.
+    bool fitsEmptyDataRack(const PlanStep&) const;
+
     // Whether some rack could hold all of the step's tasks if nothing ran there.
     bool fitsAnyEmptyRack(const PlanStep&) const;
 
