Rank long-running steps by the arrival of their job

Cause: a long-running step was ranked by the objective for the completion of its job, which it does not have. For the same reason an urgent long-running step waited up to 10 s before it preempted costly work. Change: within its priority a long-running step is ranked by the arrival of its job. It never counts as late when it waits for ends instead of preempting.

--- a/src/jobs/PreemptionPatience.cpp
+++ b/src/jobs/PreemptionPatience.cpp
@@ -63,7 +63,8 @@
     if (expected > longestLateWait)
         return Milliseconds(0);
     const bool costly = !step.guaranteed && ratio > costlyRatio;
-    if (costly && input_.now + step.remaining > step.objectiveAt)
+    const bool late = !step.spec->longRunning && input_.now + step.remaining > step.objectiveAt;
+    if (costly && late)
         return longestLateWait;
     // A loss of more than the step's own work is worth a longer wait.
     const Milliseconds longest
--- a/src/jobs/StepOrder.cpp
+++ b/src/jobs/StepOrder.cpp
@@ -22,7 +22,9 @@
         // Guaranteed work must start within a fixed time, so it is ordered by arrival even if it will end late.
         if (step.guaranteed)
             return { -1, 0, step.arrivedAt };
-        if (now - step.readyAt >= longestWait)
+        // A long-running step does not complete, so its job has no objective. It precedes all work that arrived later:
+        // a task that must be restarted must not wait behind that work.
+        if (step.spec->longRunning || now - step.readyAt >= longestWait)
             return { step.priority, 0, step.arrivedAt };
         const Milliseconds endsAt = now + step.remaining;
         if (endsAt <= step.objectiveAt)
