Count a job as waiting until a worker has a run of it

Cause: a job became active, and its waiting record was removed, as soon as its start was queued. The duration first-start ends there as well.

--- a/include/rosemarylink/jobs/JobMetrics.h
+++ b/include/rosemarylink/jobs/JobMetrics.h
@@ -33,7 +33,7 @@
     // Durations of the stages of a job's processing, in ms.
     Distribution& accept; // from a submission's arrival to its acceptance
     Distribution& handOver; // from acceptance, by the accepting instance's wall clock, until the owner reads the job
-    Distribution& firstStart; // from the owner reading the job to its first start command
+    Distribution& firstStart; // from the owner reading the job until a worker has a run of it
     Distribution& startResponse; // from a start command to its response
     Distribution& storeWrite; // one write of progress by the owner
     Distribution& completion; // from the owner reading the job to the job's end
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -243,6 +243,7 @@
     // OwnerSessionStarts.cpp: start commands.
     void startTasks(const std::vector<Placement>&);
     void startTask(Job&, const TaskKey&, Worker&);
+    void noteJobStarted(Job&);
     // Sends the start commands that are queued as far as the command window allows.
     void sendQueuedStarts();
     void sendStart(const Job&, const RunKey&, Worker&);
--- a/src/jobs/OwnerSessionStarts.cpp
+++ b/src/jobs/OwnerSessionStarts.cpp
@@ -74,15 +74,21 @@
     worker.runs[runKey] = run;
     if (!joinsGang)
         logRestart(job, runKey, worker);
-    if (job.state == JobState::Queued) {
-        job.state = JobState::Active;
-        owner_.metrics_.firstStart.record(static_cast<double>((now() - job.arrivedAt).count()));
-        markChanged(job, /*urgent=*/false);
-    }
     worker.lease.extend(latestLeaseEnd(worker, leaseEndFor(worker))); // the run must not count as lost while it waits
     queuedStarts_.emplace_back(runKey, worker.entry.id);
 }
 
+// Notes that a worker has accepted or reported a run of the job. Until then the job counts as waiting: its starts may
+// reach no worker, and its waiting record, once removed, is not written again.
+void OwnerSession::noteJobStarted(Job& job)
+{
+    if (job.state != JobState::Queued)
+        return;
+    job.state = JobState::Active;
+    owner_.metrics_.firstStart.record(static_cast<double>((now() - job.arrivedAt).count()));
+    markChanged(job, /*urgent=*/false);
+}
+
 void OwnerSession::sendQueuedStarts()
 {
     while (!queuedStarts_.empty() && commandWindow_.hasSpace() && owner_.ownership_.valid()) {
@@ -195,8 +201,10 @@
         if (!run.confirmedClock)
             run.confirmedClock = worker->clock;
         run.noteListsEnd();
-        if (job && job->contains(key.first))
+        if (job && job->contains(key.first)) {
+            noteJobStarted(*job);
             checkSurvivalSoon(*job, key.first, id);
+        }
         if (run.phase == TaskPhase::Starting) {
             run.phase = TaskPhase::Running;
             if (job && job->task(key.first).phase == TaskPhase::Starting && job->task(key.first).run == key.second)
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -321,6 +321,8 @@
     const RunKey key { running.task, running.run };
     const auto position = worker.runs.find(key);
     Job* const job = find(running.task.job);
+    if (job && job->contains(running.task))
+        noteJobStarted(*job);
     if (position != worker.runs.end()) {
         WorkerRun& run = position->second;
         if (!run.confirmedAt)
@@ -390,10 +392,6 @@
     task.percent = running.percent;
     if (!running.checkpoint.empty())
         job.checkpoint(running.task) = running.checkpoint;
-    if (job.state == JobState::Queued) {
-        job.state = JobState::Active;
-        markChanged(job, /*urgent=*/false);
-    }
 }
 
 // The longest time that a stop takes on the worker's clock, on the owner's clock.
