Owner: a start without a response is given up 12.5 s after it on a worker that is lost for good

Cause: a run whose start got no response was held until 12 s and one longest lease after the time-out, 18.9 s in all, because a process that has started again under the worker's id may execute the start late and keep the run for a lease. The same wait applied to a worker that had lost its power and of which neither the owner nor the store heard again.

Change: the run is given up once no command for it can be executed any more if the worker has answered no call for the 12 s before, a poll sent after that time fails, and the registration was missing for the last 6 s of that time and is still missing in a list requested after it. The poll and the list are sent as soon as they can show it. A worker that is still registered, that was lost by the store only later, or that has answered keeps the former wait. The 12 s still count from the time-out of 500 ms, since the client may send a call that late. The limit in the fleet record stays at 12 s and a lease: the next owner does not know which process had answered before. A worker is kept while a poll that renews its lease may still be executed, since it may be forgotten earlier now.

Remaining assumption, see RunEvidence.h: a process that has started again is not hidden from the owner and the store from its start until 12.5 s after the start command. One cut would have to last for more than 9 s for that; a worker that is down for about 8 s and returns into a second cut is not covered.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -66,6 +66,7 @@
 struct Worker {
     WorkerEntry entry;
     bool listed = false; // is registered in the store
+    std::optional<Milliseconds> unlistedSince; // request of the first list without it since it was last listed
     bool reconciled = false; // all runs of this incarnation are known to this owner
     std::optional<Milliseconds> firstReportAt; // first report of this incarnation to this owner
     Milliseconds firstReportClock { 0 }; // reading of the worker's clock in that report
@@ -77,6 +78,8 @@
     std::optional<Milliseconds> reportClock; // reading of the worker's clock in its newest report
     Milliseconds reportMadeAt { 0 }; // the newest report was made at this time or later
     Milliseconds aliveAt { 0 }; // when the newest poll that got a report was sent
+    Milliseconds heardAt { 0 }; // when the last response of any kind was received
+    Milliseconds pollFailedAt { 0 }; // when the newest poll that got no response was sent
     WorkerLease lease; // all runs on the worker, known or not, have ended by its end
     std::map<RunKey, WorkerRun> runs;
     // Runs with a start command that may still be executed, and until when. The run may have ended since.
@@ -161,7 +164,8 @@
     void handleIncoming(const Record&);
     void handleSubmission(const JobId&, const Record&);
     void handleCancellation(const JobId&);
-    void handleWorkers(const std::vector<Record>&);
+    void requestWorkers(const std::function<void(const StoreResponse&)>&);
+    void handleWorkers(const std::vector<Record>&, Milliseconds requestedAt);
     void handleWorkerRecord(const Record&, std::set<WorkerId>& present, std::map<std::string, std::string>& refused);
     void logRefusedEntries(std::map<std::string, std::string> reasons);
     void handleWorkerEntry(const WorkerEntry&);
@@ -253,6 +257,9 @@
 
     // OwnerSessionStrays.cpp: calls without a response, which may still be executed.
     void noteStrayStart(Worker&, const RunKey&, CommandOutcome);
+    void noteResponse(Worker&, const CommandResponse&);
+    std::optional<WorkerSilence> silenceOf(const Worker&) const;
+    void checkReturn(Worker&);
     void forgetStrayCalls();
     // Reserves the worker for the runs that late starts may bring about.
     void addStrayRuns(Worker&);
@@ -369,6 +376,8 @@
     RunTimePredictor runTimes_; // by queue
     std::optional<Milliseconds> lastCrashAt_; // of any worker
     std::map<std::string, Milliseconds> crashedAt_; // by the worker's address, which a successor with a new id shares
+    Milliseconds workersRequestedAt_ { 0 }; // request of the newest list of workers
+    Milliseconds workersListedAt_ { 0 }; // request of the newest list of workers that has been handled
     bool recovered_ = false;
     // Starts and ends of a step's tasks that are logged together, because their number grows with the fleet.
     struct StepActivity {
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -306,17 +306,25 @@
 
 void OwnerSession::loadWorkers()
 {
-    owner_.store_.list(owner_.catalog_.workerPrefix(), listTimeout,
-        workerListDuty_.await(longestList, [this](const StoreResponse& response) {
-            if (!response.done())
-                return Duty::Outcome::Failed;
-            handleWorkers(response.records);
-            return Duty::Outcome::Succeeded;
-        }));
+    requestWorkers(workerListDuty_.await(longestList, [this, requestedAt = now()](const StoreResponse& response) {
+        if (!response.done())
+            return Duty::Outcome::Failed;
+        handleWorkers(response.records, requestedAt);
+        return Duty::Outcome::Succeeded;
+    }));
+}
+
+void OwnerSession::requestWorkers(const std::function<void(const StoreResponse&)>& handler)
+{
+    workersRequestedAt_ = now();
+    owner_.store_.list(owner_.catalog_.workerPrefix(), listTimeout, handler);
 }
 
-void OwnerSession::handleWorkers(const std::vector<Record>& records)
+void OwnerSession::handleWorkers(const std::vector<Record>& records, Milliseconds requestedAt)
 {
+    if (requestedAt < workersListedAt_)
+        return; // overtaken by the response to a later request
+    workersListedAt_ = requestedAt;
     std::set<WorkerId> present;
     std::map<std::string, std::string> refused; // reasons by key
     for (const Record& record : records)
@@ -370,6 +378,7 @@
     worker.entry = entry;
     worker.entry.startTimeMs = born;
     worker.listed = true;
+    worker.unlistedSince.reset();
     if (restarted)
         handleRestart(worker);
     if (!changed)
@@ -388,6 +397,7 @@
     if (!worker || !worker->listed)
         return;
     worker->listed = false;
+    worker->unlistedSince = workersListedAt_;
     logger.info("Worker is no longer registered", { { "worker", id }, { "runs", worker->runs.size() } });
 }
 
@@ -398,7 +408,8 @@
     for (auto position = workers_.begin(); position != workers_.end();) {
         const Worker& worker = position->second;
         const bool undecided = !worker.undecidedRuns.empty() && now() < worker.undecidedUntil;
-        const bool strayCalls = !worker.strayStarts.empty() || !worker.strayAcknowledgments.empty();
+        const bool strayCalls
+            = !worker.strayStarts.empty() || !worker.strayAcknowledgments.empty() || !worker.strayRenewals.empty();
         const bool endsStored = worker.lease.isOver(now()) || jobsOfUnstoredEnds(worker).empty();
         const bool departed = !worker.listed && worker.runs.empty() && !strayCalls && endsStored && !undecided
             && unconfirmedWorkers_.count(position->first) == 0;
--- a/src/jobs/OwnerSessionStarts.cpp
+++ b/src/jobs/OwnerSessionStarts.cpp
@@ -182,7 +182,7 @@
     Worker* const worker = find(id);
     if (!worker || worker->incarnation != incarnation)
         return;
-    updateClock(*worker, response.workerClock);
+    noteResponse(*worker, response);
     const auto position = worker->runs.find(key);
     if (position == worker->runs.end())
         return;
--- a/src/jobs/OwnerSessionStrays.cpp
+++ b/src/jobs/OwnerSessionStrays.cpp
@@ -4,6 +4,14 @@
 
 namespace rosemarylink::jobs::internal {
 
+namespace {
+
+    // Lists of workers beside the regular ones are this far apart at least, since many starts on several lost workers
+    // may be in question at once.
+    constexpr Milliseconds extraListInterval { 400 };
+
+} // namespace
+
 // Notes from the response to a start command whether one for the run may still be executed.
 void OwnerSession::noteStrayStart(Worker& worker, const RunKey& key, CommandOutcome outcome)
 {
@@ -18,6 +26,46 @@
     }
 }
 
+// Notes what the response to any command tells about the worker's process.
+void OwnerSession::noteResponse(Worker& worker, const CommandResponse& response)
+{
+    if (response.outcome != CommandOutcome::Unknown && response.outcome != CommandOutcome::Unreachable)
+        worker.heardAt = now();
+    updateClock(worker, response.workerClock);
+}
+
+// What shows that no process has started again under the worker's id; nullopt while one may have.
+std::optional<WorkerSilence> OwnerSession::silenceOf(const Worker& worker) const
+{
+    const Milliseconds checkedAt = std::min(worker.pollFailedAt, workersListedAt_);
+    if (!worker.unlistedSince || checkedAt - worker.heardAt < longestCommandDelay)
+        return std::nullopt;
+    return WorkerSilence { *worker.unlistedSince, checkedAt };
+}
+
+// Polls the worker and lists the registrations as soon as no start command for one of its runs can be executed any
+// more. The regular ones would hold the run's task for up to 2 s longer.
+void OwnerSession::checkReturn(Worker& worker)
+{
+    if (!worker.unlistedSince)
+        return;
+    Milliseconds wanted { 0 }; // when the newest of the starts in question was over
+    for (const auto& [key, run] : worker.runs) {
+        if (run.strayStartUntil && *run.strayStartUntil <= now())
+            wanted = std::max(wanted, *run.strayStartUntil);
+    }
+    if (worker.pollSentAt < wanted) {
+        worker.pollInFlight = false;
+        poll(worker);
+    }
+    if (workersRequestedAt_ < wanted && now() - workersRequestedAt_ >= extraListInterval) {
+        requestWorkers(guarded([this, requestedAt = now()](const StoreResponse& response) {
+            if (response.done())
+                handleWorkers(response.records, requestedAt);
+        }));
+    }
+}
+
 void OwnerSession::forgetStrayCalls()
 {
     const auto forgetIn = [time = now()](auto& calls) {
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -302,7 +302,7 @@
     Worker* const worker = find(id);
     if (!worker || worker->incarnation != incarnation)
         return;
-    updateClock(*worker, response.workerClock);
+    noteResponse(*worker, response);
     if (response.outcome == CommandOutcome::Fenced) {
         owner_.ownership_.reportConflict();
         return;
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -140,6 +140,8 @@
                 return;
             const bool settled = report || report.error().verdict == Verdict::NotRun;
             polled->lease.settle(extension, report || !settled);
+            if (!report)
+                polled->pollFailedAt = std::max(polled->pollFailedAt, sentAt);
             if (settled) {
                 polled->strayAcknowledgments.erase(number);
                 polled->strayRenewals.erase(number);
@@ -242,6 +244,7 @@
         worker.unresponsiveSince.reset();
     }
     worker.reportedAt = now();
+    worker.heardAt = now();
     worker.aliveAt = std::max(worker.aliveAt, sentAt);
     worker.undecidedRuns.clear(); // the worker was only cut off
     updateClock(worker, report.workerClock);
@@ -509,7 +512,8 @@
 // A worker that is silent until its lease ends may have crashed or been cut off, which only its return shows.
 void OwnerSession::handleLeaseOver(Worker& worker)
 {
-    const RunEvidence evidence = RunEvidence::leaseOver(now(), longestLease());
+    checkReturn(worker);
+    const RunEvidence evidence = RunEvidence::leaseOver(now(), longestLease(), silenceOf(worker));
     for (const RunKey& key : possibleCauses(worker)) {
         if (!evidence.endOf(worker.runs.at(key)))
             continue;
--- a/tests/jobs/RestartedWorkersTest.cpp
+++ b/tests/jobs/RestartedWorkersTest.cpp
@@ -36,6 +36,63 @@
     CHECK(cluster.fleet.runningOn(spare) == 1);
 }
 
+// Guards against a task that waits for 18.9 s, as long as a process that has started again could hold its run, although
+// the worker was lost for good and neither the owner nor the store has heard of it since.
+TEST_CASE("a start without a response on a worker that is lost for good holds its task for at most 14 s")
+{
+    const bool resets = GENERATE(false, true);
+    const int offset = GENERATE(range(0, 1000, 130));
+    CAPTURE(resets, offset);
+    const WorkerId worker("w0-0");
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(3000 + offset));
+    cluster.fleet.cutResets = resets;
+    cluster.fleet.crash(worker);
+    const Milliseconds lostAt = cluster.world.now();
+    cluster.submit("batch", "a0", oneStep(4, 1, Milliseconds(2000), /*gang=*/true));
+    cluster.fleet.add(WorkerId("spare"), "r0", { 32000, 64000, 8 });
+    cluster.world.run(Milliseconds(3500));
+    cluster.fleet.setEntry(worker, /*listed=*/false);
+    while (cluster.fleet.startsOf(JobId("a0")) == 0 && cluster.world.now() < lostAt + Milliseconds(30000))
+        cluster.world.run(Milliseconds(10));
+    CHECK(cluster.world.now() - lostAt <= Milliseconds(14000));
+    cluster.world.run(Milliseconds(10000));
+    CHECK(cluster.fleet.violations().empty());
+    CHECK(cluster.storedState("a0") == JobState::Completed);
+}
+
+// Guards against two runs of a task at a time: a worker counts as lost for good although only the instance is cut off
+// from it, or although the store lost its registration no more than a moment before.
+TEST_CASE("a start without a response keeps its task while a process that started again may be hidden")
+{
+    const int delay = GENERATE(11000, 11900);
+    const bool registered = GENERATE(true, false);
+    const bool resets = GENERATE(false, true);
+    CAPTURE(delay, registered, resets);
+    const WorkerId worker("w0-0");
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(3000));
+    cluster.fleet.cutResets = resets;
+    cluster.fleet.delayedCommandShare = 1;
+    cluster.fleet.commandDelay = Milliseconds(delay);
+    const Milliseconds startedAt = cluster.world.now();
+    cluster.submit("batch", "a0", oneStep(1, 1, Milliseconds(60000), /*gang=*/false));
+    cluster.world.run(Milliseconds(30));
+    cluster.fleet.delayedCommandShare = 0;
+    cluster.fleet.silent = { worker };
+    cluster.fleet.add(WorkerId("spare"), "r0", { 32000, 64000, 8 });
+    cluster.world.run(startedAt + Milliseconds(9000) - cluster.world.now());
+    cluster.fleet.restart(worker);
+    cluster.fleet.setEntry(worker, registered);
+    cluster.world.run(Milliseconds(4000));
+    REQUIRE(cluster.fleet.runningOn(worker) == 1);
+    cluster.world.run(Milliseconds(21000));
+    CHECK(cluster.fleet.violations().empty());
+    CHECK(cluster.fleet.runningOn(WorkerId("spare")) == 1);
+}
+
 // Guards the same after the end of a run: a start whose repetition had been executed was executed once more, by a
 // process that started again under the worker's id and had not been told to refuse it.
 TEST_CASE("a start without a response is refused by the worker's next process although its run has ended")
