Start commands to a worker that may get no more starts are withdrawn

Cause: a start command that was queued, or that got no response and was to be repeated, was sent although its worker had begun to drain, or was no longer registered, since the start was planned. The platform forbids starts on a draining worker later than DrainMs after its registration says so. Change: mayStartOn decides for plans, queued starts and repeated starts whether a worker may get a start. A start that may no longer be sent is withdrawn with its gang, and its tasks are placed again.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -245,6 +245,9 @@
     void startTask(Job&, const TaskKey&, Worker&);
     // Sends the start commands that are queued as far as the command window allows.
     void sendQueuedStarts();
+    enum class StartCommandKind { First, Repeated };
+    bool mayStartOn(const Worker&, StartCommandKind) const;
+    void withdrawStart(const RunKey&, Worker&);
     void sendStart(const Job&, const RunKey&, Worker&);
     bool mayRepeatStart(const RunKey&, const Worker&);
     void repeatStartLater(const RunKey&, const WorkerId&, std::uint64_t incarnation);
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -162,7 +162,7 @@
     }
     std::sort(row.expectedEnds.begin(), row.expectedEnds.end(),
         [](const ExpectedEnd& a, const ExpectedEnd& b) { return a.at < b.at; });
-    row.schedulable = worker.reconciled && mayGetWork(worker) && worker.clock && !worker.entry.draining
+    row.schedulable = worker.reconciled && mayStartOn(worker, StartCommandKind::First) && worker.clock
         && !worker.unresponsiveSince && worker.idleUntil <= now();
     row.suspect = worker.avoidUntil > now() || isRecentlyCrashed(worker);
     return row;
--- a/src/jobs/OwnerSessionStarts.cpp
+++ b/src/jobs/OwnerSessionStarts.cpp
@@ -95,9 +95,8 @@
         const auto run = worker->runs.find(key);
         if (run == worker->runs.end() || !run->second.isQueued())
             continue;
-        if (!mayGetWork(*worker)) {
-            // The worker fell silent while the command waited; a start would extend a lease that the record limits.
-            stopTask(*job, key.first);
+        if (!mayStartOn(*worker, StartCommandKind::First)) {
+            withdrawStart(key, *worker);
             continue;
         }
         // The wait in the queue does not count as run time, nor for the time limits of starts.
@@ -108,6 +107,35 @@
     }
 }
 
+// Whether a start command may be sent to the worker now. A repeated command is judged less strictly by the fleet
+// record: while the record states no limit for the worker's lease, it lets the next owner know of the run.
+bool OwnerSession::mayStartOn(const Worker& worker, StartCommandKind kind) const
+{
+    const bool recorded
+        = kind == StartCommandKind::First ? mayGetWork(worker) : permittedFleet_.allowsRenewal(worker.entry.id);
+    return worker.listed && !worker.entry.draining && recorded;
+}
+
+// Takes back a start that must not be sent, or not be repeated, because its worker may get no more starts. The other
+// members of its gang are stopped as well, so that all of them are placed again.
+void OwnerSession::withdrawStart(const RunKey& key, Worker& worker)
+{
+    Job* const job = find(key.first.job);
+    if (!job || job->task(key.first).run != key.second || job->task(key.first).worker != worker.entry.id) {
+        stopRun(worker, key);
+        return;
+    }
+    logger.info("Start is withdrawn; its worker may get no more starts",
+        { { "task", taskName(key.first) }, { "run", key.second }, { "worker", worker.entry.id },
+            { "attempts", worker.runs.at(key).startAttempts }, { "listed", worker.listed },
+            { "draining", worker.entry.draining } });
+    if (job->stepSpec(key.first).gang)
+        stopGang(*job, key.first);
+    else
+        stopTask(*job, key.first);
+    schedulePlan();
+}
+
 void OwnerSession::sendStart(const Job& job, const RunKey& key, Worker& worker)
 {
     commandWindow_.sent();
@@ -153,8 +181,10 @@
         if (!worker || worker->incarnation != incarnation || worker->runs.count(key) == 0
             || worker->runs.at(key).phase != TaskPhase::Starting)
             return;
-        if (!mayRepeatStart(key, *worker) || !permittedFleet_.allowsRenewal(id))
+        if (!mayRepeatStart(key, *worker))
             abandonStart(key, *worker);
+        else if (!mayStartOn(*worker, StartCommandKind::Repeated))
+            withdrawStart(key, *worker);
         else if (owner_.ownership_.valid())
             sendStart(*find(key.first.job), key, *worker);
         else
