--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -250,6 +250,9 @@
     void noteJobStarted(Job&);
     // Sends the start commands that are queued as far as the command window allows.
     void sendQueuedStarts();
+    enum class StartCommandKind { First, Repeated };
+    bool mayStartOn(const Worker&, StartCommandKind) const;
+    void withdrawStart(const RunKey&, Worker&);
     void sendStart(const Job&, const RunKey&, Worker&);
     bool mayRepeatStart(const RunKey&, const Worker&);
     void repeatStartLater(const RunKey&, const WorkerId&, std::uint64_t incarnation);
