Owner: a start without a response counts as a crash only if the worker was silent since

Cause: possibleCauses took each run that the worker had not confirmed for one that the worker did not survive, however long ago its start was sent and however often the worker had reported without it. A job that had never run was given up after three crashes of workers that had left its starts unanswered. Besides, unresolvedRuns, of which one counts beside two crashes, kept runs that were lost with a lease although their worker came back as the same process or listed their end.

Runs that cannot have caused a crash are taken out of unresolvedRuns when they are lost, and so are those whose worker reports again as the same process or lists their end. After a takeover unresolvedRuns still holds the starts of earlier owners whose ends nobody has seen: the record does not name their workers, so that crashes of these could not be ruled out.

Result: of the new tests' cases, a start without a response 1.3 s before the crash (with the same and with a new id) and two crashes beside a cut made the job fail before; all complete now. The tests of tasks that crash each worker, with and without a response to the start, pass unchanged.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -217,10 +217,12 @@
 
     // OwnerSessionCrashes.cpp: tasks under which workers crash.
     Milliseconds knownSurvival(const Worker&, const RunKey&, const WorkerRun&);
+    bool mayHaveCausedCrash(const Worker&, const RunKey&, const WorkerRun&);
     std::vector<RunKey> possibleCauses(const Worker&);
     void handleCrash(Worker&, const std::string& reason);
     void recordCrash(const Worker&, const RunKey&, const std::string& reason);
     void recordSurvival(Job&, const Worker&, const RunKey&, const WorkerRun&);
+    void clearUnresolved(const RunKey&);
     bool isRecentlyCrashed(const Worker&) const;
     void checkSurvivalSoon(const Job&, const TaskKey&, const WorkerId&);
     std::vector<Placement> withoutSharedBlame(const std::vector<Placement>&);
--- a/src/jobs/OwnerSessionCrashes.cpp
+++ b/src/jobs/OwnerSessionCrashes.cpp
@@ -1,8 +1,10 @@
 // Tasks under which workers crash. A worker counts as crashed if it has restarted or if another process is at its
 // address. A worker that is silent has perhaps been cut off; it is polled on for a while after its lease has ended, so
 // that a crash is noticed when it returns. The runs whose start the worker is not known to have survived may have
-// caused the crash; each is added to its task's crashed runs. From the first one on, each start is stored with the task
-// until its end is known, so that a crash that no owner saw is not forgotten. A run that a worker survives clears its
+// caused the crash; each is added to its task's crashed runs. A start without a response may have caused it only if the
+// worker was not heard of afterwards: one that reports without the run has not executed the start. From the first
+// crashed run on, each start is stored with the task until its end is known or it cannot have caused a crash, so that a
+// crash that no owner saw is not forgotten. A run that a worker survives clears its
 // task, so that a job fails only after several crashes in a row, and suspect tasks of different jobs do not start on
 // one worker together, so that none is blamed for what another one causes.
 
@@ -59,12 +61,23 @@
     return std::max(survival, Milliseconds(0));
 }
 
+// Whether the worker may have crashed at the run's start, as far as this owner knows.
+bool OwnerSession::mayHaveCausedCrash(const Worker& worker, const RunKey& key, const WorkerRun& run)
+{
+    if (run.isQueued())
+        return false;
+    // A healthy worker executes a start far within the survival time, so that the report shows a run that exists.
+    if (!run.confirmedAt && run.startSentAt && worker.aliveAt >= *run.startSentAt + survivalTime)
+        return false;
+    return knownSurvival(worker, key, run) < survivalTime;
+}
+
 // Runs on the worker that would be to blame if it had crashed.
 std::vector<RunKey> OwnerSession::possibleCauses(const Worker& worker)
 {
     std::vector<RunKey> causes;
     for (const auto& [key, run] : worker.runs) {
-        if (!run.isQueued() && knownSurvival(worker, key, run) < survivalTime)
+        if (mayHaveCausedCrash(worker, key, run))
             causes.push_back(key);
     }
     return causes;
@@ -126,6 +139,14 @@
     markChanged(job, /*urgent=*/false);
 }
 
+// The run has not crashed its worker.
+void OwnerSession::clearUnresolved(const RunKey& key)
+{
+    Job* const job = find(key.first.job);
+    if (job && job->contains(key.first) && job->task(key.first).unresolvedRuns.erase(key.second) > 0)
+        markChanged(*job, /*urgent=*/false);
+}
+
 // Requests the report that shows whether the worker survived the start of a run that it has just accepted.
 void OwnerSession::checkSurvivalSoon(const Job& job, const TaskKey& key, const WorkerId& worker)
 {
--- a/src/jobs/OwnerSessionStarts.cpp
+++ b/src/jobs/OwnerSessionStarts.cpp
@@ -113,6 +113,7 @@
     commandWindow_.sent();
     WorkerRun& run = worker.runs.at(key);
     ++run.startAttempts;
+    run.startSentAt = now();
     worker.strayStarts[key] = now() + longestCommandDelay;
     const Milliseconds leaseEnd = leaseEndFor(worker);
     const WorkerLease::Extension extension = worker.lease.extendBy(latestLeaseEnd(worker, leaseEnd));
--- a/src/jobs/OwnerSessionStrays.cpp
+++ b/src/jobs/OwnerSessionStrays.cpp
@@ -91,6 +91,7 @@
             run.resources = job->stepSpec(key.first).perTask;
         run.phase = TaskPhase::Stopping;
         run.strayStartUntil = until;
+        run.startSentAt = until - longestCommandDelay;
         run.startedAt = now();
         worker.runs.emplace(key, run);
     }
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -58,6 +58,7 @@
     if (!job || !job->contains(ended.task))
         return;
     noteRunGone({ ended.task, ended.run }, worker.entry.id, "listed-end", now());
+    clearUnresolved({ ended.task, ended.run }); // the worker's process outlived the run, also if its lease expired
     endRun(*job, ended.task, ended.run, ended.end, ended.checkpoint, worker.entry.id);
     if (ended.end == RunEnd::Failed)
         recordFailure(worker, ended.task.job);
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -246,7 +246,11 @@
     worker.reportedAt = now();
     worker.heardAt = now();
     worker.aliveAt = std::max(worker.aliveAt, sentAt);
-    worker.undecidedRuns.clear(); // the worker was only cut off
+    // The worker was only cut off.
+    if (report.startTimeMs != 0)
+        std::for_each(worker.undecidedRuns.begin(), worker.undecidedRuns.end(),
+            [this](const RunKey& key) { clearUnresolved(key); });
+    worker.undecidedRuns.clear();
     updateClock(worker, report.workerClock);
     // Runs on the worker may have a lease from a previous owner, of the longest duration that the worker grants.
     if (!worker.firstReportAt)
@@ -527,8 +531,12 @@
 {
     std::vector<std::pair<RunKey, RunEnd>> gone;
     for (const auto& [key, run] : worker.runs) {
-        if (const auto end = evidence.endOf(run))
-            gone.emplace_back(key, *end);
+        const auto end = evidence.endOf(run);
+        if (!end)
+            continue;
+        gone.emplace_back(key, *end);
+        if (!mayHaveCausedCrash(worker, key, run))
+            clearUnresolved(key);
     }
     if (gone.empty())
         return;
--- a/src/jobs/WorkerRun.h
+++ b/src/jobs/WorkerRun.h
@@ -21,6 +21,7 @@
     std::string checkpoint; // from which the run starts
     bool adopted = false; // was started by a previous owner
     int startAttempts = 0; // start commands sent for this run
+    std::optional<Milliseconds> startSentAt; // when the last of them was sent; absent if by a previous owner
     // Until then, an unanswered start command for this run may still be executed; absent if none is unanswered.
     std::optional<Milliseconds> strayStartUntil;
     // When the first confirmation of the run by the worker was received. A report that was requested later was made
--- a/tests/jobs/CrashingTasksTest.cpp
+++ b/tests/jobs/CrashingTasksTest.cpp
@@ -201,6 +201,73 @@
     CHECK(joined(cluster.fleet.violations()) == "");
 }
 
+// Guards against a job that fails although none of its tasks has ever run: each worker that had not answered its start
+// counted as crashed by it, although the worker had reported in between without the run.
+TEST_CASE("a start without a response does not count as a crash of a worker that was heard of afterwards")
+{
+    const Milliseconds crashAfter = GENERATE(Milliseconds(1300), Milliseconds(1700));
+    const bool newId = GENERATE(false, true);
+    CAPTURE(crashAfter.count(), newId);
+    SimCluster cluster(1);
+    cluster.fleet.returnWithNewId = newId;
+    cluster.addWorkers(2, 4);
+    cluster.world.run(Milliseconds(3000));
+    cluster.fleet.commandDelay = Milliseconds(2000); // the worker is down by then
+    int crashes = 0;
+    std::set<WorkerId> crashing; // workers that will crash
+    cluster.instances[0]->faultyWorkers.faultFor = [&](WorkerCall call, const WorkerId& id) {
+        const bool unanswered = call == WorkerCall::Start && (crashes < 3 || crashing.count(id) > 0);
+        cluster.fleet.delayedCommandShare = unanswered ? 1 : 0;
+        if (unanswered && crashing.insert(id).second) {
+            ++crashes;
+            cluster.world.after(crashAfter, [&cluster, &crashing, id] {
+                crashing.erase(id);
+                cluster.fleet.crashFor(id, Milliseconds(2500));
+            });
+        }
+        return CallFault::None;
+    };
+    cluster.submit("batch", "a0", oneStep(1, 8, Milliseconds(2000), /*gang=*/false));
+    cluster.world.run(Milliseconds(60000));
+    REQUIRE(crashes == 3);
+    CHECK(cluster.storedState("a0") == JobState::Completed);
+    CHECK(joined(cluster.fleet.violations()) == "");
+}
+
+// Guards against a job that fails after two crashes: a run that was lost because its worker had been cut off counted
+// as a third one, although the worker came back as the same process.
+TEST_CASE("a run of a suspect task on a worker that was only cut off does not count as a crash")
+{
+    SimCluster cluster(1);
+    cluster.addWorkers(2, 4);
+    cluster.world.run(Milliseconds(300));
+    const std::string task = "a1.0.0.0";
+    const auto runUntilStart = [&cluster, &task](int start) {
+        for (int turn = 0; turn < 2000 && cluster.fleet.startsOfTask(task) < start; ++turn)
+            cluster.world.run(Milliseconds(10));
+        REQUIRE(cluster.fleet.startsOfTask(task) == start);
+    };
+    cluster.fleet.crashingTasks = { task };
+    cluster.submit("batch", "a1", oneStep(1, 8, Milliseconds(20000), /*gang=*/false));
+    cluster.world.run(Milliseconds(100));
+    cluster.fleet.crashingTasks.clear();
+    runUntilStart(2);
+    for (const WorkerId& id : cluster.fleet.ids()) {
+        if (cluster.fleet.runningOn(id) > 0)
+            cluster.fleet.silent.insert(id);
+    }
+    cluster.world.run(Milliseconds(100));
+    cluster.fleet.crashingTasks = { task };
+    runUntilStart(3);
+    cluster.fleet.silent.clear();
+    cluster.world.run(Milliseconds(100));
+    cluster.fleet.crashingTasks.clear();
+    cluster.world.run(Milliseconds(40000));
+    CHECK(cluster.fleet.startsOfTask(task) == 4);
+    CHECK(cluster.storedState("a1") == JobState::Completed);
+    CHECK(joined(cluster.fleet.violations()) == "");
+}
+
 // Guards against work that fails because it shared workers with a task that crashes them.
 TEST_CASE("tasks beside one that crashes its workers complete")
 {
