Owner: a report with a clock of 0 sets the worker's clock

Cause: updateClock ignored a reading of 0, which a command response without a reading has. A report always has one, and 0 is valid in the first millisecond of a process. handleReport then used a clock without a value.

Change: only command responses without a reading are ignored.

Result: in the new test the worker got no work within 2 s before, and gets it now.

--- a/src/jobs/OwnerSessionStrays.cpp
+++ b/src/jobs/OwnerSessionStrays.cpp
@@ -31,7 +31,8 @@
 {
     if (response.outcome != CommandOutcome::Unknown && response.outcome != CommandOutcome::Unreachable)
         worker.heardAt = now();
-    updateClock(worker, response.workerClock);
+    if (response.workerClock.count() > 0)
+        updateClock(worker, response.workerClock);
 }
 
 // What shows that no process has started again under the worker's id; nullopt while one may have.
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -54,7 +54,7 @@
 
 void OwnerSession::updateClock(Worker& worker, Milliseconds clock)
 {
-    if (clock.count() == 0 || (worker.clock && clock < *worker.clock))
+    if (worker.clock && clock < *worker.clock)
         return;
     worker.clock = clock;
     worker.clockReadAt = now();
--- a/tests/jobs/RestartedWorkersTest.cpp
+++ b/tests/jobs/RestartedWorkersTest.cpp
@@ -346,4 +346,27 @@
     CHECK(cluster.fleet.runningOn(WorkerId("spare")) == 1);
 }
 
+// Guards against reading a clock that has no value: a worker's first report may be made in the first millisecond of its
+// process, with a clock of 0.
+TEST_CASE("a worker whose first report has a clock of 0 gets work")
+{
+    SimCluster cluster(1);
+    cluster.fleet.add(WorkerId("w0-0"), "r0", { 32000, 64000, 8 });
+    int reports = 0;
+    for (const auto& instance : cluster.instances) {
+        instance->faultyWorkers.changeReport = [&reports](const WorkerId&, WorkerReport& report) {
+            if (++reports == 1)
+                report.workerClock = Milliseconds(0);
+        };
+    }
+    cluster.world.run(Milliseconds(3000));
+    REQUIRE(reports > 0);
+    const Milliseconds submittedAt = cluster.world.now();
+    cluster.submit("batch", "a0", oneStep(1, 1, Milliseconds(60000), /*gang=*/false));
+    cluster.world.run(Milliseconds(2000));
+    CHECK(cluster.fleet.runningOn(WorkerId("w0-0")) == 1);
+    CHECK(cluster.fleet.leaseEnd(WorkerId("w0-0")) >= submittedAt + Milliseconds(5000));
+    CHECK(cluster.fleet.violations().empty());
+}
+
 } // namespace rosemarylink::jobs
