Owner: an entry of a worker's earlier process does not count as a restart

Cause: handleWorkerEntry took each start time that differs from the known one for that of a new process. After a restart that a report had shown, the store may still have the earlier entry. Each list then counted as a restart, and the next report as another one, so that starts on their way were stopped.

Change: the start times of earlier processes are remembered, and an entry with one of them neither changes the start time nor counts as a restart.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -66,6 +66,7 @@
 struct Worker {
     WorkerEntry entry;
     bool listed = false; // is registered in the store
+    std::set<std::int64_t> formerStartTimes; // of the worker's earlier processes, whose entry may still be listed
     std::optional<Milliseconds> unlistedSince; // request of the first list without it since it was last listed
     bool reconciled = false; // all runs of this incarnation are known to this owner
     std::optional<Milliseconds> firstReportAt; // first report of this incarnation to this owner
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -371,10 +371,14 @@
     Worker& worker = position->second;
     if (added)
         worker.incarnation = ++lastIncarnation_;
-    const bool restarted = !added && entry.startTimeMs != 0 && worker.entry.startTimeMs != 0
+    // The worker's reports tell of a restart before its new entry is in the store.
+    const bool hasNewestStartTime = entry.startTimeMs != 0 && worker.formerStartTimes.count(entry.startTimeMs) == 0;
+    const bool restarted = !added && hasNewestStartTime && worker.entry.startTimeMs != 0
         && entry.startTimeMs != worker.entry.startTimeMs;
     const bool changed = added || restarted || !worker.listed || worker.entry.draining != entry.draining;
-    const std::int64_t born = entry.startTimeMs != 0 ? entry.startTimeMs : worker.entry.startTimeMs;
+    if (restarted)
+        worker.formerStartTimes.insert(worker.entry.startTimeMs);
+    const std::int64_t born = hasNewestStartTime ? entry.startTimeMs : worker.entry.startTimeMs;
     worker.entry = entry;
     worker.entry.startTimeMs = born;
     worker.listed = true;
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -233,6 +233,7 @@
 {
     Worker& worker = *find(id);
     if (report.startTimeMs != 0 && worker.entry.startTimeMs != 0 && report.startTimeMs != worker.entry.startTimeMs) {
+        worker.formerStartTimes.insert(worker.entry.startTimeMs);
         handleRestart(worker);
         worker.entry.startTimeMs = report.startTimeMs;
     }
--- a/tests/jobs/RestartedWorkersTest.cpp
+++ b/tests/jobs/RestartedWorkersTest.cpp
@@ -369,4 +369,35 @@
     CHECK(cluster.fleet.violations().empty());
 }
 
+// Guards against a worker that counts as restarted again with each list of the workers, so that its starts on their way
+// are stopped, while the store still has the entry of its earlier process.
+TEST_CASE("a worker whose entry is still that of its earlier process has restarted once")
+{
+    const WorkerId worker("w0-0");
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(3000));
+    cluster.submit("batch", "a0", oneStep(1, 1, Milliseconds(60000), /*gang=*/false));
+    cluster.world.run(Milliseconds(2000));
+    const std::string key = "workers/" + worker.value();
+    REQUIRE(cluster.store.find(key) != nullptr);
+    const std::string former = cluster.store.find(key)->value;
+    cluster.fleet.restart(worker);
+    cluster.store.put(key, former);
+    cluster.world.run(Milliseconds(4000));
+    const int jobs = 60;
+    for (int number = 0; number < jobs; ++number) {
+        cluster.submit("batch", "b" + std::to_string(number), oneStep(1, 1, Milliseconds(300), /*gang=*/false));
+        cluster.world.run(Milliseconds(91));
+    }
+    cluster.world.run(Milliseconds(5000));
+    for (int number = 0; number < jobs; ++number) {
+        CAPTURE(number);
+        CHECK(cluster.fleet.startsOf(JobId("b" + std::to_string(number))) == 1);
+        CHECK(cluster.storedState("b" + std::to_string(number)) == JobState::Completed);
+    }
+    CHECK(cluster.fleet.startsOf(JobId("a0")) == 2);
+    CHECK(cluster.fleet.violations().empty());
+}
+
 } // namespace rosemarylink::jobs
