Owner: a process that loses its ownership while it shuts down resigns

Cause: the callback of the flush before the resignation was dropped with the session when the ownership was lost. The process did not resign and acquired the record again until its deadline.

Change: PoolOwner::end() calls the callbacks of flushes that are not complete.

Result: in the new test the process was the owner again 10 s later, before another instance; now the other instance becomes the owner.

--- a/include/rosemarylink/jobs/PoolOwner.h
+++ b/include/rosemarylink/jobs/PoolOwner.h
@@ -38,8 +38,8 @@
     void begin(FencingToken);
     void end();
 
-    // Writes all unstored progress and then calls `done`; calls it before returning if there is none. `done` is not
-    // called if ownership ends first.
+    // Writes all unstored progress and then calls `done`; calls it before returning if there is none. If ownership ends
+    // first, `done` is called then, although the progress is not stored.
     void flush(const std::function<void()>& done);
 
     void setLimits(const PoolLimits& limits) { limits_ = limits; }
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -134,6 +134,8 @@
 
     void start();
     void flush(const std::function<void()>& done);
+    // Returns the callbacks of flushes that are not complete and drops them.
+    std::vector<std::function<void()>> takeFlushWaiters() { return std::exchange(flushWaiters_, {}); }
 
 private:
     // Keyed by job, occurrence and step.
--- a/src/jobs/PoolOwner.cpp
+++ b/src/jobs/PoolOwner.cpp
@@ -2,6 +2,8 @@
 
 #include "OwnerSession.h"
 
+#include <utility>
+
 namespace rosemarylink::jobs {
 
 PoolOwner::PoolOwner(RecordStore& store, WorkerPort& workers, const Catalog& catalog, const ConfigView& config,
@@ -27,7 +29,16 @@
     session_->start();
 }
 
-void PoolOwner::end() { session_.reset(); }
+void PoolOwner::end()
+{
+    const auto session = std::exchange(session_, nullptr);
+    if (!session)
+        return;
+    // Nothing can be stored any more. A process that shuts down would otherwise wait for this flush, not resign and
+    // acquire the ownership again.
+    for (const auto& done : session->takeFlushWaiters())
+        done();
+}
 
 void PoolOwner::flush(const std::function<void()>& done)
 {
--- a/tests/jobs/HandOverTest.cpp
+++ b/tests/jobs/HandOverTest.cpp
@@ -203,4 +203,29 @@
     CHECK(cluster.fleet.violations().empty());
 }
 
+// Guards against a process that becomes the owner again while it shuts down: the flush before its resignation never
+// completed because the ownership was lost meanwhile.
+TEST_CASE("a process that loses its ownership while it shuts down does not acquire it again")
+{
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 1);
+    cluster.world.run(Milliseconds(3000));
+    cluster.submit("batch", "a0", oneStep(1, 1, Milliseconds(60000), /*gang=*/false));
+    cluster.store.refusesWrites = true;
+    cluster.world.run(Milliseconds(500));
+    SimInstance* const owner = cluster.currentOwner();
+    REQUIRE(owner != nullptr);
+    REQUIRE(cluster.fleet.running() == 1);
+    owner->shutDown();
+    cluster.world.run(Milliseconds(100));
+    REQUIRE(owner->ownership.held());
+    owner->ownership.reportConflict();
+    cluster.store.refusesWrites = false;
+    cluster.world.run(Milliseconds(10000));
+    CHECK(cluster.currentOwner() == nullptr);
+    cluster.addInstance();
+    cluster.world.run(Milliseconds(5000));
+    CHECK(cluster.currentOwner() == cluster.instances.back().get());
+}
+
 } // namespace rosemarylink::jobs
