--- a/src/jobs/RunEvidence.h
+++ b/src/jobs/RunEvidence.h
@@ -35,10 +35,11 @@
 // This assumes that a process which has started again is not hidden from this instance and from the store from its
 // start until then. A single cut would have to last for more than 9 s, the longest one known, since the store removes a
 // registration 3 to 5 s after its last renewal. While the registration is present, a process may be hidden from this
-// instance alone for half a minute and longer.
+// instance alone for half a minute and longer. A worker that is down for about 8 s and returns into a cut of several
+// seconds is not covered.
 //
-// A call that timed out, a refused connection and a missing registration prove nothing else, alone or together: a worker
-// that is cut off from this instance and from the store shows all three while its runs go on.
+// A call that timed out, a refused connection and a missing registration prove nothing else, alone or together: a
+// worker that is cut off from this instance and from the store shows all three while its runs go on.
 namespace rosemarylink::jobs::internal {
 
 // What shows that no process has started again under the id of a worker that does not respond.
