--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -66,6 +66,7 @@
 struct Worker {
     WorkerEntry entry;
     bool listed = false; // is registered in the store
+    std::set<std::int64_t> formerStartTimes; // of the worker's earlier processes, whose entry may still be listed
     std::optional<Milliseconds> unlistedSince; // request of the first list without it since it was last listed
     bool reconciled = false; // all runs of this incarnation are known to this owner
     std::optional<Milliseconds> firstReportAt; // first report of this incarnation to this owner
@@ -133,6 +134,8 @@
 
     void start();
     void flush(const std::function<void()>& done);
+    // Returns the callbacks of flushes that are not complete and drops them.
+    std::vector<std::function<void()>> takeFlushWaiters() { return std::exchange(flushWaiters_, {}); }
 
 private:
     // Keyed by job, occurrence and step.
@@ -217,10 +220,12 @@
 
     // OwnerSessionCrashes.cpp: tasks under which workers crash.
     Milliseconds knownSurvival(const Worker&, const RunKey&, const WorkerRun&);
+    bool mayHaveCausedCrash(const Worker&, const RunKey&, const WorkerRun&);
     std::vector<RunKey> possibleCauses(const Worker&);
     void handleCrash(Worker&, const std::string& reason);
     void recordCrash(const Worker&, const RunKey&, const std::string& reason);
     void recordSurvival(Job&, const Worker&, const RunKey&, const WorkerRun&);
+    void clearUnresolved(const RunKey&);
     bool isRecentlyCrashed(const Worker&) const;
     void checkSurvivalSoon(const Job&, const TaskKey&, const WorkerId&);
     std::vector<Placement> withoutSharedBlame(const std::vector<Placement>&);
--- a/src/jobs/OwnerSessionStrays.cpp
+++ b/src/jobs/OwnerSessionStrays.cpp
@@ -31,7 +31,8 @@
 {
     if (response.outcome != CommandOutcome::Unknown && response.outcome != CommandOutcome::Unreachable)
         worker.heardAt = now();
-    updateClock(worker, response.workerClock);
+    if (response.workerClock.count() > 0)
+        updateClock(worker, response.workerClock);
 }
 
 // What shows that no process has started again under the worker's id; nullopt while one may have.
@@ -91,6 +92,7 @@
             run.resources = job->stepSpec(key.first).perTask;
         run.phase = TaskPhase::Stopping;
         run.strayStartUntil = until;
+        run.startSentAt = until - longestCommandDelay;
         run.startedAt = now();
         worker.runs.emplace(key, run);
     }
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -59,6 +59,7 @@
         return;
     noteRunGone({ ended.task, ended.run }, worker.entry.id, "listed-end", now());
     noteJobStarted(*job);
+    clearUnresolved({ ended.task, ended.run }); // the worker's process outlived the run, also if its lease expired
     endRun(*job, ended.task, ended.run, ended.end, ended.checkpoint, worker.entry.id);
     if (ended.end == RunEnd::Failed)
         recordFailure(worker, ended.task.job);
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -54,7 +54,7 @@
 
 void OwnerSession::updateClock(Worker& worker, Milliseconds clock)
 {
-    if (clock.count() == 0 || (worker.clock && clock < *worker.clock))
+    if (worker.clock && clock < *worker.clock)
         return;
     worker.clock = clock;
     worker.clockReadAt = now();
@@ -233,6 +233,7 @@
 {
     Worker& worker = *find(id);
     if (report.startTimeMs != 0 && worker.entry.startTimeMs != 0 && report.startTimeMs != worker.entry.startTimeMs) {
+        worker.formerStartTimes.insert(worker.entry.startTimeMs);
         handleRestart(worker);
         worker.entry.startTimeMs = report.startTimeMs;
     }
@@ -246,7 +247,11 @@
     worker.reportedAt = now();
     worker.heardAt = now();
     worker.aliveAt = std::max(worker.aliveAt, sentAt);
-    worker.undecidedRuns.clear(); // the worker was only cut off
+    // The worker was only cut off.
+    if (report.startTimeMs != 0)
+        std::for_each(worker.undecidedRuns.begin(), worker.undecidedRuns.end(),
+            [this](const RunKey& key) { clearUnresolved(key); });
+    worker.undecidedRuns.clear();
     updateClock(worker, report.workerClock);
     // Runs on the worker may have a lease from a previous owner, of the longest duration that the worker grants.
     if (!worker.firstReportAt)
@@ -525,8 +530,12 @@
 {
     std::vector<std::pair<RunKey, RunEnd>> gone;
     for (const auto& [key, run] : worker.runs) {
-        if (const auto end = evidence.endOf(run))
-            gone.emplace_back(key, *end);
+        const auto end = evidence.endOf(run);
+        if (!end)
+            continue;
+        gone.emplace_back(key, *end);
+        if (!mayHaveCausedCrash(worker, key, run))
+            clearUnresolved(key);
     }
     if (gone.empty())
         return;
