Catalog and settings know evacuations of failure domains

Cause: operators request an evacuation by the key op/evacuate/ZONE, and the settings give the time limit EvacuationMs in Bounds; neither was read. Change: Catalog has the prefix and parses a record into a FailureDomainId, whatever its value. PoolLimits has an evacuationTimeout, absent without a bound above 0. The simulation can evacuate a rack, which is its failure domain, and counts starts there as violations.

--- a/include/rosemarylink/jobs/Catalog.h
+++ b/include/rosemarylink/jobs/Catalog.h
@@ -26,6 +26,15 @@
     // their leases are renewed at the address of its last valid entry for as long as it can be connected to, because
     // the worker has most likely not changed.
     virtual Result<WorkerEntry> parseWorker(const Record&) const = 0;
+
+    // Operators request the evacuation of a failure domain by writing a record with this prefix, and revoke it by
+    // removing the record.
+    virtual std::string evacuationPrefix() const = 0;
+
+    // Returns the failure domain that the record's key names. The record's value has no meaning, because an evacuation
+    // that is not observed does more harm than one that was not meant. Fails with InvalidArgument if the key names no
+    // domain in which a worker could be registered.
+    virtual Result<FailureDomainId> parseEvacuation(const Record&) const = 0;
 };
 
 // Keys of the records that rosemarylink itself writes to the store.
--- a/include/rosemarylink/jobs/PoolOwner.h
+++ b/include/rosemarylink/jobs/PoolOwner.h
@@ -9,6 +9,7 @@
 #include "rosemarylink/jobs/WorkerPort.h"
 
 #include <memory>
+#include <optional>
 
 namespace rosemarylink::jobs {
 
@@ -23,6 +24,9 @@
     Milliseconds stopTime { 900 }; // maximum time that stopping a run takes
     Milliseconds reclaimTimeout { 3000 }; // guaranteed work must start within this time
     Milliseconds finalStateRetention { 240000 }; // how long the final state of a job stays available
+    // No task may start in a failure domain from this time after its evacuation was acknowledged. Must be positive.
+    // Absent if the deployment has no evacuations, which are then not looked for.
+    std::optional<Milliseconds> evacuationTimeout = std::nullopt;
 };
 
 // Schedules the jobs of all pools while this instance owns them: watches for submissions and cancellations, commands
--- a/tests/jobs/SimCluster.cpp
+++ b/tests/jobs/SimCluster.cpp
@@ -2,6 +2,13 @@
 
 namespace rosemarylink::jobs {
 
+namespace {
+
+    const PoolLimits simLimits { Milliseconds(6000), Milliseconds(3000), Milliseconds(400), Milliseconds(3000),
+        Milliseconds(240000) };
+
+} // namespace
+
 Result<Configuration> SimCatalog::parseConfiguration(const Record& record) const
 {
     const nlohmann::json json = nlohmann::json::parse(record.value);
@@ -36,6 +43,7 @@
     entry.pool = ServiceId("pool");
     entry.rack = json.at("rack").get<std::string>();
     entry.labels = { entry.rack };
+    entry.failureDomain = FailureDomainId(entry.rack);
     entry.startTimeMs = json.at("born").get<std::int64_t>();
     entry.draining = json.at("draining").get<bool>();
     entry.capacity = { json.at("milliCores").get<std::int64_t>(), json.at("megabytes").get<std::int64_t>(),
@@ -43,6 +51,16 @@
     return entry;
 }
 
+Result<FailureDomainId> SimCatalog::parseEvacuation(const Record& record) const
+{
+    if (record.key == throwsFor)
+        throw std::runtime_error("injected fault");
+    const std::string name = record.key.substr(evacuationPrefix().size());
+    if (name.empty())
+        return invalidArgument("the key names no failure domain");
+    return FailureDomainId(name);
+}
+
 SimInstance::SimInstance(
     SimWorld& world, SimStore& simStore, SimFleet& fleet, const std::string& name, const InstanceCapacity& capacity)
     : timers(world)
@@ -53,8 +71,7 @@
     , metrics(registry)
     , config(faultyStore, catalog, timers, world.clock())
     , ownership(faultyStore, timers, world.clock(), metrics, name, acquisitionDelayFor(capacity))
-    , owner(faultyStore, faultyWorkers, catalog, config, ownership, timers, world.clock(), metrics,
-          { Milliseconds(6000), Milliseconds(3000), Milliseconds(400), Milliseconds(3000), Milliseconds(240000) })
+    , owner(faultyStore, faultyWorkers, catalog, config, ownership, timers, world.clock(), metrics, simLimits)
     , admission(faultyStore, config, catalog, timers, world.clock(), metrics)
 {
     config.start();
@@ -97,6 +114,8 @@
 SimInstance& SimCluster::addInstance(const InstanceCapacity& capacity)
 {
     instances.push_back(std::make_unique<SimInstance>(world, store, fleet, "i" + std::to_string(++added_), capacity));
+    if (evacuations_)
+        enableEvacuations();
     return *instances.back();
 }
 
@@ -107,6 +126,27 @@
     return store.put("config", json.dump());
 }
 
+void SimCluster::enableEvacuations()
+{
+    evacuations_ = true;
+    PoolLimits limits = simLimits;
+    limits.evacuationTimeout = Milliseconds(5000);
+    for (const auto& instance : instances)
+        instance->owner.setLimits(limits);
+}
+
+void SimCluster::evacuate(const std::string& rack, Milliseconds bound)
+{
+    store.put(SimCatalog().evacuationPrefix() + rack, "{}");
+    fleet.startsForbiddenFrom[rack] = world.now() + bound;
+}
+
+void SimCluster::revokeEvacuation(const std::string& rack)
+{
+    store.remove(SimCatalog().evacuationPrefix() + rack);
+    fleet.startsForbiddenFrom.erase(rack);
+}
+
 void SimCluster::addWorkers(int racks, int perRack)
 {
     for (int rack = 0; rack < racks; ++rack) {
--- a/tests/jobs/SimCluster.h
+++ b/tests/jobs/SimCluster.h
@@ -23,6 +23,9 @@
     Result<Configuration> parseConfiguration(const Record&) const override;
     std::string workerPrefix() const override { return "workers/"; }
     Result<WorkerEntry> parseWorker(const Record&) const override;
+    std::string evacuationPrefix() const override { return "evacuate/"; }
+    // Fails for a key that consists of the prefix only.
+    Result<FailureDomainId> parseEvacuation(const Record&) const override;
 
     std::string throwsFor; // key of the registration whose parsing throws an exception
 };
@@ -90,6 +93,15 @@
     std::size_t configurationPadding = 0;
 
     void addWorkers(int racks, int perRack);
+
+    // Enables evacuations with a timeout of 5 s on all instances, also on those that are added later.
+    void enableEvacuations();
+
+    // Requests or revokes the evacuation of the workers of a rack, each of which is a failure domain. Starts there
+    // count as violations from `bound` after a request.
+    void evacuate(const std::string& rack, Milliseconds bound = Milliseconds(5000));
+    void revokeEvacuation(const std::string& rack);
+
     SimInstance& addInstance(const InstanceCapacity& = {});
 
     // Each of these sends a request to an instance and runs the simulation until the response. submit() also registers
@@ -115,6 +127,7 @@
 private:
     std::int64_t version_ = 0;
     int added_ = 0;
+    bool evacuations_ = false;
 };
 
 // Makes a job of one step.
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -211,6 +211,9 @@
         if (other.runs.count(order.task) > 0)
             addViolation("two runs of " + taskName(order.task) + " at the same time");
     }
+    const auto forbidden = startsForbiddenFrom.find(incarnation.entry.rack);
+    if (forbidden != startsForbiddenFrom.end() && world_.now() >= forbidden->second)
+        addViolation(taskName(order.task) + " started in the evacuated domain " + incarnation.entry.rack);
     int ofSameStep = 0;
     for (const auto& [key, present] : incarnation.runs)
         ofSameStep += sameStep(key, order.task) ? 1 : 0;
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -64,6 +64,9 @@
     std::size_t listedEnds = 500; // ends in a report at most
     Milliseconds shrinkGrace { 5500 };
 
+    // A start on a worker of such a rack at this time or later is a violation.
+    std::map<std::string, Milliseconds> startsForbiddenFrom;
+
     std::set<std::string> crashingTasks; // names of tasks whose start crashes the worker
     Milliseconds crashDelay { 10 }; // from the start of such a task; if 0, the start gets no response
     Milliseconds crashDownTime { 3000 };
--- a/tests/platform/CatalogTest.cpp
+++ b/tests/platform/CatalogTest.cpp
@@ -52,6 +52,40 @@
     CHECK(again.value().steps.at(1).longRunning);
 }
 
+// Guards against an evacuation that is overlooked because of its record's value, and against taking an odd key for the
+// evacuation of a domain.
+TEST_CASE("the key of an evacuation names a failure domain whatever its value is")
+{
+    const PlatformCatalog catalog;
+    const auto domainOf = [&catalog](const std::string& name, const std::string& value = "{}") {
+        return catalog.parseEvacuation({ catalog.evacuationPrefix() + name, value, Revision(1) });
+    };
+    CHECK(catalog.evacuationPrefix() == "op/evacuate/");
+    for (const char* const value : { "{}", "", "null", "[1", "\xff" })
+        CHECK(domainOf("zone-1a", value).value() == FailureDomainId("zone-1a"));
+    CHECK_FALSE(domainOf("").has_value());
+    CHECK_FALSE(domainOf("a\nb").has_value());
+    CHECK_FALSE(domainOf(std::string(201, 'a')).has_value());
+    CHECK_FALSE(catalog.parseEvacuation({ "op/config", "{}", Revision(1) }).has_value());
+}
+
+// Guards against evacuations that are looked for, or ignored, contrary to the settings.
+TEST_CASE("evacuations are enabled by a bound above 0")
+{
+    const auto timeoutOf = [](const std::string& bounds) {
+        return parsePlatformSettings(R"({"NodeName":"n","Zone":"z","Ip":"10.0.0.1","InternalPortRange":[7000,7015],
+            "Listen":{"Frontend":"10.0.0.1:80","Readiness":"10.0.0.1:81"},"platform":{"Address":"10.0.0.9:80"})"
+            + bounds + "}")
+            .value()
+            .limits.evacuationTimeout;
+    };
+    CHECK(timeoutOf(R"(,"Bounds":{"EvacuationMs":5000,"ContactMs":4000})") == Milliseconds(5000));
+    CHECK_FALSE(timeoutOf("").has_value());
+    for (const char* const off : { R"(,"Bounds":{})", R"(,"Bounds":{"EvacuationMs":null})",
+             R"(,"Bounds":{"EvacuationMs":0})", R"(,"Bounds":{"EvacuationMs":-1})" })
+        CHECK_FALSE(timeoutOf(off).has_value());
+}
+
 // Guards against a process that fails to start because an optional field is null.
 TEST_CASE("optional fields of the settings may be missing or null")
 {
