No task is started in an evacuated failure domain

Change: the owner lists the evacuations once a second, with a parallel list after 500 ms without a response. mayStartOn, which decides for plans, queued starts and repeated starts, excludes workers of evacuated domains, and all workers while the newest list is too old. Starts in a domain that are queued or have no response are withdrawn with their gang. Running work goes on. An owner that cannot read the list for 15 s gives up. Without EvacuationMs no call is made.

--- a/include/rosemarylink/jobs/JobMetrics.h
+++ b/include/rosemarylink/jobs/JobMetrics.h
@@ -24,6 +24,12 @@
     void countDutyRestart(const std::string& duty, const std::string& cause);
     void setDutyAge(const std::string& duty, Milliseconds age);
 
+    // Of the evacuations that the owner knows. Domains must be those of registered workers.
+    void setEvacuatedDomains(std::size_t domains);
+    void setEvacuation(const FailureDomainId&, std::size_t runs, Milliseconds age);
+    void countOddEvacuation(); // a key that names no failure domain
+    void setUnplaceableGuarantee(std::int64_t accelerators);
+
     Counter& ownerships; // times that this instance became the owner
     Counter& silentWorkers; // times that a worker stopped responding
     Counter& lostRuns; // runs whose worker restarted, left or did not respond until its lease expired
--- a/src/jobs/JobMetrics.cpp
+++ b/src/jobs/JobMetrics.cpp
@@ -97,4 +97,36 @@
         .set(static_cast<double>(age.count()) / 1000);
 }
 
+void JobMetrics::setEvacuatedDomains(std::size_t domains)
+{
+    registry_.gauge("rosemarylink_evacuated_domains", "Failure domains that are evacuated, as the owner knows.")
+        .set(static_cast<double>(domains));
+}
+
+void JobMetrics::setEvacuation(const FailureDomainId& domain, std::size_t runs, Milliseconds age)
+{
+    const MetricLabels labels { { "failure_domain", domain.value() } };
+    registry_
+        .gauge(
+            "rosemarylink_evacuated_runs", "Runs that are still on the workers of an evacuated failure domain.", labels)
+        .set(static_cast<double>(runs));
+    registry_
+        .gauge("rosemarylink_evacuation_age_seconds",
+            "Time since the owner learned of the evacuation; 0 if there is none.", labels)
+        .set(static_cast<double>(age.count()) / 1000);
+}
+
+void JobMetrics::countOddEvacuation()
+{
+    registry_.counter("rosemarylink_odd_evacuations_total", "Keys of evacuations that name no failure domain.").add();
+}
+
+void JobMetrics::setUnplaceableGuarantee(std::int64_t accelerators)
+{
+    registry_
+        .gauge("rosemarylink_unplaceable_guarantee_accelerators",
+            "Guaranteed accelerators beyond the capacity that is not evacuated.")
+        .set(static_cast<double>(accelerators));
+}
+
 } // namespace rosemarylink::jobs
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CommandWindow.h"
+#include "EvacuationView.h"
 #include "FleetRecord.h"
 #include "Planner.h"
 #include "PlannerFleet.h"
@@ -254,6 +255,25 @@
     void abandonStart(const RunKey&, Worker&);
     void handleStartResponse(const RunKey&, const WorkerId&, std::uint64_t incarnation, const CommandResponse&);
 
+    // OwnerSessionEvacuations.cpp: failure domains in which no task may be started.
+    void followEvacuations();
+    void stopFollowingEvacuations();
+    void listEvacuations();
+    void handleEvacuations(Milliseconds requestedAt, const StoreResponse&);
+    bool knowsEvacuations() const;
+    Milliseconds evacuationsUnfollowedFor() const;
+    void withdrawEvacuatedStarts();
+    void noteOddEvacuations(std::map<std::string, Revision> odd);
+    struct DomainUse {
+        std::size_t workers = 0; // registered ones
+        std::size_t runs = 0;
+    };
+    DomainUse useOf(const FailureDomainId&) const;
+    void logEvacuations();
+    void logStaleEvacuations();
+    void updateEvacuationMetrics();
+    void checkGuarantees();
+
     // OwnerSessionStrays.cpp: calls without a response, which may still be executed.
     void noteStrayStart(Worker&, const RunKey&, CommandOutcome);
     void forgetStrayCalls();
@@ -353,6 +373,14 @@
     // The stored fleet record as far as it is certain: less what writes on their way may take away.
     FleetRecord permittedFleet_;
     Milliseconds fleetWrittenAt_ { 0 };
+    EvacuationView evacuations_;
+    std::optional<Milliseconds> evacuationsFollowedSince_; // absent while the deployment has no evacuations
+    std::optional<Milliseconds> evacuationListSentAt_; // when the newest list of evacuations was requested
+    std::map<FailureDomainId, Revision> loggedEvacuations_;
+    std::map<std::string, Revision> oddEvacuations_; // keys of the last list that name no domain
+    Milliseconds staleEvacuationsLoggedAt_ { 0 };
+    std::optional<Milliseconds> guaranteesLoggedAt_;
+    bool workersListed_ = false; // at least once
     std::map<std::string, std::string> refusedEntries_; // reasons by key, of the last list of workers
     Revision fleetRevision_ { 0 };
     bool progressLoaded_ = false;
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -92,6 +92,8 @@
             return;
         }
     }
+    if (!knowsEvacuations())
+        return; // nothing may be started, so nothing must be preempted either
     urgentWaits_ = false;
     std::set<ServiceId> pools;
     for (const auto& [id, job] : jobs_)
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -4,6 +4,7 @@
 #include "rosemarylink/base/Log.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace rosemarylink::jobs::internal {
@@ -65,6 +66,8 @@
 {
     owner_.metrics_.setDutyAge(pollDuty, Milliseconds(0));
     owner_.metrics_.setDutyAge(flushDuty, Milliseconds(0));
+    if (evacuationsFollowedSince_)
+        stopFollowingEvacuations();
 }
 
 void OwnerSession::start()
@@ -76,6 +79,8 @@
 void OwnerSession::tick()
 {
     updateDutyMetrics();
+    // Also without a valid store lease, so that the evacuations are known as soon as it is valid again.
+    followEvacuations();
     if (!checkDuties())
         return;
     const Milliseconds time = now();
@@ -115,21 +120,24 @@
         leaseInvalidAt_ = now();
         return owner_.ownership_.held();
     }
-    const std::pair<const Duty*, const char*> followed[]
-        = { { &submissionsDuty_, "submissions" }, { &workerListDuty_, "the list of workers" } };
-    for (const auto& [duty, name] : followed) {
-        const Milliseconds unfollowed = std::min(duty->sinceSuccess(), now() - leaseInvalidAt_);
+    const std::tuple<Milliseconds, const char*, std::string> followed[]
+        = { { submissionsDuty_.sinceSuccess(), "submissions", submissionsDuty_.lastError() },
+              { workerListDuty_.sinceSuccess(), "the list of workers", workerListDuty_.lastError() },
+              { evacuationsUnfollowedFor(), "the list of evacuations", "no complete response" } };
+    for (const auto& [sinceSuccess, name, error] : followed) {
+        const Milliseconds unfollowed = std::min(sinceSuccess, now() - leaseInvalidAt_);
         if (unfollowed < longestUnfollowed)
             continue;
         owner_.ownership_.giveUp(std::string(name) + " could not be read for " + std::to_string(unfollowed.count())
-            + " ms in which the store lease was renewed: " + duty->lastError());
+            + " ms in which the store lease was renewed: " + error);
         return false;
     }
     return true;
 }
 
 // Reads what the previous owner has stored and the submissions, one call after the other, and then watches for further
-// submissions.
+// submissions. The evacuations are read beside this chain, since starts wait for them anyway (mayStartOn) and the
+// renewal of leases, which begins with the submissions, must not.
 void OwnerSession::followSubmissions()
 {
     if (!progressLoaded_)
@@ -326,6 +334,7 @@
         if (worker.listed && present.count(id) == 0)
             markUnlisted(id);
     }
+    workersListed_ = true;
     writeFleet();
 }
 
--- a/src/jobs/OwnerSessionStarts.cpp
+++ b/src/jobs/OwnerSessionStarts.cpp
@@ -113,7 +113,8 @@
 {
     const bool recorded
         = kind == StartCommandKind::First ? mayGetWork(worker) : permittedFleet_.allowsRenewal(worker.entry.id);
-    return worker.listed && !worker.entry.draining && recorded;
+    return worker.listed && !worker.entry.draining && recorded && knowsEvacuations()
+        && !evacuations_.isEvacuated(worker.entry.failureDomain);
 }
 
 // Takes back a start that must not be sent, or not be repeated, because its worker may get no more starts. The other
@@ -128,7 +129,9 @@
     logger.info("Start is withdrawn; its worker may get no more starts",
         { { "task", taskName(key.first) }, { "run", key.second }, { "worker", worker.entry.id },
             { "attempts", worker.runs.at(key).startAttempts }, { "listed", worker.listed },
-            { "draining", worker.entry.draining } });
+            { "draining", worker.entry.draining }, { "domain", worker.entry.failureDomain },
+            { "evacuated", evacuations_.isEvacuated(worker.entry.failureDomain) },
+            { "evacuationsKnown", knowsEvacuations() } });
     if (job->stepSpec(key.first).gang)
         stopGang(*job, key.first);
     else
