Tests of clients outside the limits, before any change of the product

Cause: clients that the operators do not control made a process exceed its memory; no test shows it. EdgeInstance can write machine limits into its settings.

--- a/tests/soak/EdgeInstance.cpp
+++ b/tests/soak/EdgeInstance.cpp
@@ -53,16 +53,28 @@
 
 void EdgeInstance::writeSettings() const
 {
-    const nlohmann::json settings = { { "NodeName", name_ }, { "Zone", "zone" }, { "Ip", host() },
+    nlohmann::json settings = { { "NodeName", name_ }, { "Zone", "zone" }, { "Ip", host() },
         { "Listen", { { "Frontend", callerAddress_ }, { "Readiness", address(readinessPort + number_) } } },
         { "InternalPortRange", { metricsPort + number_, metricsPort + number_ } },
         { "platform", { { "Address", storeAddress_ } } },
         { "Bounds",
             { { "GraceS", 6 }, { "HoldMaxMs", workerLease_.count() }, { "GangTimeoutMs", 3000 }, { "StopMs", 400 },
                 { "ReclaimMs", 3000 }, { "status_s", 120 } } } };
+    if (machineLimits_) {
+        settings["Limits"]
+            = { { "MemoryMb", machineLimits_->memoryMb }, { "FileDescriptors", machineLimits_->fileDescriptors } };
+    }
     std::ofstream(directory_ + "/" + name_ + ".json") << settings.dump(2) << "\n";
 }
 
+void EdgeInstance::setMachineLimits(const MachineLimits& limits)
+{
+    machineLimits_ = limits;
+    writeSettings();
+}
+
+std::string EdgeInstance::readinessAddress() const { return address(readinessPort + number_); }
+
 void EdgeInstance::start()
 {
     const std::string settings = directory_ + "/" + name_ + ".json";
