A server reads no further while a request is in progress and keeps within its budgets

Cause: LoopHttpServer read each socket until it was empty, also while a request was in progress or a response was not read, kept unfinished requests forever and accepted any number of connections. Change: One read is bounded. While a request is in progress, a response is unsent or earlier bytes are not handled, nothing is read. A body announced over the limit gets 413 at once. Since reading pauses, a client that shuts down its sending side after a request now gets its response. EventLoop::run() may be called again, for the tests.

--- a/apps/rosemarylink-edge/EdgeProcess.cpp
+++ b/apps/rosemarylink-edge/EdgeProcess.cpp
@@ -44,7 +44,7 @@
 
 Status EdgeProcess::start()
 {
-    const reactor::MessageLimits limits;
+    const reactor::ConnectionLimits limits;
     BOOST_OUTCOME_TRY(callerServer,
         reactor::LoopHttpServer::listen(loop_, settings_.callerAddress, limits,
             [this](const reactor::ServerRequest& request, const reactor::Responder& respond) {
--- a/include/rosemarylink/reactor/EventLoop.h
+++ b/include/rosemarylink/reactor/EventLoop.h
@@ -46,15 +46,20 @@
     // socket; its handler is then unchanged.
     void watch(const Poco::Net::Socket&, bool forWriting, const std::shared_ptr<SocketHandler>&);
 
+    // Like watch(), but not for reading: onReadable() is then called only when the connection has failed. Neither
+    // received bytes nor the end of the peer's sending are reported.
+    void watchWithoutReading(const Poco::Net::Socket&, bool forWriting, const std::shared_ptr<SocketHandler>&);
+
     // Must be called before the socket is closed. Does not throw.
     void unwatch(const Poco::Net::Socket&);
 
     // Runs until stop() is called. Calls onIteration after each iteration, at least every 100 ms unless a handler
-    // blocks.
+    // blocks. May be called again after it has ended.
     void run(const Task& onIteration);
     void stop() { stopped_ = true; }
 
 private:
+    void watchFor(int mode, const Poco::Net::Socket&, const std::shared_ptr<SocketHandler>&);
     static void runTask(const Task&);
     void runDueTimers();
     Milliseconds nextWait() const;
--- a/include/rosemarylink/reactor/HttpMessage.h
+++ b/include/rosemarylink/reactor/HttpMessage.h
@@ -27,6 +27,9 @@
     // Appends all available bytes to received(). Returns Closed when the peer has closed the connection or it failed.
     ConnectionState receive();
 
+    // Like receive(), but appends at most `limit` bytes, so that one call is bounded however fast the peer sends.
+    ConnectionState receiveSome(std::size_t limit);
+
     // Sends as many bytes as the socket accepts; hasUnsent() tells whether any are left. Returns Closed when the
     // connection failed.
     ConnectionState send();
@@ -34,6 +37,14 @@
     // Adds bytes to the send buffer; send() sends them.
     void appendUnsent(std::string_view bytes) { unsent_.append(bytes); }
     bool hasUnsent() const { return !unsent_.empty(); }
+    std::size_t unsentBytes() const { return unsent_.size(); }
+
+    // Memory of the received and unsent bytes, including what the buffers have reserved.
+    std::size_t memory() const { return received_.capacity() + unsent_.capacity(); }
+
+    // Returns the memory of empty or nearly empty buffers that have held a large message.
+    void releaseMemory();
+
     std::string& received() { return received_; }
     Poco::Net::StreamSocket& socket() { return socket_; }
 
@@ -49,9 +60,14 @@
     std::string body;
 };
 
+// Returns the size of the first message in `bytes`, head and body, or nullopt if its head is not complete. Fails like
+// extractRequest().
+Result<std::optional<std::size_t>> requestSize(const std::string& bytes, const MessageLimits&);
+
 // Removes the first complete message from `bytes` and returns it, or returns nullopt if more bytes are needed. Fails
-// with InvalidArgument if the bytes are not HTTP, exceed the limits, or use a transfer coding, which is not supported
-// because neither callers nor the platform use one.
+// with InvalidArgument if the bytes are not HTTP, exceed the limit on the head, or use a transfer coding, which is not
+// supported because neither callers nor the platform use one, and with ResourceExhausted as soon as a complete head
+// announces a body over the limit.
 Result<std::optional<HttpMessage<Poco::Net::HTTPRequest>>> extractRequest(std::string& bytes, const MessageLimits&);
 Result<std::optional<HttpMessage<Poco::Net::HTTPResponse>>> extractResponse(std::string& bytes, const MessageLimits&);
 
--- a/src/reactor/EventLoop.cpp
+++ b/src/reactor/EventLoop.cpp
@@ -38,8 +38,18 @@
 
 void EventLoop::watch(const Poco::Net::Socket& socket, bool forWriting, const std::shared_ptr<SocketHandler>& handler)
 {
-    const int mode = Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR
-        | (forWriting ? Poco::Net::PollSet::POLL_WRITE : 0);
+    watchFor(Poco::Net::PollSet::POLL_READ | (forWriting ? Poco::Net::PollSet::POLL_WRITE : 0), socket, handler);
+}
+
+void EventLoop::watchWithoutReading(
+    const Poco::Net::Socket& socket, bool forWriting, const std::shared_ptr<SocketHandler>& handler)
+{
+    watchFor(forWriting ? Poco::Net::PollSet::POLL_WRITE : 0, socket, handler);
+}
+
+void EventLoop::watchFor(int mode, const Poco::Net::Socket& socket, const std::shared_ptr<SocketHandler>& handler)
+{
+    mode |= Poco::Net::PollSet::POLL_ERROR;
     if (handlers_.count(socket) == 0)
         sockets_.add(socket, mode);
     else
@@ -113,6 +123,7 @@
         runDueTimers();
         onIteration();
     }
+    stopped_ = false;
 }
 
 } // namespace rosemarylink::reactor
--- a/src/reactor/HttpMessage.cpp
+++ b/src/reactor/HttpMessage.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/MemoryStream.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <limits>
@@ -12,40 +13,61 @@
 
 namespace {
 
+    // Buffers up to this size are kept for the next message.
+    constexpr std::size_t keptBufferBytes = 32 * 1024;
+
+    template <typename Head> struct ParsedHead {
+        Head head;
+        std::size_t headBytes = 0;
+        std::size_t bodyBytes = 0;
+    };
+
     template <typename Head>
-    Result<std::optional<HttpMessage<Head>>> extractMessage(std::string& bytes, const MessageLimits& limits)
+    Result<std::optional<ParsedHead<Head>>> parseHead(const std::string& bytes, const MessageLimits& limits)
     {
         const std::size_t headEnd = bytes.find("\r\n\r\n");
         if (headEnd == std::string::npos) {
             if (bytes.size() > limits.headerBytes)
                 return invalidArgument("the message head exceeds " + std::to_string(limits.headerBytes) + " bytes");
-            return std::optional<HttpMessage<Head>>();
+            return std::optional<ParsedHead<Head>>();
         }
-        const std::size_t bodyStart = headEnd + 4;
-        if (bodyStart > limits.headerBytes)
+        ParsedHead<Head> parsed;
+        parsed.headBytes = headEnd + 4;
+        if (parsed.headBytes > limits.headerBytes)
             return invalidArgument("the message head exceeds " + std::to_string(limits.headerBytes) + " bytes");
-        HttpMessage<Head> message;
         try {
-            Poco::MemoryInputStream stream(bytes.data(), static_cast<std::streamsize>(bodyStart));
-            message.head.read(stream);
+            Poco::MemoryInputStream stream(bytes.data(), static_cast<std::streamsize>(parsed.headBytes));
+            parsed.head.read(stream);
         } catch (const Poco::Exception& problem) {
             return invalidArgument("the message head is not HTTP: " + problem.displayText());
         }
-        if (message.head.getChunkedTransferEncoding())
+        if (parsed.head.getChunkedTransferEncoding())
             return invalidArgument("transfer codings are not supported; send Content-Length");
         std::int64_t length = 0;
         try {
-            if (message.head.hasContentLength())
-                length = message.head.getContentLength64();
+            if (parsed.head.hasContentLength())
+                length = parsed.head.getContentLength64();
         } catch (const Poco::Exception&) {
             return invalidArgument("Content-Length is not a number");
         }
-        if (length < 0 || static_cast<std::size_t>(length) > limits.bodyBytes)
-            return invalidArgument("the body exceeds " + std::to_string(limits.bodyBytes) + " bytes");
-        if (bytes.size() - bodyStart < static_cast<std::size_t>(length))
+        if (length < 0)
+            return invalidArgument("Content-Length is negative");
+        if (static_cast<std::size_t>(length) > limits.bodyBytes) {
+            return makeError(
+                ErrorCode::ResourceExhausted, "the body exceeds " + std::to_string(limits.bodyBytes) + " bytes");
+        }
+        parsed.bodyBytes = static_cast<std::size_t>(length);
+        return std::optional<ParsedHead<Head>>(std::move(parsed));
+    }
+
+    template <typename Head>
+    Result<std::optional<HttpMessage<Head>>> extractMessage(std::string& bytes, const MessageLimits& limits)
+    {
+        BOOST_OUTCOME_TRY(parsed, parseHead<Head>(bytes, limits));
+        if (!parsed || bytes.size() - parsed->headBytes < parsed->bodyBytes)
             return std::optional<HttpMessage<Head>>();
-        message.body = bytes.substr(bodyStart, static_cast<std::size_t>(length));
-        bytes.erase(0, bodyStart + static_cast<std::size_t>(length));
+        HttpMessage<Head> message { std::move(parsed->head), bytes.substr(parsed->headBytes, parsed->bodyBytes) };
+        bytes.erase(0, parsed->headBytes + parsed->bodyBytes);
         return std::optional<HttpMessage<Head>>(std::move(message));
     }
 
@@ -60,14 +82,18 @@
 
 // Uses the system calls directly because POCO's wrappers report full, empty and broken sockets by exceptions, which
 // cost more than the call itself on this path.
-SocketBuffer::ConnectionState SocketBuffer::receive()
+SocketBuffer::ConnectionState SocketBuffer::receive() { return receiveSome(std::numeric_limits<std::size_t>::max()); }
+
+SocketBuffer::ConnectionState SocketBuffer::receiveSome(std::size_t limit)
 {
-    std::array<char, 16384> chunk {};
+    std::array<char, 16384> chunk; // not initialized, since it is written before it is read
     while (true) {
-        const ssize_t count = ::recv(socket_.impl()->sockfd(), chunk.data(), chunk.size(), 0);
+        const std::size_t wanted = std::min(limit, chunk.size());
+        const ssize_t count = ::recv(socket_.impl()->sockfd(), chunk.data(), wanted, 0);
         if (count > 0) {
             received_.append(chunk.data(), static_cast<std::size_t>(count));
-            if (static_cast<std::size_t>(count) < chunk.size())
+            limit -= static_cast<std::size_t>(count);
+            if (static_cast<std::size_t>(count) < wanted || limit == 0)
                 return ConnectionState::Open;
             continue;
         }
@@ -98,6 +124,20 @@
     return state;
 }
 
+void SocketBuffer::releaseMemory()
+{
+    for (std::string* buffer : { &received_, &unsent_ }) {
+        if (buffer->capacity() > keptBufferBytes && buffer->size() <= keptBufferBytes)
+            buffer->shrink_to_fit();
+    }
+}
+
+Result<std::optional<std::size_t>> requestSize(const std::string& bytes, const MessageLimits& limits)
+{
+    BOOST_OUTCOME_TRY(parsed, parseHead<Poco::Net::HTTPRequest>(bytes, limits));
+    return parsed ? std::optional<std::size_t>(parsed->headBytes + parsed->bodyBytes) : std::nullopt;
+}
+
 Result<std::optional<HttpMessage<Poco::Net::HTTPRequest>>> extractRequest(
     std::string& bytes, const MessageLimits& limits)
 {
