rosemarylink-edge limits its callers by the machine's memory and descriptors

Cause: the process had no limits for callers, so that clients could exceed the memory and descriptors of its machine. Change: MemoryMb and FileDescriptors of the settings' Limits are read, and the limits of callers are derived from them; without MemoryMb only the connections are limited, as before nothing else. The readiness and metrics servers have small limits of their own. Metrics count closed connections and refused requests by cause and show the bytes held.

--- a/apps/rosemarylink-edge/EdgeProcess.cpp
+++ b/apps/rosemarylink-edge/EdgeProcess.cpp
@@ -24,11 +24,12 @@
 
 } // namespace
 
-EdgeProcess::EdgeProcess(
-    const std::string& settingsPath, const platform::PlatformSettings& settings, Milliseconds callerIdleLimit)
+EdgeProcess::EdgeProcess(const std::string& settingsPath, const platform::PlatformSettings& settings,
+    Milliseconds callerIdleLimit, const reactor::ConnectionLimits& callerLimits)
     : settingsPath_(settingsPath)
     , settings_(settings)
     , callerIdleLimit_(callerIdleLimit)
+    , callerLimits_(callerLimits)
     , loop_(clock_)
     , timers_(loop_)
     , http_(loop_)
@@ -44,27 +45,44 @@
 
 Status EdgeProcess::start()
 {
-    const reactor::ConnectionLimits limits;
+    const reactor::ConnectionLimits operatorLimits = reactor::operatorLimits();
     BOOST_OUTCOME_TRY(callerServer,
-        reactor::LoopHttpServer::listen(loop_, settings_.callerAddress, limits,
+        reactor::LoopHttpServer::listen(loop_, settings_.callerAddress, callerLimits_,
             [this](const reactor::ServerRequest& request, const reactor::Responder& respond) {
                 platform::serveCaller(admission_, request, respond);
             }));
     BOOST_OUTCOME_TRY(readinessServer,
-        reactor::LoopHttpServer::listen(loop_, settings_.readinessAddress, limits,
+        reactor::LoopHttpServer::listen(loop_, settings_.readinessAddress, operatorLimits,
             [this](const reactor::ServerRequest&, const reactor::Responder& respond) { respond(readiness()); }));
     BOOST_OUTCOME_TRY(metricsServer,
-        reactor::LoopHttpServer::listen(loop_, settings_.metricsAddress, limits,
+        reactor::LoopHttpServer::listen(loop_, settings_.metricsAddress, operatorLimits,
             [this](const reactor::ServerRequest&, const reactor::Responder& respond) { respond(metrics()); }));
     callerServer_ = std::move(callerServer);
     if (callerIdleLimit_ > Milliseconds(0))
         callerServer_->closeIdleConnections(callerIdleLimit_);
+    callerServer_->observe({ [this](const std::string& cause) {
+                                registry_
+                                    .counter("rosemarylink_caller_connections_closed_total",
+                                        "Connections of callers that were closed because of a limit.",
+                                        { { "cause", cause } })
+                                    .add();
+                            },
+        [this](const std::string& cause) {
+            registry_
+                .counter("rosemarylink_refused_requests_total",
+                    "Requests of callers that were refused because of a limit.", { { "cause", cause } })
+                .add();
+        } });
     readinessServer_ = std::move(readinessServer);
     metricsServer_ = std::move(metricsServer);
     config_.start();
     ownership_.start(
         { [this](FencingToken token) { owner_.begin(token); }, [this](const std::string&) { owner_.end(); } });
     logger.info("Started", { { "node", settings_.nodeName }, { "callers", settings_.callerAddress } });
+    logger.info("Limits of callers",
+        { { "connections", callerLimits_.connections }, { "bufferedBytes", callerLimits_.bufferedBytes },
+            { "requestBytes", callerLimits_.requestBytes }, { "bodyBytes", callerLimits_.message.bodyBytes },
+            { "kernelBufferBytes", callerLimits_.kernelBufferBytes } });
     return okStatus();
 }
 
@@ -85,6 +103,11 @@
         .set(static_cast<double>(callerServer_->connections()));
     registry_.gauge("rosemarylink_idle_caller_connections_closed", "Connections of callers that were closed as idle.")
         .set(static_cast<double>(callerServer_->idleConnectionsClosed()));
+    registry_
+        .gauge("rosemarylink_caller_buffered_bytes", "Bytes of callers that are received and not handled, or unsent.")
+        .set(static_cast<double>(callerServer_->budget().bufferedBytes()));
+    registry_.gauge("rosemarylink_caller_request_bytes", "Estimated memory of callers' requests in progress.")
+        .set(static_cast<double>(callerServer_->budget().requestBytes()));
     return { 200, registry_.renderPrometheus(), {}, "text/plain; version=0.0.4" };
 }
 
--- a/apps/rosemarylink-edge/EdgeProcess.h
+++ b/apps/rosemarylink-edge/EdgeProcess.h
@@ -35,7 +35,8 @@
 class EdgeProcess {
 public:
     // Connections of callers that are idle for `callerIdleLimit` are closed; 0 means never.
-    EdgeProcess(const std::string& settingsPath, const platform::PlatformSettings&, Milliseconds callerIdleLimit);
+    EdgeProcess(const std::string& settingsPath, const platform::PlatformSettings&, Milliseconds callerIdleLimit,
+        const reactor::ConnectionLimits& callerLimits);
 
     // Starts the servers and connects to the store. Fails with Unavailable when an address cannot be listened on. Must
     // be called once, before run().
@@ -60,6 +61,7 @@
     std::string settingsPath_;
     platform::PlatformSettings settings_;
     Milliseconds callerIdleLimit_;
+    reactor::ConnectionLimits callerLimits_;
     reactor::EventLoop loop_;
     LoopTimers timers_;
     reactor::LoopHttpClient http_;
--- a/include/rosemarylink/jobs/Ownership.h
+++ b/include/rosemarylink/jobs/Ownership.h
@@ -17,6 +17,8 @@
 struct InstanceCapacity {
     double cores = 1;
     double linkMbps = 1000;
+    std::size_t memoryMb = 0; // 0 if not known
+    std::size_t fileDescriptors = 0; // 0 if not known
 };
 
 // Returns how long an instance with this capacity waits before it acquires a free ownership record, so that instances
--- a/tests/reactor/ServerLimitsTest.cpp
+++ b/tests/reactor/ServerLimitsTest.cpp
@@ -277,6 +277,7 @@
     send(*inProgress, "GET /hold HTTP/1.1\r\n\r\n");
     REQUIRE(fixture.runUntil([&] { return fixture.held.size() == 1; }));
     std::vector<std::unique_ptr<Poco::Net::StreamSocket>> crowd;
+    crowd.reserve(40);
     for (int count = 0; count < 40; ++count)
         crowd.push_back(fixture.connect());
     CHECK(fixture.runUntil([&] { return fixture.closed["connection-budget"] == 33; }));
