--- a/tests/platform/CatalogTest.cpp
+++ b/tests/platform/CatalogTest.cpp
@@ -63,13 +63,18 @@
         REQUIRE(settings.has_value());
         CHECK(settings.value().stopGrace == Milliseconds(6000));
         CHECK(jobs::acquisitionDelayFor(settings.value().capacity) == Milliseconds(0));
+        CHECK(settings.value().capacity.memoryMb == 0);
+        CHECK(settings.value().capacity.fileDescriptors == 0);
     }
-    const auto small = parsePlatformSettings(
-        head + R"(,"Limits":{"CpuShare":0.12,"Cores":1,"LinkMbps":10.0},"Bounds":{"GraceS":4}})");
+    const auto small = parsePlatformSettings(head
+        + R"(,"Limits":{"CpuShare":0.12,"Cores":1,"LinkMbps":10.0,"MemoryMb":160,"FileDescriptors":4100},"Bounds":{"GraceS":4}})");
     REQUIRE(small.has_value());
     CHECK(small.value().stopGrace == Milliseconds(4000));
     CHECK(jobs::acquisitionDelayFor(small.value().capacity) > Milliseconds(0));
+    CHECK(small.value().capacity.memoryMb == 160);
+    CHECK(small.value().capacity.fileDescriptors == 4100);
     CHECK_FALSE(parsePlatformSettings(head + R"(,"Limits":"many"})").has_value());
+    CHECK_FALSE(parsePlatformSettings(head + R"(,"Limits":{"MemoryMb":"many"}})").has_value());
 }
 
 } // namespace rosemarylink::platform
