A connection is not closed because it was readable when reading was paused

Cause: a socket that is not watched for reading was closed when its handler was called for reading, as if it had failed. It is also called if it was readable when the iteration began and the handler of another socket then started its response, so that the connection was closed in the middle of the response. Change: only a socket with an error is closed. Tests of this case and of a connection that is reset while it is not read.

--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -89,8 +89,11 @@
 
     void onReadable() override
     {
-        if (!reading_) { // the connection has failed
-            close();
+        if (!reading_) {
+            // Either the connection has failed, or it was readable when the iteration began and reading was paused
+            // since by the handler of another socket.
+            if (buffer_.socket().impl()->socketError() != 0)
+                close();
             return;
         }
         if (!mayServe()) {
--- a/tests/reactor/ServerLimitsTest.cpp
+++ b/tests/reactor/ServerLimitsTest.cpp
@@ -30,6 +30,8 @@
             auto listening = LoopHttpServer::listen(
                 loop, "127.0.0.1:0", limits, [this](const ServerRequest& request, const Responder& respond) {
                     ++handled;
+                    if (request.head.getURI() == "/trigger")
+                        onTrigger();
                     if (request.head.getURI() == "/hold")
                         held.push_back(respond);
                     else
@@ -76,6 +78,7 @@
         EventLoop loop;
         std::unique_ptr<LoopHttpServer> server;
         std::vector<Responder> held;
+        std::function<void()> onTrigger;
         std::map<std::string, int> closed;
         std::map<std::string, int> refused;
         int handled = 0;
@@ -269,6 +272,54 @@
     CHECK(fixture.runUntil([&] { return fixture.server->connections() == 0; }));
 }
 
+// Guards against a connection that is closed in the middle of its response because bytes of its client are reported in
+// the iteration in which reading was paused.
+TEST_CASE("a connection whose client sends while a response begins is not closed")
+{
+    ConnectionLimits limits = testLimits();
+    limits.connections = 32;
+    limits.bufferedBytes = ConnectionLimits::unlimited;
+    Fixture fixture(limits);
+    std::vector<std::unique_ptr<Poco::Net::StreamSocket>> clients;
+    constexpr std::size_t clientCount = 16;
+    clients.reserve(clientCount);
+    for (std::size_t count = 0; count < clientCount; ++count) {
+        clients.push_back(fixture.connect());
+        send(*clients.back(), "GET /hold HTTP/1.1\r\n\r\n");
+    }
+    REQUIRE(fixture.runUntil([&] { return fixture.held.size() == clientCount; }));
+    // Starts all responses while one connection is handled; others may have been reported as readable before.
+    fixture.onTrigger = [&fixture] {
+        for (const Responder& respond : std::exchange(fixture.held, {}))
+            respond({ 200, std::string(200 * kilobyte, 'x'), {} });
+    };
+    const auto trigger = fixture.connect();
+    REQUIRE(fixture.runUntil([&] { return fixture.server->connections() == clientCount + 1; }));
+    for (const auto& client : clients)
+        send(*client, "GET / HTTP/1.1\r\n\r\n");
+    send(*trigger, "GET /trigger HTTP/1.1\r\n\r\n");
+    int iterations = 0;
+    fixture.runUntil([&iterations] { return ++iterations > 20; });
+    CHECK(fixture.held.empty());
+    CHECK(fixture.server->connections() == clientCount + 1);
+}
+
+// Guards against a connection that has failed while it is not read, and that is reported in each iteration or stays.
+TEST_CASE("a connection that is reset while it is not read is closed")
+{
+    Fixture fixture(testLimits());
+    auto client = fixture.connect();
+    send(*client, "GET /hold HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.runUntil([&] { return fixture.held.size() == 1; }));
+    send(*client, "GET / HTTP/1.1\r\n\r\n"); // pauses reading
+    int iterations = 0;
+    fixture.runUntil([&iterations] { return ++iterations > 20; });
+    CHECK(fixture.server->connections() == 1);
+    client->setLinger(true, 0); // the close resets the connection
+    client.reset();
+    CHECK(fixture.runUntil([&] { return fixture.server->connections() == 0; }));
+}
+
 // Guards against connections without a bound, and against requests in progress that are closed for new connections.
 TEST_CASE("connections over the limit close unused ones and none with a request in progress")
 {
