Attempt store calls without a response again on a new connection

Cause: while the store loses 40% of its responses, each lost one keeps its call until the timeout of 900 ms. Change: HedgedStore sends further attempts of reads, lease grants and renewals, and of batches whose second execution is harmless, after three times the usual response time (150 to 900 ms). HedgePolicy decides when, and bounds them to a fifth of the calls plus 20. A further attempt opens a new connection. A failed precondition that an earlier attempt of the same batch has caused counts as Done; otherwise the response tells that an attempt is unresolved.

--- a/apps/rosemarylink-edge/EdgeProcess.cpp
+++ b/apps/rosemarylink-edge/EdgeProcess.cpp
@@ -33,7 +33,10 @@
     , timers_(loop_)
     , http_(loop_)
     , jobMetrics_(registry_)
-    , store_(http_, settings.storeAddress, registry_, settings.storeValueBytes)
+    , storeClient_(http_, settings.storeAddress, registry_, settings.storeValueBytes)
+    , newConnectionStoreClient_(
+          http_, settings.storeAddress, registry_, settings.storeValueBytes, reactor::ConnectionUse::New)
+    , store_(storeClient_, newConnectionStoreClient_, timers_, clock_, registry_)
     , workers_(http_)
     , config_(store_, catalog_, timers_, clock_)
     , ownership_(store_, timers_, clock_, jobMetrics_, settings.nodeName, jobs::acquisitionDelayFor(settings.capacity))
--- a/apps/rosemarylink-edge/EdgeProcess.h
+++ b/apps/rosemarylink-edge/EdgeProcess.h
@@ -5,6 +5,7 @@
 #include "StoreClient.h"
 #include "WorkerClient.h"
 #include "rosemarylink/jobs/Admission.h"
+#include "rosemarylink/jobs/HedgedStore.h"
 #include "rosemarylink/jobs/Ownership.h"
 #include "rosemarylink/jobs/PoolOwner.h"
 #include "rosemarylink/reactor/EventLoop.h"
@@ -65,7 +66,9 @@
     reactor::LoopHttpClient http_;
     MetricsRegistry registry_;
     jobs::JobMetrics jobMetrics_;
-    platform::StoreClient store_;
+    platform::StoreClient storeClient_;
+    platform::StoreClient newConnectionStoreClient_; // for further attempts of calls without a response
+    jobs::HedgedStore store_;
     platform::WorkerClient workers_;
     platform::PlatformCatalog catalog_;
     jobs::ConfigView config_;
--- a/include/rosemarylink/jobs/RecordStore.h
+++ b/include/rosemarylink/jobs/RecordStore.h
@@ -35,6 +35,10 @@
     std::vector<Put> puts;
     std::vector<std::string> removals;
 
+    // Set where a second execution is harmless, at any time within which the store may execute a call late, although
+    // the first does not make a precondition fail.
+    bool mayRepeat = false;
+
     bool hasChanges() const { return !puts.empty() || !removals.empty(); }
     std::size_t entries() const { return preconditions.size() + puts.size() + removals.size(); }
 };
@@ -56,6 +60,10 @@
     StoreLeaseId lease = 0;
     Milliseconds leaseTtl { 0 };
 
+    // Another attempt of the same call got no response and may have taken effect, or may still do so, although this
+    // attempt had no effect. Set by HedgedStore, for batches with changes only.
+    bool unresolvedAttempt = false;
+
     bool done() const { return outcome == StoreOutcome::Done; }
 };
 
@@ -77,6 +85,10 @@
     // outcome is then Unknown.
     virtual std::size_t maximumValueBytes() const = 0;
 
+    // True while calls have recently got no response within several times the usual time. A caller that waits for an
+    // event then asks at short intervals.
+    virtual bool losesResponses() const { return false; }
+
     virtual void commit(const Batch&, Milliseconds timeout, StoreHandler) = 0;
     virtual void read(const std::string& key, Milliseconds timeout, StoreHandler) = 0;
 
--- a/include/rosemarylink/reactor/LoopHttpClient.h
+++ b/include/rosemarylink/reactor/LoopHttpClient.h
@@ -21,6 +21,12 @@
     WholeCall, // the time from the call of send() until the complete response is received
 };
 
+// Which connection a request may use.
+enum class ConnectionUse {
+    Any, // an idle one if there is one
+    New, // a new one, because those that are open may have failed without notice
+};
+
 struct ClientRequest {
     std::string method;
     std::string target; // path and query
@@ -29,6 +35,7 @@
     // 0 does not mean unlimited: the request times out when the loop next runs its timers.
     Milliseconds timeout { 0 };
     TimeoutScope timeoutScope = TimeoutScope::Progress;
+    ConnectionUse connectionUse = ConnectionUse::Any;
 };
 
 struct ClientResponse {
@@ -65,7 +72,7 @@
 private:
     class Connection;
 
-    std::shared_ptr<Connection> takeConnection(const std::string& address);
+    std::shared_ptr<Connection> takeConnection(const std::string& address, ConnectionUse);
     void release(const std::shared_ptr<Connection>&);
 
     EventLoop& loop_;
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -347,6 +347,10 @@
             finish(call, { AdmissionOutcome::Accepted, "" });
             return;
         case StoreOutcome::Conflict:
+            if (response.unresolvedAttempt) {
+                call->mayHaveRun = true;
+                call->unresolvedJob = call->job;
+            }
             resolveConflict(call, response, requestedAt);
             return;
         default:
@@ -515,9 +519,11 @@
         batch.puts.push_back({ keys::withdrawal(call->job, call->account), "-", lease });
     if (!call->needsKey)
         batch.puts.push_back({ keys::withdrawal(call->job), "-", lease });
+    batch.mayRepeat = true; // the records are the same and end with the same lease
     call->writeInFlight = true;
     store_.commit(batch, storeTimeout, [this, call, lease](const StoreResponse& response) {
         call->writeInFlight = false;
+        call->mayHaveRun = call->mayHaveRun || response.unresolvedAttempt;
         if (response.done()) {
             logger.info("Job is cancelled before it is stored",
                 { { "job", call->job }, { "revision", response.revision.value() },
@@ -542,9 +548,11 @@
     Batch batch;
     batch.preconditions = { { keys::job(call->job), jobRevision } };
     batch.puts = { { keys::cancellation(call->job), "-" } };
+    batch.mayRepeat = true; // the job can be cancelled once; after its end the precondition fails
     call->writeInFlight = true;
     store_.commit(batch, storeTimeout, [this, call, jobRevision](const StoreResponse& response) {
         call->writeInFlight = false;
+        call->mayHaveRun = call->mayHaveRun || response.unresolvedAttempt;
         if (response.done()) {
             logger.info("Cancellation accepted", { { "job", call->job }, { "revision", response.revision.value() } });
             finish(call, { AdmissionOutcome::Accepted, "" });
--- a/src/reactor/LoopHttpClient.cpp
+++ b/src/reactor/LoopHttpClient.cpp
@@ -201,7 +201,7 @@
 {
     std::shared_ptr<Connection> connection;
     try {
-        connection = takeConnection(address);
+        connection = takeConnection(address, request.connectionUse);
     } catch (const std::exception& problem) {
         loop_.after(Milliseconds(0), [handler = std::move(handler), text = address + ": " + describe(problem)] {
             handler(unavailable(text, Verdict::NotRun));
@@ -211,11 +211,12 @@
     connection->start(request, std::move(handler));
 }
 
-// Returns an idle connection, or opens one.
-std::shared_ptr<LoopHttpClient::Connection> LoopHttpClient::takeConnection(const std::string& address)
+// Returns an idle connection if the use allows it and there is one; otherwise opens one.
+std::shared_ptr<LoopHttpClient::Connection> LoopHttpClient::takeConnection(
+    const std::string& address, ConnectionUse use)
 {
     std::list<std::shared_ptr<Connection>>& idle = idle_[address];
-    if (!idle.empty()) {
+    if (use == ConnectionUse::Any && !idle.empty()) {
         std::shared_ptr<Connection> connection = std::move(idle.back());
         idle.pop_back();
         return connection;
--- a/tests/jobs/SimFaults.h
+++ b/tests/jobs/SimFaults.h
@@ -34,6 +34,7 @@
     std::function<CallFault(StoreCall, const std::string& key)> faultFor;
 
     std::size_t maximumValueBytes() const override { return store_.maximumValueBytes(); }
+    bool losesResponses() const override { return store_.losesResponses(); }
     void commit(const Batch&, Milliseconds timeout, StoreHandler) override;
     void read(const std::string& key, Milliseconds timeout, StoreHandler) override;
     void list(const std::string& prefix, Milliseconds timeout, StoreHandler) override;
--- a/tests/jobs/SimStore.h
+++ b/tests/jobs/SimStore.h
@@ -33,6 +33,7 @@
     std::size_t valueBytes = 1024 * 1024; // limit on a value; a batch with a larger one is rejected
     bool refusesWrites = false; // refuses commits and serves all other calls
     double lostResponseShare = 0; // share of the commits that are executed but get no response
+    double lostShare = 0; // share of all calls, including watches, that are executed but get no response
     Milliseconds lostResponseWriteDelay { 0 }; // additional delay until those commits are executed
     std::mt19937 random { 1 };
 
@@ -58,6 +59,7 @@
     };
 
     StoreResponse apply(const Batch&);
+    bool losesAnyCall() { return lostShare > 0 && std::uniform_real_distribution<>(0, 1)(random) < lostShare; }
     void change(const std::string& key, const std::string* value, Revision revision);
     StoreResponse changesWithPrefix(const std::string& prefix, Revision after) const;
     void notify();
@@ -121,6 +123,7 @@
     Milliseconds distance { 0 }; // added to the store's latency in each direction
     SimLink link;
     std::map<std::string, int> lists; // number of list() calls by prefix
+    int calls = 0; // number of calls other than watches
 
     std::size_t maximumValueBytes() const override { return store_.valueBytes; }
     void commit(const Batch&, Milliseconds timeout, StoreHandler) override;
