Resolve unanswered submissions until the deadline; order the callers' return

Cause: a submission whose write got no response was answered 504 at half of the caller's time, although it could still be resolved. Refused callers of urgent and other queues returned at the same time, after at most 3 s. Change: such a submission is retried until 150 ms before the deadline; half remains the limit for what certainly has not run. When ConfigView learns that the store is in reach again, it replaces an unanswered confirmation, and Admission retries waiting requests at once, urgent ones first. Its probe is a list, so that it uses no further attempts. RetryHint gives urgent queues half of the outage's age and others all of it, within 0.4 and 4 s.

--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -53,6 +53,9 @@
 // needs a key can be read and cancelled with a key of its account only, or through its own queue if that has come to
 // need none. The number of a queue's waiting jobs is that of all accounts. Must be used on the event loop's thread.
 // Each handler is called exactly once, possibly before the call returns.
+//
+// A request that certainly has not run is refused after at most half of the caller's time. One whose write got no
+// response is resolved until 150 ms before the caller's deadline.
 class Admission {
 public:
     // A job whose cancellation found nothing is not accepted for this long, up to twice as long. It exceeds the time
@@ -95,7 +98,12 @@
     void retryLater(const CallPointer&, bool mayHaveWritten, const std::function<void()>& retry);
     // Finishes the call with MayHaveRun if a write of it may have taken effect, otherwise with NotRun.
     void fail(const CallPointer&);
-    static Milliseconds resolutionLimit(const Call&);
+    void handleRefusalLimit(const CallPointer&);
+    void retryNow(const CallPointer&);
+    void retryWaiting();
+    bool isUrgent(const Call&) const;
+    static Milliseconds resolutionLimit(const Call&); // for requests that may have run
+    static Milliseconds refusalLimit(const Call&); // for all others
     void readState(const CallPointer&);
     void countWaiting(const CallPointer&, const QueueId&);
     void readForCancel(const CallPointer&);
@@ -120,6 +128,7 @@
         std::vector<CallPointer> callers; // that wait for the lease that is being granted
     };
 
+    std::vector<CallPointer> waiting_; // calls that wait for their next attempt
     WaitingCounts waitingCounts_;
     WithdrawalLease withdrawalLease_;
 };
--- a/include/rosemarylink/jobs/ConfigView.h
+++ b/include/rosemarylink/jobs/ConfigView.h
@@ -4,8 +4,10 @@
 #include "rosemarylink/jobs/Catalog.h"
 #include "rosemarylink/jobs/Timers.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace rosemarylink::jobs {
@@ -39,6 +41,9 @@
     // request need not wait for another failure then. The view notices by itself when the store is back.
     bool storeOutOfReach() const;
 
+    // Sets what is called, from a timer, when the store has come in reach again.
+    void onReachable(std::function<void()> handler) { onReachable_ = std::move(handler); }
+
     // Time since the store last confirmed the configuration; nullopt if it never has.
     std::optional<Milliseconds> age() const;
 
@@ -79,7 +84,9 @@
         bool repeated = false; // one confirmation has been too old for it
     };
     std::vector<Waiting> waiting_;
+    std::function<void()> onReachable_;
     bool refreshing_ = false;
+    std::uint64_t lastRefresh_ = 0; // number of the latest confirmation; earlier ones have been given up
     int failedPreconditions_ = 0; // number of consecutive preconditions that were refused or got no response
     bool probing_ = false; // the timer for the next probe is set
 };
--- a/include/rosemarylink/jobs/JobMetrics.h
+++ b/include/rosemarylink/jobs/JobMetrics.h
@@ -16,6 +16,10 @@
     explicit JobMetrics(MetricsRegistry&);
 
     void countResponse(AdmissionOutcome);
+
+    // The result of a submission whose write got no response at first: "stored", "not-stored" or "unknown".
+    void countUnresolvedWrite(const std::string& result);
+
     void countEnd(RunEnd);
     void countRefusedStart(CommandOutcome);
     void countWithheldStep(const std::string& reason);
--- a/src/jobs/ConfigView.cpp
+++ b/src/jobs/ConfigView.cpp
@@ -154,8 +154,11 @@
         return;
     refreshing_ = true;
     const Milliseconds requestedAt = clock_.monotonic();
-    const auto handler = [this, requestedAt](const StoreResponse& response) {
-        refreshing_ = false;
+    const auto handler = [this, requestedAt, number = ++lastRefresh_](const StoreResponse& response) {
+        if (number == lastRefresh_)
+            refreshing_ = false;
+        else if (!hasResult(response))
+            return; // a later confirmation is in progress
         handleConfirmation(response, requestedAt);
     };
     if (!isLarge()) {
@@ -210,9 +213,16 @@
     }
     if (!failingSince_ || requestedAt < *failingSince_)
         return;
-    if (storeOutOfReach())
+    const bool wasOutOfReach = storeOutOfReach();
+    if (wasOutOfReach)
         logger.info("Store is in reach again", { { "unreachableMs", (clock_.monotonic() - *failingSince_).count() } });
     failingSince_.reset();
+    if (!wasOutOfReach)
+        return;
+    // A confirmation that was sent before may stay without a response until its timeout, so another one replaces it.
+    refreshing_ = false;
+    if (onReachable_)
+        timers_.after(Milliseconds(0), onReachable_);
 }
 
 void ConfigView::recordFailedCall()
@@ -224,7 +234,8 @@
         probe();
 }
 
-// Reads a small record, because several probes may be on their way.
+// Reads a small record, because several probes may be on their way. As a list it is not attempted again, which the next
+// probe makes needless, so that probes do not use up the budget for further attempts.
 void ConfigView::probe()
 {
     timers_.after(probeInterval, [this] {
@@ -232,10 +243,10 @@
         if (!probing_)
             return;
         const Milliseconds requestedAt = clock_.monotonic();
-        store_.read(keys::ownership, callTimeout, [this, requestedAt](const StoreResponse& response) {
+        store_.list(keys::ownership, callTimeout, [this, requestedAt](const StoreResponse& response) {
             const bool failing = failingSince_.has_value();
             recordReach(response, requestedAt);
-            if (failing && !failingSince_)
+            if (failing && !failingSince_ && !refreshing_)
                 refresh();
         });
         probe();
--- a/src/jobs/JobMetrics.cpp
+++ b/src/jobs/JobMetrics.cpp
@@ -55,6 +55,14 @@
         .add();
 }
 
+void JobMetrics::countUnresolvedWrite(const std::string& result)
+{
+    registry_
+        .counter("rosemarylink_unresolved_writes_total", "Submissions whose write got no response at first.",
+            { { "result", result } })
+        .add();
+}
+
 void JobMetrics::countEnd(RunEnd end)
 {
     registry_
--- a/src/jobs/RetryHint.cpp
+++ b/src/jobs/RetryHint.cpp
@@ -10,14 +10,20 @@
     // Short refusals (rate limit, leader change) are over within the least; callers that are told to return later than
     // the longest would often wait in vain.
     constexpr Milliseconds shortestRetry { 400 };
-    constexpr Milliseconds longestRetry { 2000 };
+    constexpr Milliseconds longestRetry { 4000 };
+
+    // The spread is this fraction (1/N) of the time: wide enough that callers do not return together, and so narrow
+    // that an urgent request returns before another that was refused at the same age of the outage.
+    constexpr int spreadDivisor = 4;
 
 } // namespace
 
-Milliseconds retryHint(Milliseconds unavailableFor, std::string_view request)
+Milliseconds retryHint(Milliseconds outageAge, Urgency urgency, std::string_view request)
 {
-    const Milliseconds base = std::clamp(unavailableFor / 2, shortestRetry, longestRetry);
-    const auto spread = static_cast<std::size_t>(base.count() / 2 + 1);
+    const Milliseconds share = urgency == Urgency::Urgent ? outageAge / 2 : outageAge;
+    const Milliseconds longestBase = longestRetry * spreadDivisor / (spreadDivisor + 1);
+    const Milliseconds base = std::clamp(share, shortestRetry, longestBase);
+    const auto spread = static_cast<std::size_t>(base.count() / spreadDivisor + 1);
     return base + Milliseconds(static_cast<std::int64_t>(std::hash<std::string_view> {}(request) % spread));
 }
 
