A new connection is not closed before idle ones

Cause: unused connections ranked before idle ones. With the limit on connections filled by idle keep-alive connections, each new connection was the only unused one and was closed in accept() before its request was read.

Change: unused and idle connections have one rank, ordered by the start of their stage.

Tests: the case "too many connections close unfinished, unread, unused and idle ones in this order" stated the faulty order. It is replaced by one with the same checks and a connection that is opened after the idle one became idle. A new case opens a connection beyond a limit that idle connections fill; it failed before (the new connection was chosen) and passes.

--- a/src/reactor/ConnectionBudget.cpp
+++ b/src/reactor/ConnectionBudget.cpp
@@ -34,9 +34,9 @@
     case ConnectionStage::Sending:
         return lastRankWithBytes;
     case ConnectionStage::Unused:
-        return lastRankWithBytes + 1;
     case ConnectionStage::Idle:
-        return lastRankWithBytes + 2;
+        // One rank, so that a new connection, whose request has not been read yet, is the last of them.
+        return lastRankWithBytes + 1;
     case ConnectionStage::InProgress:
         return std::nullopt;
     }
--- a/tests/reactor/ConnectionBudgetTest.cpp
+++ b/tests/reactor/ConnectionBudgetTest.cpp
@@ -53,7 +53,7 @@
 }
 
 // Guards against a request in progress that is cut off, after which its caller does not know whether it has run.
-TEST_CASE("too many connections close unfinished, unread, unused and idle ones in this order, and none in progress")
+TEST_CASE("too many connections close unfinished and unread ones, then the oldest quiet ones, and none in progress")
 {
     ConnectionLimits limits = smallLimits();
     limits.connections = 0;
@@ -64,7 +64,8 @@
     budget.setStage(2, ConnectionStage::Idle, at(1));
     budget.setStage(4, ConnectionStage::Sending, at(3));
     receive(budget, 5, 4, 10);
-    for (const ConnectionBudget::Id expected : { 5, 4, 3, 2 }) {
+    budget.open(6, "a", at(2));
+    for (const ConnectionBudget::Id expected : { 5, 4, 3, 2, 6 }) {
         const auto choice = budget.connectionToClose();
         REQUIRE(choice);
         CHECK(choice->connection == expected);
@@ -73,6 +74,24 @@
     CHECK_FALSE(budget.connectionToClose());
 }
 
+// Guards against idle connections that fill the limit, so that each new connection is closed before its request is
+// read.
+TEST_CASE("a new connection over the limit closes the oldest idle connection and stays open itself")
+{
+    ConnectionBudget budget(smallLimits());
+    for (ConnectionBudget::Id id = 1; id <= 4; ++id) {
+        budget.open(id, "a", at(0));
+        budget.setStage(id, ConnectionStage::Idle, at(10 - static_cast<std::int64_t>(id)));
+    }
+    budget.open(5, "a", at(20));
+    const auto choice = budget.connectionToClose();
+    REQUIRE(choice);
+    CHECK(choice->connection == 4);
+    CHECK(choice->cause == ConnectionBudget::Cause::Connections);
+    budget.close(4);
+    CHECK_FALSE(budget.connectionToClose());
+}
+
 // Guards against large requests that take the whole budget, and against a budget that refuses a single legal request.
 TEST_CASE("a part of the request budget is kept for small requests and a single request is always allowed")
 {
