Too many connections close quiet and slow ones before ordinary requests

Cause: one order served both budgets. Over the limit on connections, requests in arrival and responses being sent were closed before silent and idle connections.

Change: the limit on connections has an order of its own: unused or idle for 1 s, then Receiving or Sending for longer than the head time, then other idle ones, then the rest by age, each the oldest first. The rank is compared across peers before the number of connections of a peer. The order for bytes stays as it was.

--- a/include/rosemarylink/reactor/ConnectionBudget.h
+++ b/include/rosemarylink/reactor/ConnectionBudget.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 
 namespace rosemarylink::reactor {
 
@@ -15,7 +16,8 @@
 // with hundreds of clients that open connections and send nothing, send bodies of up to 256 KB and stop just short of
 // the end, send many such bodies at once, or do not read their responses. Ordinary requests arrive whole and are
 // handled at once, so they hold bytes for milliseconds; what accumulates belongs to the others. Therefore everything is
-// accepted until a budget is exceeded, and then the connection with the oldest unfinished request is closed.
+// accepted until a budget is exceeded. Too many bytes close the connection with the oldest unfinished request. Too many
+// connections close quiet ones first and slow ones next, so that ordinary requests and responses are not cut off.
 
 enum class ConnectionStage {
     Unused, // no byte has been received
@@ -58,7 +60,7 @@
     void endRequest(std::size_t bodyBytes);
 
     // Returns the connection to close first, or nullopt if no budget is exceeded or nothing can be closed.
-    std::optional<Choice> connectionToClose() const;
+    std::optional<Choice> connectionToClose(Milliseconds now) const;
 
     std::size_t connections() const { return connections_.size(); }
     std::size_t bufferedBytes() const { return bufferedBytes_; }
@@ -66,11 +68,27 @@
     std::size_t peers() const { return peers_.size(); }
 
 private:
-    // The order in which connections of a peer are closed: by rank, then the oldest first.
-    using Order = std::tuple<int, Milliseconds, Id>;
+    using Age = std::pair<Milliseconds, Id>; // orders connections by the start of their stage
+    // The order in which connections that hold bytes are closed: by rank, then the oldest first.
+    using ByteOrder = std::tuple<int, Milliseconds, Id>;
+
+    // The order in which connections over the limit are closed; the oldest of a rank first.
+    enum class ExcessRank {
+        Quiet, // Unused or Idle for a while
+        Slow, // Receiving or Sending for longer than the head time
+        Idle,
+        Other, // Unused, Receiving and Sending
+    };
+    struct Excess {
+        ExcessRank rank = ExcessRank::Other;
+        Age age;
+    };
 
     struct Peer {
-        std::set<Order> candidates;
+        std::set<ByteOrder> holders;
+        std::set<Age> unused;
+        std::set<Age> idle;
+        std::set<Age> transferring; // Receiving or Sending
         std::size_t connections = 0;
         std::size_t bufferedBytes = 0;
     };
@@ -81,13 +99,18 @@
         std::size_t bufferedBytes = 0;
     };
 
-    static std::optional<int> rankOf(const Connection&);
+    static std::optional<int> byteRank(const Connection&);
+    static std::set<Age>* agesOf(const Connection&);
     static void addCandidate(Id, const Connection&);
     static void removeCandidate(Id, const Connection&);
+    std::optional<Id> holderToClose() const;
+    std::optional<Id> excessToClose(Milliseconds now) const;
+    std::optional<Excess> firstExcess(const Peer&, Milliseconds now) const;
 
     std::size_t connectionLimit_;
     std::size_t bufferedLimit_;
     std::size_t requestLimit_;
+    Milliseconds headTimeout_;
     std::map<Id, Connection> connections_;
     std::map<std::string, Peer> peers_; // by address; only peers with connections
     std::size_t bufferedBytes_ = 0;
--- a/src/reactor/ConnectionBudget.cpp
+++ b/src/reactor/ConnectionBudget.cpp
@@ -1,5 +1,7 @@
 #include "rosemarylink/reactor/ConnectionBudget.h"
 
+#include <algorithm>
+
 namespace rosemarylink::reactor {
 
 namespace {
@@ -12,8 +14,9 @@
     constexpr std::size_t requestFactor = 6;
     constexpr std::size_t fixedRequestCost = 4096;
 
-    // Ranks up to this one hold bytes whose connection can be closed.
-    constexpr int lastRankWithBytes = 2;
+    // A connection that is silent for this long is not about to send its request: a caller sends it directly after the
+    // connection is established, one round trip of at most a few hundred milliseconds later.
+    constexpr Milliseconds quietTime { 1000 };
 
     constexpr std::size_t shareForSmallRequests = 4;
 
@@ -23,36 +26,56 @@
     : connectionLimit_(limits.connections)
     , bufferedLimit_(limits.bufferedBytes)
     , requestLimit_(limits.requestBytes)
+    , headTimeout_(limits.headTimeout)
 {
 }
 
-std::optional<int> ConnectionBudget::rankOf(const Connection& connection)
+std::optional<int> ConnectionBudget::byteRank(const Connection& connection)
 {
     switch (connection.stage) {
     case ConnectionStage::Receiving:
         return connection.bufferedBytes > smallRequestBytes ? 0 : 1;
     case ConnectionStage::Sending:
-        return lastRankWithBytes;
+        return 2;
     case ConnectionStage::Unused:
     case ConnectionStage::Idle:
-        // One rank, so that a new connection, whose request has not been read yet, is the last of them.
-        return lastRankWithBytes + 1;
     case ConnectionStage::InProgress:
         return std::nullopt;
     }
     return std::nullopt;
 }
 
+std::set<ConnectionBudget::Age>* ConnectionBudget::agesOf(const Connection& connection)
+{
+    Peer& peer = connection.peer->second;
+    switch (connection.stage) {
+    case ConnectionStage::Unused:
+        return &peer.unused;
+    case ConnectionStage::Idle:
+        return &peer.idle;
+    case ConnectionStage::Receiving:
+    case ConnectionStage::Sending:
+        return &peer.transferring;
+    case ConnectionStage::InProgress:
+        return nullptr;
+    }
+    return nullptr;
+}
+
 void ConnectionBudget::addCandidate(Id id, const Connection& connection)
 {
-    if (const auto rank = rankOf(connection))
-        connection.peer->second.candidates.emplace(*rank, connection.since, id);
+    if (const auto rank = byteRank(connection))
+        connection.peer->second.holders.emplace(*rank, connection.since, id);
+    if (const auto ages = agesOf(connection))
+        ages->emplace(connection.since, id);
 }
 
 void ConnectionBudget::removeCandidate(Id id, const Connection& connection)
 {
-    if (const auto rank = rankOf(connection))
-        connection.peer->second.candidates.erase({ *rank, connection.since, id });
+    if (const auto rank = byteRank(connection))
+        connection.peer->second.holders.erase({ *rank, connection.since, id });
+    if (const auto ages = agesOf(connection))
+        ages->erase({ connection.since, id });
 }
 
 void ConnectionBudget::open(Id id, const std::string& peer, Milliseconds now)
@@ -122,25 +145,70 @@
 
 void ConnectionBudget::endRequest(std::size_t bodyBytes) { requestBytes_ -= requestCost(bodyBytes); }
 
-std::optional<ConnectionBudget::Choice> ConnectionBudget::connectionToClose() const
+std::optional<ConnectionBudget::Choice> ConnectionBudget::connectionToClose(Milliseconds now) const
+{
+    if (bufferedBytes_ > bufferedLimit_) {
+        if (const auto id = holderToClose())
+            return Choice { *id, Cause::BufferedBytes };
+    }
+    if (connections_.size() > connectionLimit_) {
+        if (const auto id = excessToClose(now))
+            return Choice { *id, Cause::Connections };
+    }
+    return std::nullopt;
+}
+
+std::optional<ConnectionBudget::Id> ConnectionBudget::holderToClose() const
 {
-    const bool tooManyBytes = bufferedBytes_ > bufferedLimit_;
-    if (!tooManyBytes && connections_.size() <= connectionLimit_)
-        return std::nullopt;
     const Peer* largest = nullptr;
     for (const auto& [address, peer] : peers_) {
-        if (peer.candidates.empty())
-            continue;
-        if (tooManyBytes && std::get<0>(*peer.candidates.begin()) > lastRankWithBytes)
-            continue;
-        if (!largest
-            || (tooManyBytes ? peer.bufferedBytes > largest->bufferedBytes : peer.connections > largest->connections))
+        if (!peer.holders.empty() && (!largest || peer.bufferedBytes > largest->bufferedBytes))
             largest = &peer;
     }
     if (!largest)
         return std::nullopt;
-    return Choice { std::get<2>(*largest->candidates.begin()),
-        tooManyBytes ? Cause::BufferedBytes : Cause::Connections };
+    return std::get<2>(*largest->holders.begin());
+}
+
+std::optional<ConnectionBudget::Id> ConnectionBudget::excessToClose(Milliseconds now) const
+{
+    std::optional<Excess> first;
+    std::size_t connectionsOfFirst = 0;
+    for (const auto& [address, peer] : peers_) {
+        const auto excess = firstExcess(peer, now);
+        if (!excess)
+            continue;
+        if (!first || excess->rank < first->rank
+            || (excess->rank == first->rank && peer.connections > connectionsOfFirst)) {
+            first = excess;
+            connectionsOfFirst = peer.connections;
+        }
+    }
+    return first ? std::optional<Id>(first->age.second) : std::nullopt;
+}
+
+std::optional<ConnectionBudget::Excess> ConnectionBudget::firstExcess(const Peer& peer, Milliseconds now) const
+{
+    const auto oldest = [](const std::set<Age>& one, const std::set<Age>& other) -> std::optional<Age> {
+        if (one.empty() && other.empty())
+            return std::nullopt;
+        if (one.empty() || other.empty())
+            return one.empty() ? *other.begin() : *one.begin();
+        return std::min(*one.begin(), *other.begin());
+    };
+    const auto quiet = oldest(peer.unused, peer.idle);
+    if (quiet && now - quiet->first >= quietTime)
+        return Excess { ExcessRank::Quiet, *quiet };
+    if (headTimeout_ > Milliseconds(0) && !peer.transferring.empty()
+        && now - peer.transferring.begin()->first > headTimeout_)
+        return Excess { ExcessRank::Slow, *peer.transferring.begin() };
+    if (!peer.idle.empty())
+        return Excess { ExcessRank::Idle, *peer.idle.begin() };
+    // Only the age decides between the others, so that a new connection is the last choice also where the limit is
+    // filled by unfinished requests.
+    if (const auto other = oldest(peer.unused, peer.transferring))
+        return Excess { ExcessRank::Other, *other };
+    return std::nullopt;
 }
 
 } // namespace rosemarylink::reactor
--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -496,7 +496,7 @@
 
 void LoopHttpServer::enforceBudget()
 {
-    while (const auto choice = budget_->connectionToClose()) {
+    while (const auto choice = budget_->connectionToClose(loop_.clock().monotonic())) {
         const auto connection = connections_.at(choice->connection);
         connection->closeFor(
             choice->cause == ConnectionBudget::Cause::Connections ? "connection-budget" : "receive-budget");
