The memory of a body is reserved as the body arrives

Cause: the announced size was reserved and counted when the head was complete, so 80 heads with Content-Length 262144 filled a budget of 20 MB.

Change: each read of a body makes room for at most as much as has arrived, between 16 and 64 KB, and never for more than the request.

Test: a body counts as it arrives and not when its head announces it.

--- a/include/rosemarylink/reactor/HttpMessage.h
+++ b/include/rosemarylink/reactor/HttpMessage.h
@@ -42,6 +42,9 @@
     // Memory of the received and unsent bytes, including what the buffers have reserved.
     std::size_t memory() const { return received_.capacity() + unsent_.capacity(); }
 
+    // Makes room for this many received bytes in all, and no more.
+    void reserveReceived(std::size_t bytes);
+
     // Returns the memory of empty or nearly empty buffers that have held a large message.
     void releaseMemory();
 
--- a/src/reactor/HttpMessage.cpp
+++ b/src/reactor/HttpMessage.cpp
@@ -125,6 +125,16 @@
     return state;
 }
 
+void SocketBuffer::reserveReceived(std::size_t bytes)
+{
+    if (bytes <= received_.capacity())
+        return;
+    std::string larger; // a new string, since reserve() of one in use may double its capacity
+    larger.reserve(bytes);
+    larger.append(received_);
+    received_.swap(larger);
+}
+
 void SocketBuffer::releaseMemory()
 {
     for (std::string* buffer : { &received_, &unsent_ }) {
--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -101,7 +101,10 @@
             return; // what has arrived is handled first
         const auto self = shared_from_this();
         noteActivity();
-        if (buffer_.receiveSome(readLimit()) == SocketBuffer::ConnectionState::Closed) {
+        const std::size_t limit = readLimit();
+        if (messageBytes_ != 0)
+            buffer_.reserveReceived(buffer_.received().size() + limit);
+        if (buffer_.receiveSome(limit) == SocketBuffer::ConnectionState::Closed) {
             close();
             return;
         }
@@ -220,11 +223,14 @@
 
     bool mayServe() const { return !requestInProgress_ && !buffer_.hasUnsent() && !closeAfterSend_; }
 
+    // For a body at most as much as has arrived, so that the memory follows what the client has sent and not what its
+    // head announces.
     std::size_t readLimit()
     {
-        if (messageBytes_ <= buffer_.received().size())
+        const std::size_t arrived = buffer_.received().size();
+        if (messageBytes_ <= arrived)
             return readAheadBytes;
-        return std::min(messageBytes_ - buffer_.received().size(), bodyReadBytes);
+        return std::min(messageBytes_ - arrived, std::clamp(arrived, readAheadBytes, bodyReadBytes));
     }
 
     void watch(bool reading, bool writing)
@@ -300,10 +306,8 @@
         }
         if (!extracted.value()) {
             const auto size = requestSize(buffer_.received(), server_->limits_.message);
-            if (size && size.value()) {
+            if (size && size.value())
                 messageBytes_ = *size.value();
-                buffer_.received().reserve(messageBytes_);
-            }
             return;
         }
         messageBytes_ = 0;
--- a/tests/reactor/ServerLimitsTest.cpp
+++ b/tests/reactor/ServerLimitsTest.cpp
@@ -330,6 +330,32 @@
     CHECK(fixture.server->budget().bufferedBytes() <= 8 * kilobyte);
 }
 
+// Guards against clients that fill the budget with heads alone.
+TEST_CASE("a body counts as it arrives and not when its head announces it")
+{
+    Fixture fixture(testLimits());
+    const std::string head = post("/", 256 * kilobyte);
+    std::vector<std::unique_ptr<Poco::Net::StreamSocket>> clients;
+    for (int count = 0; count < 6; ++count) {
+        clients.push_back(fixture.connect());
+        send(*clients.back(), head);
+    }
+    CHECK(fixture.runUntil([&] { return fixture.server->budget().bufferedBytes() >= 6 * head.size(); }));
+    CHECK(fixture.server->connections() == 6);
+    CHECK(fixture.server->budget().bufferedBytes() <= 6 * kilobyte);
+
+    // The memory follows what has arrived, and never exceeds the size of the request by more than one step.
+    const std::string body(256 * kilobyte, 'x');
+    std::size_t sent = 0;
+    std::size_t largest = 0;
+    CHECK(fixture.runUntil([&] {
+        sent += send(*clients.front(), body.substr(sent));
+        largest = std::max(largest, fixture.server->budget().bufferedBytes());
+        return fixture.handled == 1;
+    }));
+    CHECK(largest <= 256 * kilobyte + 6 * kilobyte);
+}
+
 // Guards against counts that do not return to zero, until every client is refused.
 TEST_CASE("the counts of a server end at zero after any sequence of opened, fed, held and closed connections")
 {
