A drained server closes connections after a partly sent response

Cause: drain() keeps a connection with unsent bytes, and onWritable() went on to read from it once the response was sent, so it stayed open.

Change: onWritable() closes the connection when the server drains.

Test: a connection whose response is partly sent when the server drains is closed after the response. Failed before (still open after 5 s).

--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -126,7 +126,7 @@
             updateBudget();
             return;
         }
-        if (closeAfterSend_) {
+        if (closeAfterSend_ || server_->draining_) {
             close();
             return;
         }
--- a/tests/reactor/ServerLimitsTest.cpp
+++ b/tests/reactor/ServerLimitsTest.cpp
@@ -356,6 +356,25 @@
     CHECK(largest <= 256 * kilobyte + 6 * kilobyte);
 }
 
+// Guards against a drained server that waits for a client which keeps its connection open after the last response.
+TEST_CASE("a connection whose response is partly sent when the server drains is closed after the response")
+{
+    Fixture fixture(testLimits());
+    const auto client = fixture.connectWithSmallBuffer();
+    send(*client, "GET /hold HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.runUntil([&] { return fixture.held.size() == 1; }));
+    const std::string body(500 * kilobyte, 'x');
+    fixture.held.front()({ 200, body, {} });
+    fixture.server->drain();
+    CHECK(fixture.server->connections() == 1);
+    std::string response;
+    CHECK(fixture.runUntil([&] {
+        receive(*client, response);
+        return response.size() > body.size() && fixture.server->connections() == 0;
+    }));
+    CHECK(response.size() > body.size());
+}
+
 // Guards against counts that do not return to zero, until every client is refused.
 TEST_CASE("the counts of a server end at zero after any sequence of opened, fed, held and closed connections")
 {
