A request in progress counts with its head

Cause: the charge of a request in progress used the size of its body, so a head of up to 16 KB was held without being counted.

Change: the charge uses the size of head and body.

Test: a request in progress counts with its head and its body.

--- a/include/rosemarylink/reactor/ConnectionBudget.h
+++ b/include/rosemarylink/reactor/ConnectionBudget.h
@@ -49,15 +49,15 @@
     void setStage(Id, ConnectionStage, Milliseconds since);
     void setBuffered(Id, std::size_t bytes);
 
-    // Estimated memory of a request with this body while it is in progress.
-    static std::size_t requestCost(std::size_t bodyBytes);
+    // Estimated memory of a request of this size, head and body, while it is in progress.
+    static std::size_t requestCost(std::size_t bytes);
 
-    // Tells whether the budget has room for a request with this body. A quarter of it is kept for small bodies. A
+    // Tells whether the budget has room for a request of this size. A quarter of it is kept for small requests. A
     // request is always allowed when none is in progress.
-    bool mayStartRequest(std::size_t bodyBytes) const;
-    void startRequest(std::size_t bodyBytes);
+    bool mayStartRequest(std::size_t bytes) const;
+    void startRequest(std::size_t bytes);
     // Must be called once for each startRequest(), with the same size.
-    void endRequest(std::size_t bodyBytes);
+    void endRequest(std::size_t bytes);
 
     // Returns the connection to close first, or nullopt if no budget is exceeded or nothing can be closed.
     std::optional<Choice> connectionToClose(Milliseconds now) const;
--- a/src/reactor/ConnectionBudget.cpp
+++ b/src/reactor/ConnectionBudget.cpp
@@ -127,23 +127,20 @@
     addCandidate(id, connection);
 }
 
-std::size_t ConnectionBudget::requestCost(std::size_t bodyBytes)
-{
-    return bodyBytes * requestFactor + fixedRequestCost;
-}
+std::size_t ConnectionBudget::requestCost(std::size_t bytes) { return bytes * requestFactor + fixedRequestCost; }
 
-bool ConnectionBudget::mayStartRequest(std::size_t bodyBytes) const
+bool ConnectionBudget::mayStartRequest(std::size_t bytes) const
 {
     if (requestBytes_ == 0 || requestLimit_ == ConnectionLimits::unlimited)
         return true;
     const std::size_t limit
-        = bodyBytes > smallRequestBytes ? requestLimit_ - requestLimit_ / shareForSmallRequests : requestLimit_;
-    return requestBytes_ + requestCost(bodyBytes) <= limit;
+        = bytes > smallRequestBytes ? requestLimit_ - requestLimit_ / shareForSmallRequests : requestLimit_;
+    return requestBytes_ + requestCost(bytes) <= limit;
 }
 
-void ConnectionBudget::startRequest(std::size_t bodyBytes) { requestBytes_ += requestCost(bodyBytes); }
+void ConnectionBudget::startRequest(std::size_t bytes) { requestBytes_ += requestCost(bytes); }
 
-void ConnectionBudget::endRequest(std::size_t bodyBytes) { requestBytes_ -= requestCost(bodyBytes); }
+void ConnectionBudget::endRequest(std::size_t bytes) { requestBytes_ -= requestCost(bytes); }
 
 std::optional<ConnectionBudget::Choice> ConnectionBudget::connectionToClose(Milliseconds now) const
 {
--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -47,11 +47,11 @@
 // request without one.
 class LoopHttpServer::RequestCharge {
 public:
-    RequestCharge(std::shared_ptr<ConnectionBudget> budget, std::size_t bodyBytes)
+    RequestCharge(std::shared_ptr<ConnectionBudget> budget, std::size_t requestBytes)
         : budget_(std::move(budget))
-        , bodyBytes_(bodyBytes)
+        , requestBytes_(requestBytes)
     {
-        budget_->startRequest(bodyBytes_);
+        budget_->startRequest(requestBytes_);
     }
     ~RequestCharge() { end(); }
     RequestCharge(const RequestCharge&) = delete;
@@ -60,12 +60,12 @@
     void end()
     {
         if (const auto budget = std::exchange(budget_, nullptr))
-            budget->endRequest(bodyBytes_);
+            budget->endRequest(requestBytes_);
     }
 
 private:
     std::shared_ptr<ConnectionBudget> budget_; // null once ended
-    std::size_t bodyBytes_;
+    std::size_t requestBytes_;
 };
 
 class LoopHttpServer::Connection final : public SocketHandler,
@@ -299,6 +299,7 @@
     {
         if (!server_ || !mayServe() || buffer_.received().size() < messageBytes_)
             return;
+        const std::size_t bytesBefore = buffer_.received().size();
         auto extracted = extractRequest(buffer_.received(), server_->limits_.message);
         if (!extracted) {
             refuseMalformed(extracted.error());
@@ -313,15 +314,15 @@
         messageBytes_ = 0;
         buffer_.releaseMemory();
         served_ = true;
-        const std::size_t bodyBytes = extracted.value()->body.size();
+        const std::size_t requestBytes = bytesBefore - buffer_.received().size();
         closeAfterSend_ = !extracted.value()->head.getKeepAlive();
-        if (!server_->budget_->mayStartRequest(bodyBytes)) {
+        if (!server_->budget_->mayStartRequest(requestBytes)) {
             refuse("request-budget", budgetRefusal());
             return;
         }
         requestInProgress_ = true;
         const auto self = shared_from_this();
-        const auto charge = std::make_shared<RequestCharge>(server_->budget_, bodyBytes);
+        const auto charge = std::make_shared<RequestCharge>(server_->budget_, requestBytes);
         const std::string target = extracted.value()->head.getURI();
         try {
             server_->handler_(std::move(*extracted.value()), [self, charge](const ServerResponse& response) {
--- a/tests/reactor/ServerLimitsTest.cpp
+++ b/tests/reactor/ServerLimitsTest.cpp
@@ -375,6 +375,20 @@
     CHECK(response.size() > body.size());
 }
 
+// Guards against requests with large heads that are held without being counted.
+TEST_CASE("a request in progress counts with its head and its body")
+{
+    Fixture fixture(testLimits());
+    const auto client = fixture.connect();
+    const std::string request = "POST /hold HTTP/1.1\r\nX-Padding: " + std::string(3 * kilobyte, 'x')
+        + "\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'x');
+    send(*client, request);
+    REQUIRE(fixture.runUntil([&] { return fixture.held.size() == 1; }));
+    CHECK(fixture.server->budget().requestBytes() == ConnectionBudget::requestCost(request.size()));
+    fixture.held.front()({ 200, "{}", {} });
+    CHECK(fixture.server->budget().requestBytes() == 0);
+}
+
 // Guards against counts that do not return to zero, until every client is refused.
 TEST_CASE("the counts of a server end at zero after any sequence of opened, fed, held and closed connections")
 {
