A stale readable event does not cut off a response

Cause: onReadable() took any event on a connection that is not read for a failure. An earlier handler of the same poll may just have made the response and stopped reading, and the readable event was from before; the connection was closed with the response partly sent.

Change: the connection is closed only if the kernel reports that it failed.

Test: a response that is made while a readable event of its connection is pending is sent whole.

--- a/include/rosemarylink/reactor/HttpMessage.h
+++ b/include/rosemarylink/reactor/HttpMessage.h
@@ -34,6 +34,9 @@
     // connection failed.
     ConnectionState send();
 
+    // Tells whether the connection has failed or both directions are closed. Reads nothing.
+    bool failed() const;
+
     // Adds bytes to the send buffer; send() sends them.
     void appendUnsent(std::string_view bytes) { unsent_.append(bytes); }
     bool hasUnsent() const { return !unsent_.empty(); }
--- a/src/reactor/HttpMessage.cpp
+++ b/src/reactor/HttpMessage.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cerrno>
 #include <limits>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace rosemarylink::reactor {
@@ -125,6 +126,12 @@
     return state;
 }
 
+bool SocketBuffer::failed() const
+{
+    pollfd state { socket_.impl()->sockfd(), 0, 0 };
+    return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0;
+}
+
 void SocketBuffer::reserveReceived(std::size_t bytes)
 {
     if (bytes <= received_.capacity())
--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -89,8 +89,11 @@
 
     void onReadable() override
     {
-        if (!reading_) { // the connection has failed
-            close();
+        if (!reading_) {
+            // Either the connection has failed, or the event is from before an earlier handler of this iteration made
+            // the response and reading was stopped.
+            if (buffer_.failed())
+                close();
             return;
         }
         if (!mayServe()) {
--- a/tests/reactor/ServerLimitsTest.cpp
+++ b/tests/reactor/ServerLimitsTest.cpp
@@ -30,6 +30,8 @@
             auto listening = LoopHttpServer::listen(
                 loop, "127.0.0.1:0", limits, [this](const ServerRequest& request, const Responder& respond) {
                     ++handled;
+                    if (request.head.getURI() != "/hold" && onRequest)
+                        onRequest();
                     if (request.head.getURI() == "/hold")
                         held.push_back(respond);
                     else
@@ -87,6 +89,7 @@
         std::map<std::string, int> closed;
         std::map<std::string, int> refused;
         int handled = 0;
+        std::function<void()> onRequest; // called before a request other than /hold is answered, if set
     };
 
     // Sends as much as the socket accepts and returns how much that is.
@@ -389,6 +392,49 @@
     CHECK(fixture.server->budget().requestBytes() == 0);
 }
 
+// Guards against a response that is cut off because its client's next bytes were reported in the same poll.
+TEST_CASE("a response that is made while a readable event of its connection is pending is sent whole")
+{
+    ConnectionLimits limits = testLimits();
+    limits.bufferedBytes = ConnectionLimits::unlimited;
+    Fixture fixture(limits);
+    const std::string body(300 * kilobyte, 'x');
+    std::vector<std::unique_ptr<Poco::Net::StreamSocket>> clients;
+    for (int count = 0; count < 8; ++count)
+        clients.push_back(fixture.connectWithSmallBuffer());
+    fixture.onRequest = [&] {
+        for (const Responder& respond : std::exchange(fixture.held, {}))
+            respond({ 200, body, {} });
+    };
+    // The order of events within a poll is not defined, so each client once sends the request that makes the responses
+    // to the others, whose further bytes have just arrived.
+    for (const auto& releasing : clients) {
+        for (const auto& client : clients) {
+            if (client != releasing)
+                send(*client, "GET /hold HTTP/1.1\r\n\r\n");
+        }
+        REQUIRE(fixture.runUntil([&] { return fixture.held.size() == clients.size() - 1; }));
+        for (const auto& client : clients) {
+            if (client != releasing)
+                send(*client, "\r\n");
+        }
+        send(*releasing, "GET / HTTP/1.1\r\n\r\n");
+        std::vector<std::string> responses(clients.size());
+        REQUIRE(fixture.runUntil([&] {
+            bool complete = true;
+            for (std::size_t index = 0; index < clients.size(); ++index) {
+                receive(*clients[index], responses[index]);
+                const std::size_t headEnd = responses[index].find("\r\n\r\n");
+                const std::size_t bodyBytes = clients[index] == releasing ? 2 : body.size();
+                complete
+                    = complete && headEnd != std::string::npos && responses[index].size() == headEnd + 4 + bodyBytes;
+            }
+            return complete;
+        }));
+    }
+    CHECK(fixture.server->connections() == clients.size());
+}
+
 // Guards against counts that do not return to zero, until every client is refused.
 TEST_CASE("the counts of a server end at zero after any sequence of opened, fed, held and closed connections")
 {
