Design note: kernel memory of connections, with doubled buffer sizes

Linux doubles the requested sizes of SO_RCVBUF and SO_SNDBUF. The note said that all receive buffers take 20 MB on the smallest machine; by calculation they take up to 40 MB, and send buffers as much again. Nothing was measured. Comments and documentation only.

--- a/src/reactor/ConnectionLimits.cpp
+++ b/src/reactor/ConnectionLimits.cpp
@@ -13,8 +13,8 @@
     constexpr std::size_t callerHeaderBytes = 16 * kilobyte;
     constexpr std::size_t callerBodyBytes = 256 * kilobyte;
 
-    // Received bytes and requests in progress may each take an eighth of the memory, as may the kernel's receive
-    // buffers. The rest is for the process itself, most of all for an owner.
+    // Received bytes and requests in progress may each take an eighth of the memory, as may the requested size of the
+    // kernel's receive buffers; Linux doubles it. The rest is for the process itself, most of all for an owner.
     constexpr std::size_t shareOfMemory = 8;
 
     // Larger kernel buffers would need fewer connections to stay within their share; smaller ones make a large body
