--- a/include/rosemarylink/reactor/HttpMessage.h
+++ b/include/rosemarylink/reactor/HttpMessage.h
@@ -34,6 +34,9 @@
     // connection failed.
     ConnectionState send();
 
+    // Tells whether the connection has failed or both directions are closed. Reads nothing.
+    bool failed() const;
+
     // Adds bytes to the send buffer; send() sends them.
     void appendUnsent(std::string_view bytes) { unsent_.append(bytes); }
     bool hasUnsent() const { return !unsent_.empty(); }
@@ -42,6 +45,9 @@
     // Memory of the received and unsent bytes, including what the buffers have reserved.
     std::size_t memory() const { return received_.capacity() + unsent_.capacity(); }
 
+    // Makes room for this many received bytes in all, and no more.
+    void reserveReceived(std::size_t bytes);
+
     // Returns the memory of empty or nearly empty buffers that have held a large message.
     void releaseMemory();
 
--- a/src/reactor/HttpMessage.cpp
+++ b/src/reactor/HttpMessage.cpp
@@ -7,14 +7,16 @@
 #include <array>
 #include <cerrno>
 #include <limits>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace rosemarylink::reactor {
 
 namespace {
 
-    // Buffers up to this size are kept for the next message.
-    constexpr std::size_t keptBufferBytes = 32 * 1024;
+    // Buffers up to this size are kept for the next message. They count as held: with 32 KB, 640 idle connections used
+    // up the 20 MB of the smallest machine. Two buffers of each of its 1,280 connections now keep at most 5 MB.
+    constexpr std::size_t keptBufferBytes = 2 * 1024;
 
     template <typename Head> struct ParsedHead {
         Head head;
@@ -124,6 +126,22 @@
     return state;
 }
 
+bool SocketBuffer::failed() const
+{
+    pollfd state { socket_.impl()->sockfd(), 0, 0 };
+    return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0;
+}
+
+void SocketBuffer::reserveReceived(std::size_t bytes)
+{
+    if (bytes <= received_.capacity())
+        return;
+    std::string larger; // a new string, since reserve() of one in use may double its capacity
+    larger.reserve(bytes);
+    larger.append(received_);
+    received_.swap(larger);
+}
+
 void SocketBuffer::releaseMemory()
 {
     for (std::string* buffer : { &received_, &unsent_ }) {
--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -47,11 +47,11 @@
 // request without one.
 class LoopHttpServer::RequestCharge {
 public:
-    RequestCharge(std::shared_ptr<ConnectionBudget> budget, std::size_t bodyBytes)
+    RequestCharge(std::shared_ptr<ConnectionBudget> budget, std::size_t requestBytes)
         : budget_(std::move(budget))
-        , bodyBytes_(bodyBytes)
+        , requestBytes_(requestBytes)
     {
-        budget_->startRequest(bodyBytes_);
+        budget_->startRequest(requestBytes_);
     }
     ~RequestCharge() { end(); }
     RequestCharge(const RequestCharge&) = delete;
@@ -60,12 +60,12 @@
     void end()
     {
         if (const auto budget = std::exchange(budget_, nullptr))
-            budget->endRequest(bodyBytes_);
+            budget->endRequest(requestBytes_);
     }
 
 private:
     std::shared_ptr<ConnectionBudget> budget_; // null once ended
-    std::size_t bodyBytes_;
+    std::size_t requestBytes_;
 };
 
 class LoopHttpServer::Connection final : public SocketHandler,
@@ -90,9 +90,9 @@
     void onReadable() override
     {
         if (!reading_) {
-            // Either the connection has failed, or it was readable when the iteration began and reading was paused
-            // since by the handler of another socket.
-            if (buffer_.socket().impl()->socketError() != 0)
+            // Either the connection has failed, or the event is from before an earlier handler of this iteration made
+            // the response and reading was stopped.
+            if (buffer_.failed())
                 close();
             return;
         }
@@ -104,7 +104,10 @@
             return; // what has arrived is handled first
         const auto self = shared_from_this();
         noteActivity();
-        if (buffer_.receiveSome(readLimit()) == SocketBuffer::ConnectionState::Closed) {
+        const std::size_t limit = readLimit();
+        if (messageBytes_ != 0)
+            buffer_.reserveReceived(buffer_.received().size() + limit);
+        if (buffer_.receiveSome(limit) == SocketBuffer::ConnectionState::Closed) {
             close();
             return;
         }
@@ -126,11 +129,12 @@
             updateBudget();
             return;
         }
-        if (closeAfterSend_) {
+        if (closeAfterSend_ || server_->draining_) {
             close();
             return;
         }
         const auto self = shared_from_this();
+        buffer_.releaseMemory();
         watch(true, false);
         startStage();
         serveNext();
@@ -222,11 +226,14 @@
 
     bool mayServe() const { return !requestInProgress_ && !buffer_.hasUnsent() && !closeAfterSend_; }
 
+    // For a body at most as much as has arrived, so that the memory follows what the client has sent and not what its
+    // head announces.
     std::size_t readLimit()
     {
-        if (messageBytes_ <= buffer_.received().size())
+        const std::size_t arrived = buffer_.received().size();
+        if (messageBytes_ <= arrived)
             return readAheadBytes;
-        return std::min(messageBytes_ - buffer_.received().size(), bodyReadBytes);
+        return std::min(messageBytes_ - arrived, std::clamp(arrived, readAheadBytes, bodyReadBytes));
     }
 
     void watch(bool reading, bool writing)
@@ -295,6 +302,7 @@
     {
         if (!server_ || !mayServe() || buffer_.received().size() < messageBytes_)
             return;
+        const std::size_t bytesBefore = buffer_.received().size();
         auto extracted = extractRequest(buffer_.received(), server_->limits_.message);
         if (!extracted) {
             refuseMalformed(extracted.error());
@@ -302,24 +310,22 @@
         }
         if (!extracted.value()) {
             const auto size = requestSize(buffer_.received(), server_->limits_.message);
-            if (size && size.value()) {
+            if (size && size.value())
                 messageBytes_ = *size.value();
-                buffer_.received().reserve(messageBytes_);
-            }
             return;
         }
         messageBytes_ = 0;
         buffer_.releaseMemory();
         served_ = true;
-        const std::size_t bodyBytes = extracted.value()->body.size();
+        const std::size_t requestBytes = bytesBefore - buffer_.received().size();
         closeAfterSend_ = !extracted.value()->head.getKeepAlive();
-        if (!server_->budget_->mayStartRequest(bodyBytes)) {
+        if (!server_->budget_->mayStartRequest(requestBytes)) {
             refuse("request-budget", budgetRefusal());
             return;
         }
         requestInProgress_ = true;
         const auto self = shared_from_this();
-        const auto charge = std::make_shared<RequestCharge>(server_->budget_, bodyBytes);
+        const auto charge = std::make_shared<RequestCharge>(server_->budget_, requestBytes);
         const std::string target = extracted.value()->head.getURI();
         try {
             server_->handler_(std::move(*extracted.value()), [self, charge](const ServerResponse& response) {
@@ -499,7 +505,7 @@
 
 void LoopHttpServer::enforceBudget()
 {
-    while (const auto choice = budget_->connectionToClose()) {
+    while (const auto choice = budget_->connectionToClose(loop_.clock().monotonic())) {
         const auto connection = connections_.at(choice->connection);
         connection->closeFor(
             choice->cause == ConnectionBudget::Cause::Connections ? "connection-budget" : "receive-budget");
--- a/tests/reactor/ServerLimitsTest.cpp
+++ b/tests/reactor/ServerLimitsTest.cpp
@@ -32,6 +32,8 @@
                     ++handled;
                     if (request.head.getURI() == "/trigger")
                         onTrigger();
+                    if (request.head.getURI() != "/hold" && onRequest)
+                        onRequest();
                     if (request.head.getURI() == "/hold")
                         held.push_back(respond);
                     else
@@ -49,6 +51,14 @@
             return socket;
         }
 
+        // A client whose kernel holds a small part of a response of some hundred kilobytes until it is received.
+        std::unique_ptr<Poco::Net::StreamSocket> connectWithSmallBuffer() const
+        {
+            auto socket = connect();
+            socket->setReceiveBufferSize(static_cast<int>(16 * kilobyte));
+            return socket;
+        }
+
         // Runs the loop until the condition holds, for at most 5 s of real time.
         bool runUntil(const std::function<bool()>& condition)
         {
@@ -82,6 +92,7 @@
         std::map<std::string, int> closed;
         std::map<std::string, int> refused;
         int handled = 0;
+        std::function<void()> onRequest; // called before a request other than /hold is answered, if set
     };
 
     // Sends as much as the socket accepts and returns how much that is.
@@ -341,6 +352,140 @@
     }));
 }
 
+// Guards against idle connections whose empty buffers use up the budget, after which unfinished requests are refused.
+TEST_CASE("an idle connection keeps little buffer memory")
+{
+    Fixture fixture(testLimits());
+    const auto client = fixture.connectWithSmallBuffer();
+    const std::string request = post("/hold", 12 * kilobyte) + std::string(12 * kilobyte, 'x');
+    std::size_t sent = 0;
+    REQUIRE(fixture.runUntil([&] {
+        sent += send(*client, request.substr(sent));
+        return fixture.held.size() == 1;
+    }));
+    const std::string body(500 * kilobyte, 'x');
+    fixture.held.front()({ 200, body, {} });
+    REQUIRE(fixture.server->budget().bufferedBytes() > 4 * kilobyte); // a part of the response is not sent
+    std::string response;
+    REQUIRE(fixture.runUntil([&] {
+        receive(*client, response);
+        return response.size() > body.size();
+    }));
+    CHECK(fixture.runUntil([&] { return fixture.server->budget().bufferedBytes() <= 4 * kilobyte; }));
+    CHECK(fixture.server->connections() == 1);
+
+    const auto other = fixture.connect();
+    sent = 0;
+    const std::string small = post("/", 12 * kilobyte) + std::string(12 * kilobyte, 'x');
+    REQUIRE(fixture.runUntil([&] {
+        sent += send(*other, small.substr(sent));
+        return fixture.handled == 2;
+    }));
+    CHECK(fixture.server->budget().bufferedBytes() <= 8 * kilobyte);
+}
+
+// Guards against clients that fill the budget with heads alone.
+TEST_CASE("a body counts as it arrives and not when its head announces it")
+{
+    Fixture fixture(testLimits());
+    const std::string head = post("/", 256 * kilobyte);
+    std::vector<std::unique_ptr<Poco::Net::StreamSocket>> clients;
+    for (int count = 0; count < 6; ++count) {
+        clients.push_back(fixture.connect());
+        send(*clients.back(), head);
+    }
+    CHECK(fixture.runUntil([&] { return fixture.server->budget().bufferedBytes() >= 6 * head.size(); }));
+    CHECK(fixture.server->connections() == 6);
+    CHECK(fixture.server->budget().bufferedBytes() <= 6 * kilobyte);
+
+    // The memory follows what has arrived, and never exceeds the size of the request by more than one step.
+    const std::string body(256 * kilobyte, 'x');
+    std::size_t sent = 0;
+    std::size_t largest = 0;
+    CHECK(fixture.runUntil([&] {
+        sent += send(*clients.front(), body.substr(sent));
+        largest = std::max(largest, fixture.server->budget().bufferedBytes());
+        return fixture.handled == 1;
+    }));
+    CHECK(largest <= 256 * kilobyte + 6 * kilobyte);
+}
+
+// Guards against a drained server that waits for a client which keeps its connection open after the last response.
+TEST_CASE("a connection whose response is partly sent when the server drains is closed after the response")
+{
+    Fixture fixture(testLimits());
+    const auto client = fixture.connectWithSmallBuffer();
+    send(*client, "GET /hold HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.runUntil([&] { return fixture.held.size() == 1; }));
+    const std::string body(500 * kilobyte, 'x');
+    fixture.held.front()({ 200, body, {} });
+    fixture.server->drain();
+    CHECK(fixture.server->connections() == 1);
+    std::string response;
+    CHECK(fixture.runUntil([&] {
+        receive(*client, response);
+        return response.size() > body.size() && fixture.server->connections() == 0;
+    }));
+    CHECK(response.size() > body.size());
+}
+
+// Guards against requests with large heads that are held without being counted.
+TEST_CASE("a request in progress counts with its head and its body")
+{
+    Fixture fixture(testLimits());
+    const auto client = fixture.connect();
+    const std::string request = "POST /hold HTTP/1.1\r\nX-Padding: " + std::string(3 * kilobyte, 'x')
+        + "\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'x');
+    send(*client, request);
+    REQUIRE(fixture.runUntil([&] { return fixture.held.size() == 1; }));
+    CHECK(fixture.server->budget().requestBytes() == ConnectionBudget::requestCost(request.size()));
+    fixture.held.front()({ 200, "{}", {} });
+    CHECK(fixture.server->budget().requestBytes() == 0);
+}
+
+// Guards against a response that is cut off because its client's next bytes were reported in the same poll.
+TEST_CASE("a response that is made while a readable event of its connection is pending is sent whole")
+{
+    ConnectionLimits limits = testLimits();
+    limits.bufferedBytes = ConnectionLimits::unlimited;
+    Fixture fixture(limits);
+    const std::string body(300 * kilobyte, 'x');
+    std::vector<std::unique_ptr<Poco::Net::StreamSocket>> clients;
+    for (int count = 0; count < 8; ++count)
+        clients.push_back(fixture.connectWithSmallBuffer());
+    fixture.onRequest = [&] {
+        for (const Responder& respond : std::exchange(fixture.held, {}))
+            respond({ 200, body, {} });
+    };
+    // The order of events within a poll is not defined, so each client once sends the request that makes the responses
+    // to the others, whose further bytes have just arrived.
+    for (const auto& releasing : clients) {
+        for (const auto& client : clients) {
+            if (client != releasing)
+                send(*client, "GET /hold HTTP/1.1\r\n\r\n");
+        }
+        REQUIRE(fixture.runUntil([&] { return fixture.held.size() == clients.size() - 1; }));
+        for (const auto& client : clients) {
+            if (client != releasing)
+                send(*client, "\r\n");
+        }
+        send(*releasing, "GET / HTTP/1.1\r\n\r\n");
+        std::vector<std::string> responses(clients.size());
+        REQUIRE(fixture.runUntil([&] {
+            bool complete = true;
+            for (std::size_t index = 0; index < clients.size(); ++index) {
+                receive(*clients[index], responses[index]);
+                const std::size_t headEnd = responses[index].find("\r\n\r\n");
+                const std::size_t bodyBytes = clients[index] == releasing ? 2 : body.size();
+                complete
+                    = complete && headEnd != std::string::npos && responses[index].size() == headEnd + 4 + bodyBytes;
+            }
+            return complete;
+        }));
+    }
+    CHECK(fixture.server->connections() == clients.size());
+}
+
 // Guards against counts that do not return to zero, until every client is refused.
 TEST_CASE("the counts of a server end at zero after any sequence of opened, fed, held and closed connections")
 {
