A new owner starts new jobs on workers that it has not reconciled yet

Cause: after a takeover nothing starts on a worker until the second of two reports after the longest stop, since stops of the previous owner may still occupy it. That is 0.9 s with stops of 400 ms, in which urgent jobs wait that no previous owner knew. Change: jobs that cannot have unknown runs start after the worker's first report, if the configuration says that its workers refuse what exceeds their capacity. What is refused is placed again.

--- a/include/rosemarylink/jobs/Configuration.h
+++ b/include/rosemarylink/jobs/Configuration.h
@@ -32,6 +32,7 @@
     std::int64_t version = 0;
     std::vector<Queue> queues;
     std::vector<ClientAccount> accounts;
+    std::set<ServiceId> guardedPools; // whose workers refuse starts that exceed their capacity
     std::size_t maximumBodyBytes = 256 * 1024;
 
     // Returns the queue of that host with the longest matching path prefix, or null.
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -309,6 +309,9 @@
     std::vector<Job*> unfinishedJobs(const ServiceId& pool);
     // Jobs and occurrences of the highest priority that are within their account's guarantee.
     using Guaranteed = std::set<std::pair<JobId, int>>;
+    // Whether the worker may run jobs that no previous owner can have started, although that owner's stops there may
+    // not be over. What they still occupy is unknown, so the worker must refuse what does not fit.
+    bool mayRunNewJobs(const Worker&) const;
     Guaranteed guaranteedOccurrences(const std::vector<Job*>&) const;
     std::optional<Milliseconds> dueTime(const Job&, int occurrence) const;
     // Numbers of runs on workers that are being stopped and no longer the runs of their tasks, by job, occurrence and
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -164,12 +164,20 @@
     }
     std::sort(row.expectedEnds.begin(), row.expectedEnds.end(),
         [](const ExpectedEnd& a, const ExpectedEnd& b) { return a.at < b.at; });
-    row.schedulable = worker.reconciled && mayStartOn(worker, StartCommandKind::First) && worker.clock
-        && !worker.unresponsiveSince && worker.idleUntil <= now();
+    row.schedulable = (worker.reconciled || mayRunNewJobs(worker)) && mayStartOn(worker, StartCommandKind::First)
+        && worker.clock && !worker.unresponsiveSince && worker.idleUntil <= now();
     row.suspect = worker.avoidUntil > now() || isRecentlyCrashed(worker);
     return row;
 }
 
+// Until the worker is reconciled, only jobs that cannot have runs there are planned; see Job::mayHaveUnknownRuns.
+bool OwnerSession::mayRunNewJobs(const Worker& worker) const
+{
+    const Configuration* configuration = owner_.config_.current();
+    return worker.firstReportAt && unconfirmedWorkers_.count(worker.entry.id) > 0 && configuration
+        && configuration->guardedPools.count(worker.entry.pool) > 0;
+}
+
 std::vector<Job*> OwnerSession::unfinishedJobs(const ServiceId& pool)
 {
     std::vector<Job*> byArrival;
--- a/tests/jobs/SimCluster.cpp
+++ b/tests/jobs/SimCluster.cpp
@@ -14,6 +14,8 @@
     const nlohmann::json json = nlohmann::json::parse(record.value);
     Configuration configuration;
     configuration.version = json.at("version").get<std::int64_t>();
+    if (guardsCapacity)
+        configuration.guardedPools = { ServiceId("pool") };
     int priority = 0;
     for (const std::string name : { "urgent", "batch", "sweep", "open" }) {
         Queue queue;
--- a/tests/jobs/SimCluster.h
+++ b/tests/jobs/SimCluster.h
@@ -28,6 +28,7 @@
     // Fails for a key that consists of the prefix only.
     Result<FailureDomainId> parseEvacuation(const Record&) const override;
 
+    bool guardsCapacity = true; // the configuration says that workers refuse starts that exceed their capacity
     std::string throwsFor; // key of the registration whose parsing throws an exception
 };
 
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -252,4 +252,37 @@
     CHECK(lists - before >= 9);
 }
 
+// Guards against urgent jobs that wait after a takeover until the stops of the previous owner are over everywhere,
+// which takes two reports of each worker and one longest stop between them.
+TEST_CASE(
+    "a job that is submitted after a takeover starts before the workers are reconciled if they guard their capacity")
+{
+    const bool guards = GENERATE(true, false);
+    SimFleet::Options options;
+    options.stopTime = Milliseconds(900);
+    SimCluster cluster(2, options);
+    for (const auto& instance : cluster.instances)
+        instance->catalog.guardsCapacity = guards;
+    cluster.addWorkers(2, 2);
+    cluster.world.run(Milliseconds(300));
+    // Work on all workers, one of which is being stopped when the owner ends.
+    cluster.submit("batch", "a1", oneStep(8, 2, Milliseconds(9000), /*gang=*/false));
+    cluster.world.run(Milliseconds(500));
+    cluster.cancel("batch", "a1");
+    cluster.world.run(Milliseconds(20));
+    SimInstance* const owner = cluster.currentOwner();
+    REQUIRE(owner != nullptr);
+    owner->ownership.resign();
+    owner->owner.end();
+    cluster.world.run(Milliseconds(300));
+    REQUIRE(cluster.currentOwner() != nullptr);
+    const std::size_t other = cluster.currentOwner() == cluster.instances[0].get() ? 0 : 1;
+    cluster.submit("urgent", "u1", oneStep(2, 4, Milliseconds(500), /*gang=*/true), other);
+    cluster.world.run(Milliseconds(200));
+    CHECK((cluster.fleet.startsOf(JobId("u1")) == 2) == guards);
+    cluster.world.run(Milliseconds(20000));
+    CHECK(joined(cluster.fleet.violations()).empty());
+    CHECK(cluster.storedState("u1") == JobState::Completed);
+}
+
 } // namespace rosemarylink::jobs
--- a/tests/jobs/WorkerCapacityTest.cpp
+++ b/tests/jobs/WorkerCapacityTest.cpp
@@ -48,6 +48,8 @@
     CAPTURE(seed);
     SimCluster cluster(2);
     cluster.fleet.admitsAnything = true;
+    for (const auto& instance : cluster.instances)
+        instance->catalog.guardsCapacity = false;
     cluster.addWorkers(2, 4);
     cluster.world.run(Milliseconds(300));
     changeCapacities(cluster, seed, 120);
@@ -62,6 +64,8 @@
     CAPTURE(seed);
     SimCluster cluster(3);
     cluster.fleet.admitsAnything = true;
+    for (const auto& instance : cluster.instances)
+        instance->catalog.guardsCapacity = false;
     cluster.fleet.lostCommandResponseShare = 0.1;
     cluster.addWorkers(2, 4);
     cluster.world.run(Milliseconds(300));
@@ -87,6 +91,8 @@
 {
     SimCluster cluster(2);
     cluster.fleet.admitsAnything = true;
+    for (const auto& instance : cluster.instances)
+        instance->catalog.guardsCapacity = false;
     cluster.addWorkers(1, 2);
     cluster.world.run(Milliseconds(300));
     for (const WorkerId& id : cluster.fleet.ids())
