Slow workers are known by the pace of their runs, avoided, and left by work that ends sooner elsewhere

Cause: nobody kept what the reports show of a worker's pace. Change: WorkerPaces keeps slow workers (median of a step's tasks, predictions where that is unknown), the planner uses them last and only where the job ends in time, StragglerMoves stops work that ends clearly sooner elsewhere, the record fleet/pace lets the next owner know them.

--- a/include/rosemarylink/jobs/JobMetrics.h
+++ b/include/rosemarylink/jobs/JobMetrics.h
@@ -28,6 +28,9 @@
     void countDutyRestart(const std::string& duty, const std::string& cause);
     void setDutyAge(const std::string& duty, Milliseconds age);
 
+    // Number of workers that the owner takes for slow.
+    void setSlowWorkers(std::size_t count);
+
     // Of the evacuations that the owner knows. Domains must be those of registered workers.
     void setEvacuatedDomains(std::size_t domains);
     void setEvacuation(const FailureDomainId&, std::size_t runs, Milliseconds age);
@@ -38,6 +41,7 @@
     Counter& silentWorkers; // times that a worker stopped responding
     Counter& lostRuns; // runs whose worker restarted, left or did not respond until its lease expired
 
+    Counter& movedStragglers; // tasks and gangs that were stopped on slow workers to go on elsewhere
     Counter& oversizedRecords; // times that a job's progress record came to exceed the store's limit
 
     // Durations of the stages of a job's processing, in ms.
--- a/src/jobs/GangReservations.cpp
+++ b/src/jobs/GangReservations.cpp
@@ -46,7 +46,7 @@
 
 void GangReservations::addSlots(const PlanStep& gang, FleetWorker& worker, std::vector<Slot>& slots) const
 {
-    if (worker.hold || !PlannerFleet::isEligible(gang, worker))
+    if (worker.hold || !PlannerFleet::isEligible(gang, worker) || fleet_.isTooSlow(gang, worker))
         return;
     const Resources& perTask = gang.spec->perTask;
     const int most = PlannerFleet::applySpreadLimit(
--- a/src/jobs/JobMetrics.cpp
+++ b/src/jobs/JobMetrics.cpp
@@ -36,6 +36,8 @@
     : ownerships(registry.counter("rosemarylink_ownerships_total", "Times that this instance became the owner."))
     , silentWorkers(registry.counter("rosemarylink_silent_workers_total", "Times that a worker stopped answering."))
     , lostRuns(registry.counter("rosemarylink_lost_runs_total", "Runs that ended with their worker or its lease."))
+    , movedStragglers(registry.counter("rosemarylink_moved_stragglers_total",
+          "Tasks and gangs that were stopped on slow workers to go on elsewhere."))
     , oversizedRecords(registry.counter("rosemarylink_oversized_records_total",
           "Times that the progress record of a job came to exceed the store's limit on a value."))
     , accept(registry.distribution(stageMetric, stageHelp, { { "leg", "accept" } }))
@@ -97,6 +99,12 @@
         .add();
 }
 
+void JobMetrics::setSlowWorkers(std::size_t count)
+{
+    registry_.gauge("rosemarylink_slow_workers", "Workers that the owner takes for slow.")
+        .set(static_cast<double>(count));
+}
+
 void JobMetrics::setDutyAge(const std::string& duty, Milliseconds age)
 {
     registry_
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -7,9 +7,11 @@
 #include "PlannerFleet.h"
 #include "PreemptionPatience.h"
 #include "RunEvidence.h"
+#include "StragglerMoves.h"
 #include "UrgentHeadroom.h"
 #include "WorkerLease.h"
 #include "WorkerRun.h"
+#include "WorkerPace.h"
 #include "rosemarylink/base/RunTimePredictor.h"
 #include "rosemarylink/jobs/Duty.h"
 #include "rosemarylink/jobs/PoolOwner.h"
@@ -324,11 +326,35 @@
     Milliseconds expectedRunTime(const JobSpec&, std::size_t step) const;
     void expectEnd(const Job&, const TaskKey&, WorkerRun&, int percent) const;
     void applyPlan(const ServiceId& pool, const PlanInput&, const Plan&);
+    // The objective for the time from the job's arrival, or its occurrence's due time, to its completion.
+    Milliseconds objectiveOf(const JobSpec&) const;
     void preempt(const PlanInput&, const Plan&);
     void logWaiting(const ServiceId& pool, const PlanInput&, const Plan&);
 
     // OwnerSessionDiagnosis.cpp: reports of work that is held back, and of what a second start of a task relies on.
     void logFleetRecord() const;
+    // OwnerSessionPace.cpp: workers that are slower than others.
+    using StepKey = std::tuple<JobId, int, int>; // job, occurrence and step
+    bool observesWorkers() const { return owner_.limits_.observeWorkers; }
+    // Measures the pace of the worker's runs from a report that has just been handled.
+    void notePace(Worker&, const WorkerReport&);
+    // `clock` is the reading of the worker's clock in the report.
+    std::optional<double> measurePace(Worker&, const RunningRun&, Milliseconds clock);
+    // Since when the run has worked, on its worker's clock: a gang begins when all of its members have started. Absent
+    // if it does not yet.
+    std::optional<Milliseconds> workingSince(Job&, const TaskKey&, const WorkerRun&);
+    // Whether the run is slow because its worker is far from its data or from the other tasks of its step.
+    bool isRemote(Job&, const TaskKey&, const Worker&);
+    // What the run time predictor should learn from a run that has ended after `ran`.
+    Milliseconds typicalRunTime(const TaskKey&, Milliseconds ran) const;
+    void moveStragglers();
+    // Drops what is kept for the pace of the job's tasks.
+    void forgetPaces(const JobId&);
+    std::set<TaskKey> tasksOnSlowWorkers();
+    std::optional<Straggler> straggler(const TaskKey& first);
+    void loadPaces();
+    void storePaces();
+
     void noteRunGone(const RunKey&, const WorkerId&, const std::string& proof, Milliseconds observedAt);
     void logRestart(const Job&, const RunKey&, const Worker&) const;
     void logHeldBackWork();
@@ -421,6 +447,14 @@
     RunTimePredictor runTimes_; // by queue
     std::optional<Milliseconds> lastCrashAt_; // of any worker
     std::map<std::string, Milliseconds> crashedAt_; // by the worker's address, which a successor with a new id shares
+    WorkerPaces paces_;
+    std::map<StepKey, StepDurations> stepDurations_; // of steps with runs whose pace has been measured
+    std::map<TaskKey, int> moves_; // how often work was moved off slow workers, by its first task
+    Milliseconds stragglersCheckedAt_ { 0 };
+    bool pacesLoaded_ = false;
+    std::set<WorkerId> storedSlow_; // in the stored record of paces
+    Milliseconds pacesStoredAt_ { 0 };
+    bool pacesWriting_ = false;
     Milliseconds workersRequestedAt_ { 0 }; // request of the newest list of workers
     Milliseconds workersListedAt_ { 0 }; // request of the newest list of workers that has been handled
     bool recovered_ = false;
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -19,6 +19,10 @@
     // Only some plans look for work to preempt for steps that are not urgent, because the search is costly.
     constexpr Milliseconds otherPreemptionInterval { 25 };
 
+    // A slow worker without runs may be given a single task to see whether it is still slow, this long after it was
+    // last seen to be.
+    constexpr Milliseconds probeInterval { 3000 };
+
     // An occurrence starts this long after its due time, so that it is not early by a slightly different clock.
     constexpr Milliseconds dueMargin { 20 };
 
@@ -140,6 +144,12 @@
     return longest;
 }
 
+Milliseconds OwnerSession::objectiveOf(const JobSpec& job) const
+{
+    const auto chain = static_cast<double>(criticalPath(job, 0).count());
+    return Milliseconds(static_cast<std::int64_t>(chain * job.policy.stretch)) + job.policy.objectiveSlack;
+}
+
 PlanWorker OwnerSession::planWorker(const Worker& worker) const
 {
     PlanWorker row;
@@ -167,6 +177,10 @@
     row.schedulable = (worker.reconciled || mayRunNewJobs(worker)) && mayStartOn(worker, StartCommandKind::First)
         && worker.clock && !worker.unresponsiveSince && worker.idleUntil <= now();
     row.suspect = worker.avoidUntil > now() || isRecentlyCrashed(worker);
+    if (const SlowWorker* slow = paces_.find(worker.entry.id, now())) {
+        row.pace = slow->pace;
+        row.mayBeProbed = worker.runs.empty() && now() - slow->seenAt >= probeInterval;
+    }
     return row;
 }
 
@@ -335,10 +349,7 @@
             step.idleSince = std::max(step.readyAt, progress.activeAt.value_or(step.readyAt));
             step.expectedRunTime = expectedRunTime(job.spec, number);
             step.remaining = criticalPath(job.spec, number);
-            const Milliseconds chain = criticalPath(job.spec, 0);
-            const Milliseconds objective
-                = Milliseconds(static_cast<std::int64_t>(static_cast<double>(chain.count()) * job.spec.policy.stretch))
-                + job.spec.policy.objectiveSlack;
+            const Milliseconds objective = objectiveOf(job.spec);
             step.objectiveAt = dueAt + objective;
             step.lateDeadline = dueAt + objective * lateFactor;
             input.steps.push_back(std::move(step));
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -4,8 +4,8 @@
 #include "rosemarylink/base/Log.h"
 
 #include <algorithm>
-#include <tuple>
 #include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace rosemarylink::jobs::internal {
@@ -79,6 +79,7 @@
 {
     owner_.metrics_.setDutyAge(pollDuty, Milliseconds(0));
     owner_.metrics_.setDutyAge(flushDuty, Milliseconds(0));
+    owner_.metrics_.setSlowWorkers(0);
     if (evacuationsFollowedSince_)
         stopFollowingEvacuations();
 }
@@ -106,6 +107,7 @@
     followWorkersWithoutStore();
     repeatMissingFlush();
     stopIncompleteGangs();
+    moveStragglers();
     noteTakeoverQuorum();
     checkRecovered();
     noteSilentWorkers();
@@ -159,6 +161,8 @@
         loadProgress();
     else if (!fleetLoaded_)
         loadFleet();
+    else if (observesWorkers() && !pacesLoaded_)
+        loadPaces();
     else if (!watchedRevision_)
         loadIncoming();
     else
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -61,7 +61,7 @@
     noteJobStarted(*job);
     clearUnresolved({ ended.task, ended.run }); // the worker's process outlived the run, also if its lease expired
     endRun(*job, ended.task, ended.run, ended.end, ended.checkpoint, worker.entry.id);
-    if (ended.end == RunEnd::Failed)
+    if (ended.end == RunEnd::Failed) {
         recordFailure(worker, ended.task.job);
     else if (ended.end == RunEnd::Done)
         worker.recentFailures.clear();
@@ -75,7 +75,8 @@
     const StepSpec& spec = job.stepSpec(ended.task);
     const int median = spec.gang ? 0 : spec.taskCount / 2;
     if (ended.end == RunEnd::Done && run.checkpoint.empty() && !run.adopted && job.step(ended.task).done == median)
-        runTimes_.observe(job.spec.policy.queue.value(), spec.estimate, now() - run.startedAt);
+        runTimes_.observe(
+            job.spec.policy.queue.value(), spec.estimate, typicalRunTime(ended.task, now() - run.startedAt));
 }
 
 // Predicts the end of a run that has completed `percent` of its work by now.
@@ -209,6 +210,8 @@
     if (isFinal(job.state))
         return;
     if (job.complete())
+    if (step.complete())
+        stepDurations_.erase({ key.job, key.occurrence, key.step });
         finishJob(job, JobState::Completed);
     else
         markChanged(job, /*urgent=*/false);
@@ -272,6 +275,7 @@
     stopJob(job);
     markChanged(job, /*urgent=*/true);
 }
+    forgetPaces(job.spec.id);
 
 void OwnerSession::stopRun(Worker& worker, const RunKey& key)
 {
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -274,6 +274,7 @@
         worker.reportClock = report.workerClock;
         for (const RunningRun& running : report.running)
             handleRunning(worker, running);
+        notePace(worker, report);
         noteStopsOver(worker, report, sentAt);
         resolveAbsentRuns(worker, report, sentAt);
     }
--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -84,7 +84,8 @@
             });
             std::int64_t left = input_.urgentHeadroom;
             for (FleetWorker* worker : workers) {
-                if (!worker->schedulable || worker->free.accelerators <= 0 || worker->free.accelerators > left)
+                if (!worker->schedulable || fleet_.isAvoided(*worker) || worker->free.accelerators <= 0
+                    || worker->free.accelerators > left)
                     continue;
                 left -= worker->free.accelerators;
                 worker->keptForUrgent = true;
@@ -233,6 +234,7 @@
         {
             for (std::size_t number = 0; number < chosen.size(); ++number) {
                 chosen[number]->free -= step.spec->perTask;
+                chosen[number]->probed = true;
                 if (chosen[number]->hold && !endsBefore(step, chosen[number]->hold->from))
                     chosen[number]->hold->spare -= step.spec->perTask;
                 plan_.placements.push_back(
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -27,9 +27,16 @@
     std::int64_t urgentAccelerators = 0; // allocated to work of priority 0, which is rarely preempted
     bool schedulable = true; // may be given new work
     bool suspect = false; // runs have failed or starts were refused on it recently
+    double pace = 1; // of its runs; below 1 only if the worker is known to be slow, see WorkerPace.h
+    bool mayBeProbed = false; // slow when last seen, which a single task may check
     std::vector<ExpectedEnd> expectedEnds; // of all runs on it, in the order of time
+
+    bool isSlow() const { return pace < 1; }
 };
 
+// Slow workers are few as long as they are at most this fraction (1/N) of the pool. Otherwise pace is ignored.
+constexpr std::size_t slowDivisor = 3;
+
 // The tasks of one step that are ready to start. For a gang these are all of its tasks.
 struct PlanStep {
     JobId job;
--- a/src/jobs/PlannerFleet.cpp
+++ b/src/jobs/PlannerFleet.cpp
@@ -17,7 +17,14 @@
     // Suspect workers are few as long as they are at most this fraction (1/N) of the pool.
     constexpr std::size_t suspectDivisor = 4;
 
-    // Guaranteed work keeps away from suspect workers for this fraction (1/N) of the time in which it must start.
+    // A step that has waited this long uses slow workers as well, since there may be no others that it can use.
+    constexpr Milliseconds longestWaitForSoundWorkers { 15000 };
+
+    // Time that a task loses if it is placed on a worker that is still slow, until that shows and it is moved.
+    constexpr Milliseconds probeLoss { 5000 };
+
+    // Guaranteed work keeps away from suspect and slow workers for this fraction (1/N) of the time in which it must
+    // start.
     constexpr int guaranteedDivisor = 4;
 
     // Ranks racks other than the one with the step's data behind it.
@@ -83,6 +90,9 @@
     const auto suspects = std::count_if(
         input.workers.begin(), input.workers.end(), [](const PlanWorker& worker) { return worker.suspect; });
     fewSuspects_ = static_cast<std::size_t>(suspects) * suspectDivisor <= input.workers.size();
+    const auto slow = std::count_if(
+        input.workers.begin(), input.workers.end(), [](const PlanWorker& worker) { return worker.isSlow(); });
+    fewSlow_ = static_cast<std::size_t>(slow) * slowDivisor <= input.workers.size();
     mostlyFree_ = isMostlyFreePool(input.workers);
 }
 
@@ -126,6 +136,37 @@
     return fewSuspects_ && worker.row->suspect && (step.spec->gang || step.lastAttempt);
 }
 
+bool PlannerFleet::endsInTimeOn(const PlanStep& step, const FleetWorker& worker) const
+{
+    const auto runTime
+        = Milliseconds(static_cast<std::int64_t>(static_cast<double>(step.expectedRunTime.count()) / worker.row->pace));
+    // A gang that ends late keeps its other members waiting all the longer.
+    const bool canBeInTime = step.spec->gang || input_.now + step.remaining <= step.objectiveAt;
+    return input_.now + step.remaining - step.expectedRunTime + runTime
+        <= (canBeInTime ? step.objectiveAt : step.lateDeadline);
+}
+
+bool PlannerFleet::mayProbe(const PlanStep& step, const FleetWorker& worker) const
+{
+    return worker.row->mayBeProbed && !worker.probed && !step.spec->gang && step.priority != 0
+        && input_.now + step.remaining + probeLoss <= step.objectiveAt;
+}
+
+bool PlannerFleet::avoids(const PlanStep& step, const FleetWorker& worker) const
+{
+    if (!isAvoided(worker) || step.spec->longRunning)
+        return false;
+    // Guaranteed work must start in time, and there may be no other room for it.
+    const Milliseconds longestWait
+        = step.guaranteed ? input_.urgentRackWait / guaranteedDivisor : longestWaitForSoundWorkers;
+    return input_.now - step.readyAt < longestWait && !endsInTimeOn(step, worker);
+}
+
+bool PlannerFleet::isTooSlow(const PlanStep& step, const FleetWorker& worker) const
+{
+    return avoids(step, worker) && !mayProbe(step, worker);
+}
+
 int PlannerFleet::applySpreadLimit(const PlanStep& step, const FleetWorker& worker, int count)
 {
     if (step.spec->maximumPerWorker == 0)
@@ -137,7 +178,7 @@
 
 int PlannerFleet::capacityOn(const PlanStep& step, const FleetWorker& worker, bool includeReleasing) const
 {
-    if (!worker.schedulable || worker.keptForUrgent || isTooRisky(step, worker))
+    if (!worker.schedulable || worker.keptForUrgent || isTooRisky(step, worker) || isTooSlow(step, worker))
         return 0;
     Resources available = worker.free;
     if (includeReleasing)
@@ -151,11 +192,11 @@
     const int fitting = countFitting(step.spec->perTask, available, step.tasks.size());
     if (fitting == 0 || !mayRun(step, worker))
         return 0;
-    return applySpreadLimit(step, worker, fitting);
+    return applySpreadLimit(step, worker, avoids(step, worker) ? std::min(fitting, 1) : fitting);
 }
 
 struct PlannerFleet::Candidate {
-    std::tuple<bool, bool, bool, bool, std::int64_t, std::int64_t, std::int64_t> order;
+    std::tuple<bool, bool, bool, bool, bool, std::int64_t, std::int64_t, std::int64_t> order;
     FleetWorker* worker;
     int capacity;
 };
@@ -169,8 +210,8 @@
     const bool failedBefore = step.failedOn && step.failedOn->count(worker->row->id) > 0;
     const bool remote = !step.spec->dataRack.empty() && worker->row->rack != step.spec->dataRack;
     const std::int64_t urgent = step.priority == 0 ? -worker->row->urgentAccelerators : 0;
-    return { { failedBefore, !reserved, worker->row->suspect, remote, urgent, worker->free.accelerators,
-                 worker->free.milliCores },
+    return { { failedBefore, worker->row->isSlow(), !reserved, worker->row->suspect, remote, urgent,
+                 worker->free.accelerators, worker->free.milliCores },
         worker, capacity };
 }
 
--- a/src/jobs/PlannerFleet.h
+++ b/src/jobs/PlannerFleet.h
@@ -23,6 +23,7 @@
     bool schedulable = false;
     std::optional<CapacityHold> hold;
     bool keptForUrgent = false; // its free capacity is left to urgent work
+    bool probed = false; // a task is placed on it to see whether it is still slow
 };
 
 using FleetWorkers = std::vector<FleetWorker*>;
@@ -63,6 +64,10 @@
     // Once many workers are suspect the cause is rather in the jobs, and all workers are used.
     bool isTooRisky(const PlanStep&, const FleetWorker&) const;
 
+    // Whether the step must not use the worker because its job would end too late there. A gang ends with its slowest
+    // member. If a large part of the workers is slow, or the step has waited for long, all are used.
+    bool isTooSlow(const PlanStep&, const FleetWorker&) const;
+
     // Number of the step's waiting tasks that fit on the worker beside what it may run already, optionally counting
     // resources that are being released. On a worker with a hold that binds the step, tasks that may still run when the
     // hold begins get only what is spare then.
@@ -96,6 +101,9 @@
     // Whether some rack could hold all of the step's tasks if nothing ran there.
     bool fitsAnyEmptyRack(const PlanStep&) const;
 
+    // Whether work keeps away from the worker because it is slow.
+    bool isAvoided(const FleetWorker& worker) const { return worker.row->isSlow() && fewSlow_; }
+
     // Whether about half or less of the accelerators, or of the cores of a pool without accelerators, is in use on
     // workers that may be given work.
     bool isMostlyFree() const { return mostlyFree_; }
@@ -106,6 +114,11 @@
 private:
     struct Candidate;
 
+    bool endsInTimeOn(const PlanStep&, const FleetWorker&) const;
+    // Whether the step keeps away from the worker because it is slow, but for a probe.
+    bool avoids(const PlanStep&, const FleetWorker&) const;
+    bool mayProbe(const PlanStep&, const FleetWorker&) const;
+
     Candidate rank(const PlanStep&, FleetWorker*, int capacity) const;
     static FleetWorkers chooseBest(std::vector<Candidate>& fitting, std::size_t count);
     static int capacityAnywhere(const PlanStep&, const FleetWorker&, std::size_t limit);
@@ -115,6 +128,7 @@
     FleetWorkers all_;
     std::vector<FleetWorkers> racks_;
     bool fewSuspects_ = false;
+    bool fewSlow_ = false;
     bool mostlyFree_ = false;
 };
 
--- a/src/jobs/WorkerRun.h
+++ b/src/jobs/WorkerRun.h
@@ -36,6 +36,13 @@
     std::optional<Milliseconds> stopOverAt;
     Milliseconds stopSentAt { 0 };
 
+    // Progress in the report from which the run's pace is measured next, and the worker's clock in it. Absent until the
+    // run is known to work.
+    std::optional<Milliseconds> paceFrom;
+    int pacePercent = 0;
+    bool paceInterrupted = false; // the run was slow for a while for a reason other than its worker
+    std::optional<Milliseconds> paceDuration; // that the run would take in all at its latest pace
+
     // Notes that the worker's process has accepted or reported the run.
     void noteListsEnd()
     {
--- a/tests/jobs/SimFleet.cpp
+++ b/tests/jobs/SimFleet.cpp
@@ -226,7 +226,7 @@
     startedAfter_.insert(doneBefore.begin(), doneBefore.end());
     if (!order.checkpoint.empty())
         checkpointsUsed.push_back(taskName(order.task) + " " + order.checkpoint);
-    Run run { order.task, order.run, world_.now(), !spec->gang, false, order.checkpoint };
+    Run run { order.task, order.run, world_.now(), !spec->gang, world_.now(), false, order.checkpoint };
     incarnation.runs[order.task] = run;
     ++starts_[order.task.job];
     ++taskStarts_[taskName(order.task)];
@@ -257,9 +257,15 @@
         }
     }
     if (static_cast<int>(members.size()) == specOf(key)->taskCount) {
-        for (auto& [id, member] : members)
+        // The gang ends with its slowest member.
+        auto slowest = members.front();
+        for (auto& [id, member] : members) {
             member->gangComplete = true;
-        scheduleEnd(members.front().first, *members.front().second);
+            member->worksSince = world_.now();
+            if (durationOn(id, member->task) > durationOn(slowest.first, slowest.second->task))
+                slowest = { id, member };
+        }
+        scheduleEnd(slowest.first, *slowest.second);
         return;
     }
     world_.after(options_.gangTimeout, [this, key, run] {
@@ -272,6 +278,21 @@
     });
 }
 
+Milliseconds SimFleet::durationOn(const WorkerId& id, const TaskKey& task) const
+{
+    const auto slow = slowness.find(id);
+    const double factor = slow == slowness.end() ? 1.0 : slow->second;
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(specOf(task)->estimate.count()) * factor));
+}
+
+int SimFleet::percentOf(const WorkerState& worker, const Run& run) const
+{
+    if ((slowness.empty() && !reportsProgress) || !run.gangComplete)
+        return 0;
+    const Milliseconds duration = std::max(Milliseconds(1), durationOn(worker.entry.id, run.task));
+    return static_cast<int>(std::min<std::int64_t>(100, (world_.now() - run.worksSince) * 100 / duration));
+}
+
 void SimFleet::scheduleEnd(const WorkerId& id, const Run& run)
 {
     const StepSpec& spec = *specOf(run.task);
@@ -290,7 +311,7 @@
             return;
         }
     }
-    runAfter(id, spec.estimate, [this, id, run, gang = spec.gang] {
+    runAfter(id, durationOn(id, run.task), [this, id, run, gang = spec.gang] {
         WorkerState& incarnation = workers_.at(id);
         const auto present = incarnation.runs.find(run.task);
         if (present == incarnation.runs.end() || present->second.run != run.run || present->second.stopping)
@@ -374,7 +395,7 @@
     report.startTimeMs = incarnation.entry.startTimeMs;
     for (const auto& [key, run] : incarnation.runs) {
         if (!run.stopping) // a run that is being stopped is reported only once it has ended
-            report.running.push_back({ key, run.run, run.checkpoint, 0 });
+            report.running.push_back({ key, run.run, run.checkpoint, percentOf(incarnation, run) });
     }
     for (const EndedRun& ended : incarnation.ended) {
         if (report.ended.size() < listedEnds)
--- a/tests/jobs/SimFleet.h
+++ b/tests/jobs/SimFleet.h
@@ -56,6 +56,10 @@
     // have been executed; further ones time out while they connect, or are refused if the cut resets connections.
     std::set<WorkerId> silent;
     bool cutResets = false;
+    // Workers on which runs take longer, with the factor. Runs report their progress once there is one, or while
+    // `reportsProgress` is set.
+    std::map<WorkerId, double> slowness;
+    bool reportsProgress = false;
     std::set<WorkerId> faulty; // workers on which every run fails soon
     std::map<std::string, int> failuresLeft; // number of next runs that fail, by task name without index
 
@@ -97,6 +101,7 @@
         int run = 0;
         Milliseconds startedAt { 0 };
         bool gangComplete = false; // all members have started, or the task is not in a gang
+        Milliseconds worksSince { 0 }; // when that was so first
         bool stopping = false;
         std::string checkpoint;
     };
@@ -137,6 +142,9 @@
     void extend(WorkerState&, Milliseconds leaseEnd);
     void end(WorkerState&, const TaskKey&, RunEnd, const std::string& checkpoint);
     void scheduleEnd(const WorkerId&, const Run&);
+    // How long the task takes on the worker.
+    Milliseconds durationOn(const WorkerId&, const TaskKey&) const;
+    int percentOf(const WorkerState&, const Run&) const;
     void joinGang(const TaskKey&, int run);
     void endGang(const TaskKey&, int run, RunEnd);
     // Forgets the ends up to the number. Ends that come later are listed, whatever their numbers.
