A worker that fails much of what it starts is suspect until it completes most of its runs

Cause: a worker was suspect for 2 or 6 s after failures, and then took the next gang, which lost all its members. Change: WorkerFailures counts failed, refused and unanswered starts against completed runs over some 10 s. With two recent failures and more than a fifth failed the worker is suspect. Switched on as the pace of workers.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -9,6 +9,7 @@
 #include "RunEvidence.h"
 #include "StragglerMoves.h"
 #include "UrgentHeadroom.h"
+#include "WorkerFailures.h"
 #include "WorkerLease.h"
 #include "WorkerRun.h"
 #include "WorkerPace.h"
@@ -115,6 +116,7 @@
     // session, because a worker that has been removed may be registered again.
     std::uint64_t incarnation = 0;
     std::set<JobId> recentFailures; // jobs with a failed run on the worker since its last successful run
+    WorkerFailures failures; // of this incarnation's runs
     Milliseconds avoidUntil { 0 }; // the planner prefers other workers until then
     std::optional<Milliseconds> unresponsiveSince;
 };
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -176,7 +176,8 @@
         [](const ExpectedEnd& a, const ExpectedEnd& b) { return a.at < b.at; });
     row.schedulable = (worker.reconciled || mayRunNewJobs(worker)) && mayStartOn(worker, StartCommandKind::First)
         && worker.clock && !worker.unresponsiveSince && worker.idleUntil <= now();
-    row.suspect = worker.avoidUntil > now() || isRecentlyCrashed(worker);
+    row.suspect = worker.avoidUntil > now() || isRecentlyCrashed(worker)
+        || (observesWorkers() && worker.failures.isUnreliable(now()));
     if (const SlowWorker* slow = paces_.find(worker.entry.id, now())) {
         row.pace = slow->pace;
         row.mayBeProbed = worker.runs.empty() && now() - slow->seenAt >= probeInterval;
--- a/src/jobs/OwnerSessionStarts.cpp
+++ b/src/jobs/OwnerSessionStarts.cpp
@@ -209,6 +209,7 @@
         { { "task", taskName(key.first) }, { "run", key.second }, { "worker", worker.entry.id },
             { "attempts", worker.runs.at(key).startAttempts } });
     worker.avoidUntil = std::max(worker.avoidUntil, now() + avoidAfterRefusal);
+    worker.failures.addFailure(now());
     Job* const job = find(key.first.job);
     if (job && job->task(key.first).run == key.second && job->task(key.first).worker == worker.entry.id)
         stopTask(*job, key.first);
@@ -276,6 +277,8 @@
         { { "task", taskName(key.first) }, { "run", key.second }, { "worker", id },
             { "outcome", commandOutcomeName(response.outcome) } });
     worker->avoidUntil = std::max(worker->avoidUntil, now() + avoidAfterRefusal);
+    if (response.outcome == CommandOutcome::Refused && worker->reconciled)
+        worker->failures.addFailure(now());
     worker->runs.erase(position);
     if (!job)
         return;
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -63,8 +63,11 @@
     endRun(*job, ended.task, ended.run, ended.end, ended.checkpoint, worker.entry.id);
     if (ended.end == RunEnd::Failed) {
         recordFailure(worker, ended.task.job);
-    else if (ended.end == RunEnd::Done)
+        worker.failures.addFailure(now());
+    } else if (ended.end == RunEnd::Done) {
         worker.recentFailures.clear();
+        worker.failures.addSuccess(now());
+    }
     if (job->dirty())
         worker.pendingEnds.push_back({ ended.number, ended.task.job, job->changes });
 }
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -477,6 +477,8 @@
     worker.acknowledged = 0;
     worker.pendingEnds.clear();
     worker.recentFailures.clear();
+    worker.failures = WorkerFailures();
+    paces_.forget(worker.entry.id);
     for (const auto& [number, until] : worker.strayAcknowledgments)
         worker.idleUntil = std::max(worker.idleUntil, until);
     addStrayRuns(worker);
--- a/tests/jobs/WorkerPaceTest.cpp
+++ b/tests/jobs/WorkerPaceTest.cpp
@@ -2,6 +2,7 @@
 #include "PlanFixtures.h"
 #include "SimCluster.h"
 #include "StragglerMoves.h"
+#include "WorkerFailures.h"
 
 #include <catch2/catch.hpp>
 
@@ -165,6 +166,21 @@
     CHECK(placedOn(input, input.workers[0].id) == 1);
 }
 
+// Guards against a worker that is taken for bad after one failure, which tasks have by their own fault, and against one
+// that keeps failing what it starts.
+TEST_CASE("a worker is unreliable after two recent failures, unless it completes most of its runs")
+{
+    WorkerFailures failures;
+    failures.addFailure(Milliseconds(1000));
+    CHECK_FALSE(failures.isUnreliable(Milliseconds(1000)));
+    failures.addFailure(Milliseconds(2000));
+    CHECK(failures.isUnreliable(Milliseconds(2000)));
+    CHECK_FALSE(failures.isUnreliable(Milliseconds(12000)));
+    for (int run = 0; run < 8; ++run)
+        failures.addSuccess(Milliseconds(2500));
+    CHECK_FALSE(failures.isUnreliable(Milliseconds(2500)));
+}
+
 // Guards against guaranteed work that does not start in time because the free workers are slow.
 TEST_CASE("guaranteed work uses a slow worker after a part of the time in which it must start")
 {
