Large waiting jobs can be deferred where too little capacity becomes free in time

Cause: in a burst each job waits for those before it, until most are late by a little; the operators wish that what is delayed costs callers least.

--- a/apps/rosemarylink-edge/EdgeProcess.cpp
+++ b/apps/rosemarylink-edge/EdgeProcess.cpp
@@ -121,7 +121,9 @@
         logger.error("Settings were not reloaded", { { "reason", loaded.error().message } });
         return;
     }
+    const bool deferLargest = settings_.limits.deferLargest; // a command line option
     settings_.limits = loaded.value().limits;
+    settings_.limits.deferLargest = deferLargest;
     settings_.stopGrace = loaded.value().stopGrace;
     owner_.setLimits(settings_.limits);
     logger.info("Settings reloaded", { { "node", settings_.nodeName } });
--- a/apps/rosemarylink-edge/Main.cpp
+++ b/apps/rosemarylink-edge/Main.cpp
@@ -114,13 +114,16 @@
     const char* const environmentPath = std::getenv("ROSEMARYLINK_SETTINGS");
     std::string path = environmentPath ? environmentPath : "/etc/rosemarylink/node.json";
     std::uint32_t callerIdleLimitSeconds = defaultCallerIdleLimitSeconds;
+    bool deferLargest = false;
     options::options_description description(
         "rosemarylink-edge: serves callers and schedules jobs on the platform\n\nOptions");
     description.add_options()("help", "print this text")("version", "print the version")("settings",
         options::value(&path)->default_value(path),
         "the platform's settings file")("check-settings", "check the settings file and exit")("caller-idle-limit-s",
         options::value(&callerIdleLimitSeconds)->default_value(callerIdleLimitSeconds),
-        "a caller's connection without a request in progress is closed after this many idle seconds; 0: never");
+        "a caller's connection without a request in progress is closed after this many idle seconds; 0: never")(
+        "defer-large-jobs", options::bool_switch(&deferLargest),
+        "where too little capacity becomes free in time, let the largest waiting jobs of a priority be late");
     LimitOptions limitOptions;
     addLimitOptions(description, limitOptions);
     options::variables_map arguments;
@@ -139,7 +142,7 @@
         std::cout << "rosemarylink-edge " << ROSEMARYLINK_VERSION << "\n";
         return 0;
     }
-    const auto settings = rosemarylink::platform::loadPlatformSettings(path);
+    auto settings = rosemarylink::platform::loadPlatformSettings(path);
     if (!settings) {
         std::cerr << settings.error().message << "\n";
         return exitUsage;
@@ -148,6 +151,7 @@
         std::cout << path << ": the settings are valid\n";
         return 0;
     }
+    settings.value().limits.deferLargest = deferLargest;
     handleSignals();
     rosemarylink::startLogging(argv[0], STDOUT_FILENO); // the platform collects standard output
     rosemarylink::EdgeProcess process(path, settings.value(), std::chrono::seconds(callerIdleLimitSeconds),
--- a/include/rosemarylink/jobs/PoolOwner.h
+++ b/include/rosemarylink/jobs/PoolOwner.h
@@ -24,6 +24,13 @@
     Milliseconds stopTime { 900 }; // maximum time that stopping a run takes
     Milliseconds reclaimTimeout { 3000 }; // guaranteed work must start within this time
     Milliseconds finalStateRetention { 240000 }; // how long the final state of a job stays available
+    // Whether workers may be slow, or fail what they start although they report to be well, so that the owner keeps
+    // what it has observed of each.
+    bool observeWorkers = false;
+
+    // Whether large waiting jobs are deferred where too little capacity becomes free in time for all of their priority.
+    bool deferLargest = false;
+
     // No task may start in a failure domain from this time after its evacuation was acknowledged. Must be positive.
     // Absent if the deployment has no evacuations, which are then not looked for.
     std::optional<Milliseconds> evacuationTimeout = std::nullopt;
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -11,8 +11,8 @@
 #include "UrgentHeadroom.h"
 #include "WorkerFailures.h"
 #include "WorkerLease.h"
-#include "WorkerRun.h"
 #include "WorkerPace.h"
+#include "WorkerRun.h"
 #include "rosemarylink/base/RunTimePredictor.h"
 #include "rosemarylink/jobs/Duty.h"
 #include "rosemarylink/jobs/PoolOwner.h"
@@ -309,13 +309,13 @@
     void plan();
     PlanInput planInput(const ServiceId& pool);
     PlanWorker planWorker(const Worker&) const;
+    // Whether the worker may run jobs that no previous owner can have started, although that owner's stops there may
+    // not be over. What they still occupy is unknown, so the worker must refuse what does not fit.
+    bool mayRunNewJobs(const Worker&) const;
     // The pool's jobs that have not ended, in the order of arrival.
     std::vector<Job*> unfinishedJobs(const ServiceId& pool);
     // Jobs and occurrences of the highest priority that are within their account's guarantee.
     using Guaranteed = std::set<std::pair<JobId, int>>;
-    // Whether the worker may run jobs that no previous owner can have started, although that owner's stops there may
-    // not be over. What they still occupy is unknown, so the worker must refuse what does not fit.
-    bool mayRunNewJobs(const Worker&) const;
     Guaranteed guaranteedOccurrences(const std::vector<Job*>&) const;
     std::optional<Milliseconds> dueTime(const Job&, int occurrence) const;
     // Numbers of runs on workers that are being stopped and no longer the runs of their tasks, by job, occurrence and
@@ -326,15 +326,13 @@
     void addRunning(PlanInput&, const Job&, const Guaranteed&) const;
     Milliseconds criticalPath(const JobSpec&, std::size_t from) const;
     Milliseconds expectedRunTime(const JobSpec&, std::size_t step) const;
-    void expectEnd(const Job&, const TaskKey&, WorkerRun&, int percent) const;
-    void applyPlan(const ServiceId& pool, const PlanInput&, const Plan&);
     // The objective for the time from the job's arrival, or its occurrence's due time, to its completion.
     Milliseconds objectiveOf(const JobSpec&) const;
+    void expectEnd(const Job&, const TaskKey&, WorkerRun&, int percent) const;
+    void applyPlan(const ServiceId& pool, const PlanInput&, const Plan&);
     void preempt(const PlanInput&, const Plan&);
     void logWaiting(const ServiceId& pool, const PlanInput&, const Plan&);
 
-    // OwnerSessionDiagnosis.cpp: reports of work that is held back, and of what a second start of a task relies on.
-    void logFleetRecord() const;
     // OwnerSessionPace.cpp: workers that are slower than others.
     using StepKey = std::tuple<JobId, int, int>; // job, occurrence and step
     bool observesWorkers() const { return owner_.limits_.observeWorkers; }
@@ -357,6 +355,8 @@
     void loadPaces();
     void storePaces();
 
+    // OwnerSessionDiagnosis.cpp: reports of work that is held back, and of what a second start of a task relies on.
+    void logFleetRecord() const;
     void noteRunGone(const RunKey&, const WorkerId&, const std::string& proof, Milliseconds observedAt);
     void logRestart(const Job&, const RunKey&, const Worker&) const;
     void logHeldBackWork();
@@ -447,8 +447,6 @@
     std::map<ServiceId, ReleaseRate> releaseRates_;
     std::map<ServiceId, Milliseconds> preemptedForOthersAt_; // last plan that could preempt for work that is not urgent
     RunTimePredictor runTimes_; // by queue
-    std::optional<Milliseconds> lastCrashAt_; // of any worker
-    std::map<std::string, Milliseconds> crashedAt_; // by the worker's address, which a successor with a new id shares
     WorkerPaces paces_;
     std::map<StepKey, StepDurations> stepDurations_; // of steps with runs whose pace has been measured
     std::map<TaskKey, int> moves_; // how often work was moved off slow workers, by its first task
@@ -457,6 +455,8 @@
     std::set<WorkerId> storedSlow_; // in the stored record of paces
     Milliseconds pacesStoredAt_ { 0 };
     bool pacesWriting_ = false;
+    std::optional<Milliseconds> lastCrashAt_; // of any worker
+    std::map<std::string, Milliseconds> crashedAt_; // by the worker's address, which a successor with a new id shares
     Milliseconds workersRequestedAt_ { 0 }; // request of the newest list of workers
     Milliseconds workersListedAt_ { 0 }; // request of the newest list of workers that has been handled
     bool recovered_ = false;
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -242,6 +242,7 @@
 {
     PlanInput input;
     input.now = now();
+    input.deferLargest = owner_.limits_.deferLargest;
     input.urgentRackWait = owner_.limits_.reclaimTimeout - owner_.limits_.stopTime - reclaimMargin;
     std::int64_t urgentDemand = 0;
     std::int64_t capacity = 0;
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -210,11 +210,11 @@
         ++step.done;
     }
     step.gangCheckpoint.clear();
+    if (step.complete())
+        stepDurations_.erase({ key.job, key.occurrence, key.step });
     if (isFinal(job.state))
         return;
     if (job.complete())
-    if (step.complete())
-        stepDurations_.erase({ key.job, key.occurrence, key.step });
         finishJob(job, JobState::Completed);
     else
         markChanged(job, /*urgent=*/false);
@@ -275,10 +275,10 @@
     logger.info("Job ended",
         { { "job", job.spec.id }, { "state", jobStateName(state) }, { "queue", job.spec.policy.queue },
             { "sinceArrivalMs", (now() - job.arrivedAt).count() } });
+    forgetPaces(job.spec.id);
     stopJob(job);
     markChanged(job, /*urgent=*/true);
 }
-    forgetPaces(job.spec.id);
 
 void OwnerSession::stopRun(Worker& worker, const RunKey& key)
 {
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -84,6 +84,7 @@
     bool mayPreemptForOthers = false; // steps that are not urgent may preempt work that loses little
     double releasedCoresPerSecond = 0; // weighted cores that become free because work ends by itself
     std::int64_t urgentHeadroom = 0; // accelerators that work of lower priority must leave free for urgent work
+    bool deferLargest = false; // where too little becomes free in time, large steps are deferred; see StepOrder.h
     Milliseconds urgentRackWait { 0 }; // how long urgent work waits for its preferred rack before it may use others
 };
 
--- a/src/jobs/StepOrder.h
+++ b/src/jobs/StepOrder.h
@@ -9,6 +9,10 @@
 // a backlog does not make the work behind it late as well. A bound on waiting keeps the last group from starving. Tasks
 // that run until their job is cancelled have no objective; a failed one is started again before work that arrived
 // later.
+//
+// With PlanInput::deferLargest, the steps of one priority that can still meet their objective are not all kept in the
+// order of their objectives if too little capacity becomes free in time: the largest are deferred to the late ones, so
+// that more callers are served in time; see DeadlineSelection.h.
 namespace rosemarylink::jobs::internal {
 
 // Returns the waiting steps in the order in which they are given capacity.
