Renewals of the owner's lease are attempted again without the budget

Change: a renewal without a response is attempted again also without a budget, at most four times as every call.

--- a/src/jobs/HedgedStore.cpp
+++ b/src/jobs/HedgedStore.cpp
@@ -91,6 +91,7 @@
     std::shared_ptr<const Batch> batch; // null for other calls
     bool finished = false;
     bool unanswered = false; // an attempt has failed without a response
+    bool renewsLease = false;
     bool mayBeLarge = false; // the response contains a record of another writer
     int attempts = 0;
     int pending = 0; // number of attempts whose handler has not been called
@@ -172,7 +173,9 @@
     policy_.recordOverdue(clock_.monotonic());
     if (call->attempts >= (call->mayBeLarge ? maximumAttemptsIfLarge : HedgePolicy::maximumAttempts))
         return;
-    const bool attempted = policy_.takeAttempt();
+    // Without its lease the owner starts nothing, whatever else the budget was used for. Only the owner renews one,
+    // twice a second, so that the attempts stay few.
+    const bool attempted = policy_.takeAttempt() || call->renewsLease;
     logOverdue(*call, attempted);
     if (attempted)
         sendAttempt(call);
@@ -299,12 +302,14 @@
 
 void HedgedStore::keepLease(StoreLeaseId lease, Milliseconds timeout, StoreHandler handler)
 {
-    start(makeCall(
+    const CallPointer call = makeCall(
         "keep-lease", timeout,
         [lease](RecordStore& store, Milliseconds remaining, StoreHandler handle) {
             store.keepLease(lease, remaining, std::move(handle));
         },
-        std::move(handler)));
+        std::move(handler));
+    call->renewsLease = true;
+    start(call);
 }
 
 void HedgedStore::endLease(StoreLeaseId lease, Milliseconds timeout, StoreHandler handler)
