--- a/tests/jobs/HedgedStoreTest.cpp
+++ b/tests/jobs/HedgedStoreTest.cpp
@@ -82,7 +82,7 @@
 
         std::shared_ptr<Answer> commit(const Batch& batch)
         {
-            const auto answer = std::make_shared<Answer>();
+            auto answer = std::make_shared<Answer>();
             hedged.commit(batch, Milliseconds(900), handlerOf(answer));
             return answer;
         }
--- a/tests/jobs/StoreOutageTest.cpp
+++ b/tests/jobs/StoreOutageTest.cpp
@@ -23,7 +23,7 @@
     std::shared_ptr<Answer> submitAt(SimCluster& cluster, const std::string& queue, const std::string& id,
         std::size_t instance, Milliseconds deadline = Milliseconds(3000))
     {
-        const auto answer = std::make_shared<Answer>();
+        auto answer = std::make_shared<Answer>();
         answer->id = id;
         answer->sentAt = cluster.world.now();
         JobSpec named = smallJob;
