--- a/tests/reactor/ServerLimitsTest.cpp
+++ b/tests/reactor/ServerLimitsTest.cpp
@@ -450,8 +450,10 @@
     limits.bufferedBytes = ConnectionLimits::unlimited;
     Fixture fixture(limits);
     const std::string body(300 * kilobyte, 'x');
+    constexpr std::size_t clientCount = 8;
     std::vector<std::unique_ptr<Poco::Net::StreamSocket>> clients;
-    for (int count = 0; count < 8; ++count)
+    clients.reserve(clientCount);
+    while (clients.size() < clientCount)
         clients.push_back(fixture.connectWithSmallBuffer());
     fixture.onRequest = [&] {
         for (const Responder& respond : std::exchange(fixture.held, {}))
