The pace of a run looks at the other tasks of its step once

Change: whether the gang works and is in one rack is asked when the run's pace is first measured. Measured: WorkerPaceTest; the processor time was not measured again by itself.

--- a/src/jobs/OwnerSessionPace.cpp
+++ b/src/jobs/OwnerSessionPace.cpp
@@ -95,13 +95,13 @@
     if (run.phase != TaskPhase::Running || spec.longRunning || job->step(running.task).complete()
         || job->task(running.task).run != running.run)
         return std::nullopt;
-    const std::optional<Milliseconds> since = workingSince(*job, running.task, run);
-    if (!since || isRemote(*job, running.task, worker)) {
-        run.paceFrom.reset(); // a gang whose members are not all there stands still
-        run.paceInterrupted = true;
-        return std::nullopt;
-    }
     if (!run.paceFrom) {
+        // Asked once, because the answer takes a look at each task of the step.
+        const std::optional<Milliseconds> since = workingSince(*job, running.task, run);
+        if (!since || isRemote(*job, running.task, worker)) {
+            run.paceInterrupted = true;
+            return std::nullopt;
+        }
         // A run that goes on from a checkpoint, or that an earlier owner started, has not done all of its progress
         // since its start.
         const bool fromBeginning = run.checkpoint.empty() && !run.adopted && !run.paceInterrupted;
