Preemption counts the places that it makes instead of listing them

What callers saw: nothing so far. Tasks that ask for little or for nothing in a dimension fit by the thousand where one run is stopped. Change: a group of victims holds the number of tasks that they make room for. The groups are bounded by the running work. Why it works: further tasks that fit into the capacity that a group frees cost nothing and were taken right after it, so a count is all that the choice needs.

--- a/src/jobs/PreemptionChoice.cpp
+++ b/src/jobs/PreemptionChoice.cpp
@@ -5,6 +5,7 @@
 #include <queue>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace rosemarylink::jobs::internal {
 
@@ -109,7 +110,7 @@
     return fleet_.capacityOn(step, trial, /*includeReleasing=*/true);
 }
 
-std::vector<PreemptionChooser::Slot> PreemptionChooser::slotsOn(
+std::vector<PreemptionChooser::VictimGroup> PreemptionChooser::victimsOn(
     const PlanStep& step, std::size_t worker, std::int64_t needed) const
 {
     // Work of the step's own priority is preempted last.
@@ -123,8 +124,8 @@
         return std::make_tuple(std::get<0>(a), std::get<1>(a), std::get<2>(a)->work)
             < std::make_tuple(std::get<0>(b), std::get<1>(b), std::get<2>(b)->work);
     });
-    std::vector<Slot> slots;
-    Slot next { 0, worker, {} };
+    std::vector<VictimGroup> groups;
+    VictimGroup next;
     Resources freed;
     int capacity = capacityWith(step, worker, freed);
     for (const auto& [equallyUrgent, cost, share] : victims) {
@@ -134,16 +135,14 @@
         const int now = capacityWith(step, worker, freed);
         if (now == capacity)
             continue;
-        slots.push_back(next);
-        // Further tasks that fit into the same freed capacity cost nothing.
-        for (int more = capacity + 1; more < now && static_cast<std::int64_t>(slots.size()) < needed; ++more)
-            slots.push_back({ 0, worker, {} });
+        next.tasks = now - capacity;
         capacity = now;
-        next = { 0, worker, {} };
-        if (static_cast<std::int64_t>(slots.size()) >= needed)
+        needed -= next.tasks;
+        groups.push_back(std::exchange(next, {}));
+        if (needed <= 0)
             break;
     }
-    return slots;
+    return groups;
 }
 
 std::optional<PreemptionChoice> PreemptionChooser::choose(const PlanStep& step, const FleetWorkers& candidates)
@@ -159,26 +158,28 @@
         needed -= fleet_.capacityOn(step, *worker, /*includeReleasing=*/true);
     if (needed <= 0)
         return PreemptionChoice {};
-    std::vector<std::vector<Slot>> slots;
-    // Each worker's slots are taken in their order, across workers the cheapest next slot first.
-    using Next = std::tuple<double, std::size_t, std::size_t>; // cost, index into `slots`, slot of that worker
+    std::vector<std::vector<VictimGroup>> groups;
+    // Each worker's groups are taken in their order, across workers the cheapest next group first.
+    using Next = std::tuple<double, std::size_t, std::size_t>; // cost, index into `groups`, group of that worker
     std::priority_queue<Next, std::vector<Next>, std::greater<>> queue;
     for (const FleetWorker* worker : candidates) {
         if (mostOn(step, indexOf(*worker)) <= fleet_.capacityOn(step, *worker, /*includeReleasing=*/true))
             continue;
-        std::vector<Slot> found = slotsOn(step, indexOf(*worker), needed);
+        std::vector<VictimGroup> found = victimsOn(step, indexOf(*worker), needed);
         if (found.empty())
             continue;
-        queue.emplace(found.front().cost, slots.size(), 0);
-        slots.push_back(std::move(found));
+        queue.emplace(found.front().cost, groups.size(), 0);
+        groups.push_back(std::move(found));
     }
     std::set<std::size_t> chosen;
-    for (; needed > 0 && !queue.empty(); --needed) {
-        const auto [cost, worker, slot] = queue.top();
+    while (needed > 0 && !queue.empty()) {
+        const auto [cost, worker, number] = queue.top();
         queue.pop();
-        chosen.insert(slots[worker][slot].work.begin(), slots[worker][slot].work.end());
-        if (slot + 1 < slots[worker].size())
-            queue.emplace(slots[worker][slot + 1].cost, worker, slot + 1);
+        const VictimGroup& group = groups[worker][number];
+        chosen.insert(group.work.begin(), group.work.end());
+        needed -= group.tasks;
+        if (number + 1 < groups[worker].size())
+            queue.emplace(groups[worker][number + 1].cost, worker, number + 1);
     }
     if (needed > 0)
         return std::nullopt;
--- a/src/jobs/PreemptionChoice.h
+++ b/src/jobs/PreemptionChoice.h
@@ -37,11 +37,12 @@
         std::size_t work;
         Resources resources;
     };
-    // The victims that make room for one more task on a worker, besides those of the worker's earlier slots.
-    struct Slot {
+    // The victims that make room for further tasks on a worker, besides those of the worker's earlier groups. Counts
+    // the tasks instead of listing a place for each, so that the size of all groups is bounded by the running work.
+    struct VictimGroup {
         double cost = 0;
-        std::size_t worker = 0;
         std::vector<std::size_t> work;
+        int tasks = 0;
     };
 
     // Work that urgent steps may preempt, and work that any step of a higher priority may preempt.
@@ -54,7 +55,9 @@
     std::size_t indexOf(const FleetWorker& worker) const;
     bool mayPreempt(const PlanStep&, std::size_t work) const;
     int capacityWith(const PlanStep&, std::size_t worker, const Resources& freed) const;
-    std::vector<Slot> slotsOn(const PlanStep&, std::size_t worker, std::int64_t needed) const;
+    // Groups that make room for `needed` tasks on the worker, or for as many as possible, in the order in which they
+    // are to be stopped.
+    std::vector<VictimGroup> victimsOn(const PlanStep&, std::size_t worker, std::int64_t needed) const;
     // Drops work that is not needed, most expensive first, because a stopped gang frees capacity on several workers.
     void dropNeedless(const PlanStep&, const FleetWorkers& candidates, PreemptionChoice&) const;
 
