Reservations count the places on a worker instead of listing them

A plan took time in proportion to the product of workers and tasks, and plans are made within milliseconds of each event. Change: a slot holds the number of tasks that fit from its time on. There are at most as many slots as workers and runs, so that nothing has to be dropped while they are collected. Why it works: the slots of a worker at one time were equal and adjacent in the order, so that their number says the same.

--- a/src/jobs/GangReservations.cpp
+++ b/src/jobs/GangReservations.cpp
@@ -1,6 +1,7 @@
 #include "GangReservations.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rosemarylink::jobs::internal {
 
@@ -39,8 +40,9 @@
         return {};
     hold(gang, best);
     FleetWorkers workers;
+    workers.reserve(gang.tasks.size());
     for (const Slot& slot : best)
-        workers.push_back(slot.worker);
+        workers.insert(workers.end(), static_cast<std::size_t>(slot.tasks), slot.worker);
     return workers;
 }
 
@@ -56,8 +58,8 @@
     int counted = 0;
     const auto addFitting = [&](Milliseconds time) {
         const int fitting = std::min(most, PlannerFleet::countFitting(perTask, available, gang.tasks.size()));
-        for (; counted < fitting; ++counted)
-            slots.push_back({ time - bonus, &worker });
+        if (fitting > counted)
+            slots.push_back({ time - bonus, &worker, fitting - std::exchange(counted, fitting) });
     };
     addFitting(now_);
     for (const ExpectedEnd& end : worker.row->expectedEnds) {
@@ -68,26 +70,24 @@
     }
 }
 
-void GangReservations::keepEarliest(std::vector<Slot>& slots, std::size_t count)
-{
-    std::stable_sort(slots.begin(), slots.end(), [](const Slot& a, const Slot& b) { return a.freeAt < b.freeAt; });
-    slots.resize(std::min(slots.size(), count));
-}
-
 std::vector<GangReservations::Slot> GangReservations::earliestSlots(
     const PlanStep& gang, const FleetWorkers& candidates) const
 {
     std::vector<Slot> slots;
-    for (FleetWorker* worker : candidates) {
+    for (FleetWorker* worker : candidates)
         addSlots(gang, *worker, slots);
-        // Bounds the memory by the number of tasks, not by that of the workers as well.
-        if (slots.size() > 2 * gang.tasks.size())
-            keepEarliest(slots, gang.tasks.size());
+    std::stable_sort(slots.begin(), slots.end(), [](const Slot& a, const Slot& b) { return a.freeAt < b.freeAt; });
+    auto missing = static_cast<std::int64_t>(gang.tasks.size());
+    for (std::size_t number = 0; number < slots.size(); ++number) {
+        Slot& slot = slots[number];
+        if (slot.tasks >= missing) {
+            slot.tasks = static_cast<int>(missing);
+            slots.resize(number + 1);
+            return slots;
+        }
+        missing -= slot.tasks;
     }
-    if (slots.size() < gang.tasks.size())
-        return {};
-    keepEarliest(slots, gang.tasks.size());
-    return slots;
+    return {};
 }
 
 void GangReservations::hold(const PlanStep& gang, const std::vector<Slot>& slots)
@@ -103,7 +103,8 @@
                     worker.hold->spare += end.resources;
             }
         }
-        worker.hold->spare -= gang.spec->perTask;
+        for (int task = 0; task < slot.tasks; ++task)
+            worker.hold->spare -= gang.spec->perTask;
     }
     ++reservations_;
 }
--- a/src/jobs/GangReservations.h
+++ b/src/jobs/GangReservations.h
@@ -22,15 +22,16 @@
     FleetWorkers reserve(const PlanStep& gang, bool oneRack);
 
 private:
+    // Room on a worker that is expected from a time on. Counts the tasks of the gang that fit instead of listing a
+    // place for each, so that the number of slots is bounded by the workers and their runs.
     struct Slot {
-        Milliseconds freeAt { 0 }; // when a task of the gang is expected to fit on the worker
+        Milliseconds freeAt { 0 };
         FleetWorker* worker = nullptr;
+        int tasks = 0; // besides those of the worker's earlier slots
     };
 
-    // Adds a slot for each task of the gang that fits on the worker at some time, at most one for each of its tasks.
     void addSlots(const PlanStep& gang, FleetWorker&, std::vector<Slot>&) const;
-    // Removes all but the earliest slots, of equal ones those that were added last.
-    static void keepEarliest(std::vector<Slot>&, std::size_t count);
+    // The earliest slots that hold the gang's tasks; empty if the candidates do not have room for all of them.
     std::vector<Slot> earliestSlots(const PlanStep& gang, const FleetWorkers& candidates) const;
     void hold(const PlanStep& gang, const std::vector<Slot>&);
 
