Test that the memory of the policies does not depend on what tasks demand

Cause: tests that a gang without demands gets one worker for each task on an empty fleet, not what a policy keeps meanwhile, nor reservations and reclaims. Change: a property over all policies and adjacencies, with guarantees and full workers, measures the memory. That of a plan meets suspect workers of a rare kind more often.

--- a/tests/jobs/PlannerMemoryTest.cpp
+++ b/tests/jobs/PlannerMemoryTest.cpp
@@ -98,12 +98,12 @@
                 fillCores(input, worker);
         }
         input.workers[rare].labels = &rareLabels;
-        input.workers[rare].suspect = *rc::gen::arbitrary<bool>();
+        input.workers[rare].suspect = !*oneIn(4);
         std::vector<StepSpec> specs(*rc::gen::inRange<std::size_t>(1, 4));
         for (StepSpec& spec : specs) {
             spec = rackLocalGang(*rc::gen::inRange(1, mostTasks + 1), 0);
             spec.perTask = drawSmallDemand();
-            spec.gang = *rc::gen::arbitrary<bool>();
+            spec.gang = !*oneIn(4);
             spec.rackLocal = *rc::gen::arbitrary<bool>();
             spec.maximumPerWorker = *rc::gen::element(0, 0, 1, mostTasks);
             spec.workerLabel = *rc::gen::element<std::string>("", "b");
