A job that demands more than any worker can have is refused at once

Such a job was accepted and never ran. Cause: the demands of a task had no upper limit, and the planner adds them up over all tasks of a step and of a pool: the sums overflow, so that such a job counts as within its account's guarantee, and the urgent headroom takes an eighth of the pool from other work. Evidence: the new test fails before, with `Job accepted`, for each resource. The effects on other work are by reading. A stored job of this kind can no longer be parsed by the owner, which says so in the log; it could not run before either.

--- a/include/rosemarylink/jobs/Job.h
+++ b/include/rosemarylink/jobs/Job.h
@@ -44,6 +44,10 @@
     }
 };
 
+// The most that a worker can have and that a task may demand. Sums over all workers or waiting tasks of a pool stay far
+// below an overflow.
+constexpr Resources maximumResources { 10000000, 1000000000, 10000 };
+
 struct StepSpec {
     int taskCount = 1;
     Resources perTask; // required by each task
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -91,6 +91,8 @@
         if (step.perTask.milliCores < 0 || step.perTask.megabytes < 0 || step.perTask.accelerators < 0
             || step.maximumPerWorker < 0 || step.estimate < Milliseconds(0))
             return invalidArgument(where + "resources, estimate and maximum per worker must not be negative");
+        if (!step.perTask.fitsIn(maximumResources))
+            return invalidArgument(where + "a task demands more than a worker can have");
         if (step.estimate > maximumTime)
             return invalidArgument(where + "the estimate must not exceed 366 days");
         tasks += std::int64_t(step.taskCount) * job.occurrences;
--- a/tests/jobs/RecordSizeTest.cpp
+++ b/tests/jobs/RecordSizeTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 namespace rosemarylink::jobs {
 
 namespace {
@@ -98,4 +100,27 @@
     CHECK(metrics.find("rosemarylink_caller_answers_total{outcome=\"invalid\"} 3") != std::string::npos);
 }
 
+// Guards against sums of demands that overflow, so that one job counts as guaranteed whatever its account holds and
+// keeps capacity from other work, although no worker can ever run it.
+TEST_CASE("a job that demands more than any worker can have is refused at once")
+{
+    SimCluster cluster;
+    cluster.addWorkers(2, 4);
+    cluster.world.run(Milliseconds(3000));
+    constexpr std::int64_t large = std::numeric_limits<std::int64_t>::max() / 2;
+    for (const Resources& demand :
+        { Resources { large, 0, 0 }, Resources { 0, large, 0 }, Resources { 0, 0, large } }) {
+        JobSpec job = shortJob;
+        job.steps[0].perTask = demand;
+        const std::string id
+            = "large-" + std::to_string(demand.accelerators > 0) + std::to_string(demand.megabytes > 0);
+        const AdmissionResponse refused = cluster.submit("urgent", id, job);
+        CHECK(refused.outcome == AdmissionOutcome::Invalid);
+        CHECK(refused.reason.find("more than a worker can have") != std::string::npos);
+    }
+    REQUIRE(cluster.submit("batch", "a", shortJob).outcome == AdmissionOutcome::Accepted);
+    cluster.world.run(Milliseconds(2000));
+    CHECK(cluster.storedState("a") == JobState::Completed);
+}
+
 } // namespace rosemarylink::jobs
--- a/tests/platform/CatalogTest.cpp
+++ b/tests/platform/CatalogTest.cpp
@@ -52,6 +52,25 @@
     CHECK(again.value().steps.at(1).longRunning);
 }
 
+// Guards against a job that is accepted with other demands, tasks, limits or dependencies than its caller sent, because
+// a number that has a fraction or does not fit into its type was converted without a check.
+TEST_CASE("numbers of a submission that are not whole or out of range are refused")
+{
+    const std::string field = GENERATE(as<std::string> {}, R"("Count":4294967297)", R"("Count":1.5)", R"("Cpu":0.5)",
+        R"("Cpu":1e300)", R"("RequestedMb":18446744073709551616)", R"("Gpu":1.5)", R"("Gpu":9223372036854775808)",
+        R"("AntiAffinity":4294967296)", R"("MayMiss":4294967296)", R"("EstimateMs":1e300)", R"("After":[4294967296])",
+        R"("After":[0.5])");
+    CAPTURE(field);
+    const auto job = parseSubmission(R"({"Steps":[{"Cpu":1},{)" + field + "}]}");
+    REQUIRE_FALSE(job.has_value());
+    CHECK(job.error().code == ErrorCode::InvalidArgument);
+    const std::string name = field.substr(1, field.find(':') - 2);
+    CHECK(job.error().message.find(name) != std::string::npos);
+    CHECK_FALSE(parseSubmission(R"({"Steps":[{"Cpu":1}],"Repetitions":4294967298})").has_value());
+    CHECK_FALSE(parseSubmission(R"({"Steps":[{"Cpu":1}],"Repetitions":2,"IntervalMs":1e300})").has_value());
+    CHECK(parseSubmission(R"({"Steps":[{"Count":4.0,"Cpu":500.0}],"Repetitions":1e0})").has_value());
+}
+
 // Guards against an evacuation that is overlooked because of its record's value, and against taking an odd key for the
 // evacuation of a domain.
 TEST_CASE("the key of an evacuation names a failure domain whatever its value is")
