Crashes under runs that their worker had not confirmed are weaker evidence

Cause: a start without a response counted as a crash of the task like a run that the worker had confirmed, if the worker crashed before it was heard of again. Change: such runs are recorded as unconfirmed crashes. A job is given up after three crashes only if two workers had confirmed the run, otherwise after five, which are all starts that the platform allows for a task whose every start crashes its worker. The new test fails before with both ways in which a worker returns. Price: a task that crashes its workers before any of them confirms its start costs five crashes instead of three. Why it works: what distinguishes a task that crashes workers from one that does not is a run that a worker has begun. Earlier versions ignore the new element of a record, and read all crashes as confirmed, as before.

--- a/include/rosemarylink/jobs/JobProgress.h
+++ b/include/rosemarylink/jobs/JobProgress.h
@@ -28,6 +28,7 @@
     // Runs under which a worker crashed, since the last run that a worker was seen to survive; see
     // OwnerSessionCrashes.cpp.
     std::set<int> crashedRuns;
+    std::set<int> unconfirmedCrashes; // those whose start the worker had not confirmed, which may never have run
     std::set<int> unresolvedRuns; // later runs whose end is not known: the present one, and runs lost in a takeover
     std::string checkpoint; // of a task that is not in a gang
     WorkerId worker; // while Starting, Running or Stopping
--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -29,7 +29,7 @@
     }
 
     // Encodes each task that has started or is done as a row [index, done, run, failed runs, checkpoint], followed by
-    // its crashed and unresolved runs if there are crashed ones.
+    // its crashed and unresolved runs and the unconfirmed crashes if there are crashed ones.
     nlohmann::json stepToJson(const StepProgress& step, CheckpointUse checkpoints)
     {
         const bool included = checkpoints == CheckpointUse::Included;
@@ -43,6 +43,7 @@
             if (!task.crashedRuns.empty()) {
                 rows.back().push_back(task.crashedRuns);
                 rows.back().push_back(task.unresolvedRuns);
+                rows.back().push_back(task.unconfirmedCrashes);
             }
         }
         return { { "failedRuns", step.gangFailedRuns },
@@ -62,10 +63,13 @@
             task.run = row.at(2).get<int>();
             task.failedRuns = row.at(3).get<std::set<int>>();
             task.checkpoint = row.at(4).get<std::string>();
-            if (row.size() > 6) { // absent from records written by earlier versions
+            // Earlier versions write shorter rows and ignore further elements.
+            if (row.size() > 6) {
                 task.crashedRuns = row.at(5).get<std::set<int>>();
                 task.unresolvedRuns = row.at(6).get<std::set<int>>();
             }
+            if (row.size() > 7)
+                task.unconfirmedCrashes = row.at(7).get<std::set<int>>();
         }
     }
 
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -45,6 +45,10 @@
 inline constexpr std::size_t maximumCrashes = 3;
 inline constexpr std::size_t minimumSeenCrashes = 2;
 
+// The same if fewer than minimumSeenCrashes workers had confirmed the run's start. All starts that the platform allows
+// for a task are then used, because the task may have run nowhere.
+inline constexpr std::size_t maximumUnconfirmedCrashes = 5;
+
 // The lease of a worker that does not report is renewed for this long, since only its reports may be lost or late. Then
 // it is left to expire, so that the runs can start elsewhere if the worker is cut off.
 inline constexpr Milliseconds silentRenewalLimit { 3000 };
@@ -102,7 +106,7 @@
     Milliseconds storedLateCallsUntil { 0 };
     // Runs that ended with the lease of an unresponsive worker, which may have crashed under them or been cut off. The
     // worker is polled until that is known, but not for longer than `undecidedUntil`.
-    std::vector<RunKey> undecidedRuns;
+    std::vector<SuspectRun> undecidedRuns;
     Milliseconds undecidedUntil { 0 };
     std::int64_t lastSeenEnd = 0; // number of the last end that was handled
     std::int64_t acknowledged = 0; // number up to which the worker has received acknowledgments
@@ -228,9 +232,9 @@
     // OwnerSessionCrashes.cpp: tasks under which workers crash.
     Milliseconds knownSurvival(const Worker&, const RunKey&, const WorkerRun&);
     bool mayHaveCausedCrash(const Worker&, const RunKey&, const WorkerRun&);
-    std::vector<RunKey> possibleCauses(const Worker&);
+    std::vector<SuspectRun> possibleCauses(const Worker&);
     void handleCrash(Worker&, const std::string& reason);
-    void recordCrash(const Worker&, const RunKey&, const std::string& reason);
+    void recordCrash(const Worker&, const SuspectRun&, const std::string& reason);
     void recordSurvival(Job&, const Worker&, const RunKey&, const WorkerRun&);
     void clearUnresolved(const RunKey&);
     bool isRecentlyCrashed(const Worker&) const;
--- a/src/jobs/OwnerSessionCrashes.cpp
+++ b/src/jobs/OwnerSessionCrashes.cpp
@@ -4,9 +4,10 @@
 // caused the crash; each is added to its task's crashed runs. A start without a response may have caused it only if the
 // worker was not heard of afterwards: one that reports without the run has not executed the start. From the first
 // crashed run on, each start is stored with the task until its end is known or it cannot have caused a crash, so that a
-// crash that no owner saw is not forgotten. A run that a worker survives clears its
-// task, so that a job fails only after several crashes in a row, and suspect tasks of different jobs do not start on
-// one worker together, so that none is blamed for what another one causes.
+// crash that no owner saw is not forgotten. Crashes under runs whose start the worker had not confirmed are weaker
+// evidence, because such a run may never have begun: more of them are needed to give a job up. A run that a worker
+// survives clears its task, so that a job fails only after several crashes in a row, and suspect tasks of different
+// jobs do not start on one worker together, so that none is blamed for what another one causes.
 
 #include "OwnerSession.h"
 
@@ -30,6 +31,15 @@
 
     const Logger logger("crashes");
 
+    bool isGivenUp(const TaskProgress& task)
+    {
+        const std::size_t crashes = task.crashedRuns.size();
+        const std::size_t suspected = crashes + task.unresolvedRuns.size();
+        const std::size_t seen = crashes - task.unconfirmedCrashes.size();
+        return crashes >= minimumSeenCrashes
+            && suspected >= (seen >= minimumSeenCrashes ? maximumCrashes : maximumUnconfirmedCrashes);
+    }
+
 } // namespace
 
 // How long the worker is known to have lived on after the start of the run; a lower limit, however long commands and
@@ -73,12 +83,12 @@
 }
 
 // Runs on the worker that would be to blame if it had crashed.
-std::vector<RunKey> OwnerSession::possibleCauses(const Worker& worker)
+std::vector<SuspectRun> OwnerSession::possibleCauses(const Worker& worker)
 {
-    std::vector<RunKey> causes;
+    std::vector<SuspectRun> causes;
     for (const auto& [key, run] : worker.runs) {
         if (mayHaveCausedCrash(worker, key, run))
-            causes.push_back(key);
+            causes.push_back({ key, run.confirmedAt.has_value() });
     }
     return causes;
 }
@@ -91,15 +101,16 @@
         crashedAt_[worker.entry.address] = now();
         lastCrashAt_ = now();
     }
-    std::vector<RunKey> causes = possibleCauses(worker);
+    std::vector<SuspectRun> causes = possibleCauses(worker);
     causes.insert(causes.end(), worker.undecidedRuns.begin(), worker.undecidedRuns.end());
     worker.undecidedRuns.clear();
-    for (const RunKey& key : causes)
-        recordCrash(worker, key, reason);
+    for (const SuspectRun& run : causes)
+        recordCrash(worker, run, reason);
 }
 
-void OwnerSession::recordCrash(const Worker& worker, const RunKey& key, const std::string& reason)
+void OwnerSession::recordCrash(const Worker& worker, const SuspectRun& suspect, const std::string& reason)
 {
+    const RunKey& key = suspect.key;
     Job* const job = find(key.first.job);
     if (!job || isFinal(job->state) || !job->contains(key.first) || job->task(key.first).phase == TaskPhase::Done)
         return;
@@ -107,21 +118,22 @@
     if (!task.crashedRuns.insert(key.second).second)
         return;
     task.unresolvedRuns.erase(key.second);
+    if (!suspect.confirmed)
+        task.unconfirmedCrashes.insert(key.second);
     const auto run = worker.runs.find(key);
     logger.warning("Worker crashed under a run",
         { { "task", taskName(key.first) }, { "run", key.second }, { "worker", worker.entry.id },
-            { "crashes", task.crashedRuns.size() }, { "unresolved", task.unresolvedRuns.size() },
-            { "limit", maximumCrashes },
+            { "crashes", task.crashedRuns.size() }, { "unconfirmed", task.unconfirmedCrashes.size() },
+            { "unresolved", task.unresolvedRuns.size() }, { "confirmed", suspect.confirmed },
             { "survivedMs", run == worker.runs.end() ? 0 : knownSurvival(worker, key, run->second).count() },
             { "reason", reason } });
-    if (task.crashedRuns.size() < minimumSeenCrashes
-        || task.crashedRuns.size() + task.unresolvedRuns.size() < maximumCrashes) {
+    if (!isGivenUp(task)) {
         markChanged(*job, /*urgent=*/true);
         return;
     }
     logger.warning("Job is given up because workers crash under its task",
         { { "job", job->spec.id }, { "task", taskName(key.first) }, { "crashes", task.crashedRuns.size() },
-            { "unresolved", task.unresolvedRuns.size() } });
+            { "unconfirmed", task.unconfirmedCrashes.size() }, { "unresolved", task.unresolvedRuns.size() } });
     finishJob(*job, JobState::Failed);
 }
 
@@ -135,6 +147,7 @@
         { { "task", taskName(key.first) }, { "run", key.second }, { "worker", worker.entry.id },
             { "crashes", task.crashedRuns.size() } });
     task.crashedRuns.clear();
+    task.unconfirmedCrashes.clear();
     task.unresolvedRuns.clear();
     markChanged(job, /*urgent=*/false);
 }
--- a/src/jobs/OwnerSessionWorkers.cpp
+++ b/src/jobs/OwnerSessionWorkers.cpp
@@ -250,7 +250,7 @@
     // The worker was only cut off.
     if (report.startTimeMs != 0)
         std::for_each(worker.undecidedRuns.begin(), worker.undecidedRuns.end(),
-            [this](const RunKey& key) { clearUnresolved(key); });
+            [this](const SuspectRun& run) { clearUnresolved(run.key); });
     worker.undecidedRuns.clear();
     updateClock(worker, report.workerClock);
     // Runs on the worker may have a lease from a previous owner, of the longest duration that the worker grants.
@@ -520,10 +520,10 @@
 {
     checkReturn(worker);
     const RunEvidence evidence = RunEvidence::leaseOver(now(), longestLease(), silenceOf(worker));
-    for (const RunKey& key : possibleCauses(worker)) {
-        if (!evidence.endOf(worker.runs.at(key)))
+    for (const SuspectRun& run : possibleCauses(worker)) {
+        if (!evidence.endOf(worker.runs.at(run.key)))
             continue;
-        worker.undecidedRuns.push_back(key);
+        worker.undecidedRuns.push_back(run);
         worker.undecidedUntil = now() + longestReturn;
     }
     endGoneRuns(worker, evidence, "the worker's lease has expired");
--- a/src/jobs/WorkerRun.h
+++ b/src/jobs/WorkerRun.h
@@ -54,4 +54,10 @@
     bool isQueued() const { return phase == TaskPhase::Starting && startAttempts == 0 && !adopted && !confirmedAt; }
 };
 
+// A run that may have caused its worker's crash.
+struct SuspectRun {
+    RunKey key;
+    bool confirmed = false; // the worker had confirmed its start
+};
+
 } // namespace rosemarylink::jobs::internal
--- a/tests/jobs/CrashingTasksTest.cpp
+++ b/tests/jobs/CrashingTasksTest.cpp
@@ -31,6 +31,36 @@
         CHECK(joined(cluster.fleet.violations()) == "");
     }
 
+    // The first three workers that get a start for a job do not answer it and crash after a while.
+    void checkCompletesAfterUnansweredStarts(Milliseconds crashAfter, bool newId)
+    {
+        CAPTURE(crashAfter.count(), newId);
+        SimCluster cluster(1);
+        cluster.fleet.returnWithNewId = newId;
+        cluster.addWorkers(2, 4);
+        cluster.world.run(Milliseconds(3000));
+        cluster.fleet.commandDelay = Milliseconds(2000); // the worker is down by then
+        int crashes = 0;
+        std::set<WorkerId> crashing; // workers that will crash
+        cluster.instances[0]->faultyWorkers.faultFor = [&](WorkerCall call, const WorkerId& id) {
+            const bool unanswered = call == WorkerCall::Start && (crashes < 3 || crashing.count(id) > 0);
+            cluster.fleet.delayedCommandShare = unanswered ? 1 : 0;
+            if (unanswered && crashing.insert(id).second) {
+                ++crashes;
+                cluster.world.after(crashAfter, [&cluster, &crashing, id] {
+                    crashing.erase(id);
+                    cluster.fleet.crashFor(id, Milliseconds(2500));
+                });
+            }
+            return CallFault::None;
+        };
+        cluster.submit("batch", "a0", oneStep(1, 8, Milliseconds(2000), /*gang=*/false));
+        cluster.world.run(Milliseconds(60000));
+        REQUIRE(crashes == 3);
+        CHECK(cluster.storedState("a0") == JobState::Completed);
+        CHECK(joined(cluster.fleet.violations()) == "");
+    }
+
     void killOwner(SimCluster& cluster)
     {
         SimInstance* const owner = cluster.currentOwner();
@@ -205,33 +235,13 @@
 // counted as crashed by it, although the worker had reported in between without the run.
 TEST_CASE("a start without a response does not count as a crash of a worker that was heard of afterwards")
 {
-    const Milliseconds crashAfter = GENERATE(Milliseconds(1300), Milliseconds(1700));
-    const bool newId = GENERATE(false, true);
-    CAPTURE(crashAfter.count(), newId);
-    SimCluster cluster(1);
-    cluster.fleet.returnWithNewId = newId;
-    cluster.addWorkers(2, 4);
-    cluster.world.run(Milliseconds(3000));
-    cluster.fleet.commandDelay = Milliseconds(2000); // the worker is down by then
-    int crashes = 0;
-    std::set<WorkerId> crashing; // workers that will crash
-    cluster.instances[0]->faultyWorkers.faultFor = [&](WorkerCall call, const WorkerId& id) {
-        const bool unanswered = call == WorkerCall::Start && (crashes < 3 || crashing.count(id) > 0);
-        cluster.fleet.delayedCommandShare = unanswered ? 1 : 0;
-        if (unanswered && crashing.insert(id).second) {
-            ++crashes;
-            cluster.world.after(crashAfter, [&cluster, &crashing, id] {
-                crashing.erase(id);
-                cluster.fleet.crashFor(id, Milliseconds(2500));
-            });
-        }
-        return CallFault::None;
-    };
-    cluster.submit("batch", "a0", oneStep(1, 8, Milliseconds(2000), /*gang=*/false));
-    cluster.world.run(Milliseconds(60000));
-    REQUIRE(crashes == 3);
-    CHECK(cluster.storedState("a0") == JobState::Completed);
-    CHECK(joined(cluster.fleet.violations()) == "");
+    checkCompletesAfterUnansweredStarts(GENERATE(Milliseconds(1300), Milliseconds(1700)), GENERATE(false, true));
+}
+
+// Guards against the same where the workers crash before they are heard of.
+TEST_CASE("three crashes after starts without a response do not fail a job that may never have run")
+{
+    checkCompletesAfterUnansweredStarts(Milliseconds(100), GENERATE(false, true));
 }
 
 // Guards against a job that fails after two crashes: a run that was lost because its worker had been cut off counted
@@ -301,10 +311,12 @@
     job.occurrences[0][0].tasks[1].run = 1;
     const std::string earlier = progressRecord(job);
     job.occurrences[0][0].tasks[0].crashedRuns = { 1, 3 };
+    job.occurrences[0][0].tasks[0].unconfirmedCrashes = { 3 };
     job.occurrences[0][0].tasks[0].unresolvedRuns = { 4 };
     Job loaded = makeJob(spec, Revision(1));
     REQUIRE(applyProgressRecord(progressRecord(job), loaded));
     CHECK(loaded.occurrences[0][0].tasks[0].crashedRuns == std::set<int> { 1, 3 });
+    CHECK(loaded.occurrences[0][0].tasks[0].unconfirmedCrashes == std::set<int> { 3 });
     CHECK(loaded.occurrences[0][0].tasks[0].unresolvedRuns == std::set<int> { 4 });
     CHECK(loaded.occurrences[0][0].tasks[1].crashedRuns.empty());
     Job old = makeJob(spec, Revision(1));
