--- a/tests/AllocationMeter.cpp
+++ b/tests/AllocationMeter.cpp
@@ -55,7 +55,7 @@
 
 } // namespace rosemarylink
 
-// The other forms of operator new and delete call these.
+// The other forms of operator new and delete call these, but for the aligned ones, which are not counted.
 void* operator new(std::size_t size) { return rosemarylink::allocate(size); }
 void operator delete(void* memory) noexcept { rosemarylink::release(memory); }
 void operator delete(void* memory, std::size_t) noexcept { rosemarylink::release(memory); }
--- a/tests/jobs/PlannerMemoryTest.cpp
+++ b/tests/jobs/PlannerMemoryTest.cpp
@@ -5,8 +5,6 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
-#include <ostream>
-
 namespace rosemarylink::jobs::internal {
 
 namespace {
