Tests of clients that fill the gateway, its links and the owner with accepted jobs

Ten crowds against real processes, each a test of its own beside the six that exist: clients of the gateway that do not finish their bodies, send chunks without an end or a byte a second; clients of the link port that do not finish a message; callers with a key that submit jobs with many tasks, steps, occurrences, long payloads, tasks without demands, or simply many jobs. After the jobs a caller of another account must be served, and so must it by the next owner, which reads all accepted jobs. The bounds are those of the announced machine (64 MB, 600 descriptors) and for the gateway of the smallest (160 MB). Memory now includes the bytes that the kernel holds for the server's connections.

--- a/tests/limits/Crowd.cpp
+++ b/tests/limits/Crowd.cpp
@@ -110,6 +110,14 @@
     observe();
 }
 
+void Crowd::trickle()
+{
+    for (const auto& client : clients_) {
+        if (!client->lost && ::send(client->socket, "x", 1, MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
+            client->lost = errno != EAGAIN && errno != EWOULDBLOCK;
+    }
+}
+
 std::size_t Crowd::bytesSent() const
 {
     std::size_t sum = 0;
--- a/tests/limits/Crowd.h
+++ b/tests/limits/Crowd.h
@@ -31,6 +31,9 @@
     // the calling thread.
     void run(std::size_t threads, int stalledMs, const std::function<void()>& observe);
 
+    // Sends one more byte on each open connection.
+    void trickle();
+
     std::size_t clients() const { return clients_.size(); }
     std::size_t bytesSent() const;
     std::size_t closedByServer() const;
--- a/tests/limits/Main.cpp
+++ b/tests/limits/Main.cpp
@@ -1,28 +1,23 @@
-// Runs one process of rosemarylink-edge against a crowd of clients outside the limits. Guards against a process that
-// clients drive out of memory or descriptors, so that it terminates, or that serves nobody afterwards. Times and the
-// share of served requests are not checked.
+// Runs one process of rosemarylink-edge or rosemarylink-gateway against a crowd of clients outside the limits. Guards
+// against a process that clients drive out of memory or descriptors, so that it terminates, or that serves nobody
+// afterwards. Times and the share of served requests are not checked.
 
-#include "Crowd.h"
+#include "Crowds.h"
 #include "EdgeInstance.h"
+#include "GatewayInstance.h"
 #include "Platform.h"
+#include "PlatformServers.h"
+#include "Probe.h"
 #include "rosemarylink/base/Log.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/NullStream.h>
-#include <Poco/StreamCopier.h>
 #include <boost/program_options.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <filesystem>
-#include <fstream>
+#include <future>
 #include <iostream>
-#include <map>
-#include <stdexcept>
 #include <thread>
 #include <unistd.h>
 
@@ -30,213 +25,186 @@
 
 namespace {
 
-    // Announced to the process and checked as bounds. They are far below those of the smallest machine (160 MB, 4,100
-    // descriptors), so that a small crowd suffices.
-    constexpr soak::MachineLimits machine { 64, 600 };
+    // Announced to rosemarylink-edge and checked as bounds. They are far below those of the smallest machine (160 MB,
+    // 4,100 descriptors), so that a small crowd suffices.
+    constexpr soak::MachineLimits edgeMachine { 64, 600 };
 
-    // The largest legal body has 262,144 bytes; the body of these clients ends just below.
-    constexpr std::size_t largeBodyBytes = 262100;
+    // rosemarylink-gateway is not told of its machine; it must stay within the smallest.
+    constexpr soak::MachineLimits gatewayMachine { 160, 600 };
 
     // Clients of unannounced bodies send on a thread each, since only a client that is faster than the process can make
     // it read on and on.
     constexpr std::size_t fastSenders = 24;
 
     constexpr int stalledMs = 2000;
-    constexpr Milliseconds responseTimeout { 60000 };
-    constexpr Milliseconds retryInterval { 100 };
+    constexpr std::chrono::milliseconds trickleInterval { 1000 };
 
-    const std::string headStart = "POST /batch/";
-    const std::string headEnd = " HTTP/1.1\r\nHost: host\r\n";
+    struct Outcome {
+        bool ended = false;
+        bool served = false;
+        Usage before;
+        Usage usage;
+    };
 
-    std::string headOf(std::size_t client, const std::string& fields)
+    // Prints the figures and returns the exit code of the test.
+    int report(const std::string& name, const Outcome& outcome, const soak::MachineLimits& bounds,
+        const std::string& crowdFigures)
     {
-        return headStart + "crowd" + std::to_string(client) + headEnd + fields + "\r\n";
+        const long residentBoundKb = bounds.memoryMb * 1024L;
+        std::cout << name << ": " << crowdFigures << " residentBeforeKb=" << outcome.before.residentPeakKb
+                  << " residentPeakKb=" << outcome.usage.residentPeakKb << " residentBoundKb=" << residentBoundKb
+                  << " queuedPeakKb=" << outcome.usage.queuedPeakKb
+                  << " descriptorPeak=" << outcome.usage.descriptorPeak << " descriptorBound=" << bounds.fileDescriptors
+                  << " ended=" << outcome.ended << " served=" << outcome.served << "\n";
+        const bool held = !outcome.ended && outcome.served
+            && outcome.usage.residentPeakKb + outcome.usage.queuedPeakKb <= residentBoundKb
+            && outcome.usage.descriptorPeak <= bounds.fileDescriptors;
+        return held ? 0 : 1;
     }
 
-    // 24 clients; half of them announce a body over the limit, half one that is far over any limit.
-    std::vector<ClientScript> announcedBodies()
+    std::string figuresOf(const Crowd& crowd)
     {
-        constexpr std::size_t bytes = 8000000;
-        std::vector<ClientScript> scripts;
-        for (std::size_t client = 0; client < 24; ++client) {
-            const std::size_t announced = client % 2 == 0 ? bytes : 100 * bytes;
-            scripts.push_back({ headOf(client, "Content-Length: " + std::to_string(announced) + "\r\n"),
-                std::string(65536, 'x'), bytes });
-        }
-        return scripts;
+        return "clients=" + std::to_string(crowd.clients()) + " sentBytes=" + std::to_string(crowd.bytesSent())
+            + " closed=" + std::to_string(crowd.closedByServer());
     }
 
-    // 24 clients, of four kinds: chunked, without a length, a head without an end, and a single line without an end.
-    std::vector<ClientScript> unannouncedBodies()
-    {
-        constexpr std::size_t bytes = 64000000;
-        const std::string chunk = "10000\r\n" + std::string(65536, 'x') + "\r\n";
-        std::vector<ClientScript> scripts;
-        for (std::size_t client = 0; client < 24; ++client) {
-            switch (client % 4) {
-            case 0:
-                scripts.push_back({ headOf(client, "Transfer-Encoding: chunked\r\n"), chunk, bytes });
-                break;
-            case 1:
-                scripts.push_back({ headOf(client, ""), std::string(65536, 'x'), bytes });
-                break;
-            case 2:
-                scripts.push_back({ headStart + "crowd" + headEnd, "Field: " + std::string(100, 'x') + "\r\n", bytes });
-                break;
-            default:
-                scripts.push_back({ "", std::string(65536, 'x'), bytes });
-            }
+    std::string smallJob() { return soak::platformJob(jobs::oneStep(1, 1, Milliseconds(200), false)); }
+
+    // One process of rosemarylink-edge with a simulated platform.
+    class EdgeTest {
+    public:
+        EdgeTest(const std::string& binaries, const std::string& directory)
+            : edge_(binaries + "/rosemarylink-edge", directory, 0, platform_.storeAddress(), Platform::workerLease)
+        {
+            edge_.setMachineLimits(edgeMachine);
         }
-        return scripts;
-    }
 
-    // 48 clients with 4 MB of requests each, without a Host header, whose responses are not read.
-    std::vector<ClientScript> pipelinedRequests()
-    {
-        const std::string get = "GET /batch/crowd HTTP/1.1\r\n\r\n";
-        const std::string post = "POST /batch/crowd HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}";
-        std::vector<ClientScript> scripts;
-        for (std::size_t client = 0; client < 48; ++client)
-            scripts.push_back({ "", client % 2 == 0 ? get : post, 4000000 });
-        return scripts;
-    }
+        bool start()
+        {
+            edge_.start();
+            return succeeds([this] { return isServed({ edge_.readinessAddress(), "GET", "/", "" }); }, running());
+        }
 
-    // A valid submission of legal size. The padding of one kind is a text, that of the other many small JSON values,
-    // which need many times their size when parsed. No key is sent, since these clients have none.
-    std::string largeBody(bool manyValues)
-    {
-        std::string body = soak::platformJob(jobs::oneStep(1, 1, Milliseconds(200), false));
-        body.pop_back(); // the closing brace
-        body += manyValues ? ",\"Padding\":[0" : ",\"Padding\":\"";
-        while (body.size() < largeBodyBytes - 4)
-            body += manyValues ? ",{}" : "xxx";
-        return body + (manyValues ? "]}" : "\"}");
-    }
+        int run(const std::string& name)
+        {
+            if (!start()) {
+                std::cout << name << ": the process did not become ready\n";
+                return 1;
+            }
+            outcome_.before.observe(edge_.processId(), edge_.callerAddress());
+            const std::string figures = submissionLoads().count(name) > 0 ? runSubmissions(name) : runCrowd(name);
+            observe();
+            outcome_.ended = outcome_.ended || !running()();
+            return report(name, outcome_, edgeMachine, figures);
+        }
 
-    // 400 clients with a large body each, which arrive interleaved. Of each 8 clients `unfinished` stop 16 bytes before
-    // the end.
-    std::vector<ClientScript> largeBodies(std::size_t unfinished)
-    {
-        std::vector<ClientScript> scripts;
-        for (std::size_t client = 0; client < 400; ++client) {
-            const std::string body = largeBody(client % 2 == 0);
-            const std::size_t missing = client % 8 < unfinished ? 16 : 0;
-            scripts.push_back({ headOf(client, "Content-Length: " + std::to_string(body.size()) + "\r\n"), body,
-                body.size() - missing });
+    private:
+        std::function<bool()> running()
+        {
+            return [this] { return !edge_.hasExitedUnexpectedly() && edge_.running(); };
         }
-        return scripts;
-    }
 
-    // 1,500 clients that connect; every second one sends the start of a request.
-    std::vector<ClientScript> openConnections()
-    {
-        std::vector<ClientScript> scripts;
-        for (std::size_t client = 0; client < 1500; ++client)
-            scripts.push_back({ client % 2 == 0 ? headStart : "", "", 0 });
-        return scripts;
-    }
+        void observe() { outcome_.usage.observe(edge_.processId(), edge_.callerAddress()); }
 
-    const std::map<std::string, std::function<std::vector<ClientScript>()>>& crowds()
-    {
-        static const std::map<std::string, std::function<std::vector<ClientScript>()>> all {
-            { "announced-bodies", announcedBodies }, { "unannounced-bodies", unannouncedBodies },
-            { "pipelined-requests", pipelinedRequests }, { "whole-bodies", [] { return largeBodies(0); } },
-            { "unfinished-bodies", [] { return largeBodies(7); } }, { "open-connections", openConnections }
-        };
-        return all;
-    }
+        // Submits a new job; a caller of the account "other" is not part of any crowd.
+        bool submit(const std::string& key)
+        {
+            const std::string id = "0123abcd" + std::to_string(++submitted_);
+            return isServed({ edge_.callerAddress(), "POST", "/batch/" + id, smallJob(), key });
+        }
 
-    // Returns the status of the response, or 0 if there was none.
-    int send(const std::string& address, const std::string& method, const std::string& target, const std::string& body)
-    {
-        try {
-            Poco::Net::HTTPClientSession session { Poco::Net::SocketAddress(address) };
-            session.setTimeout(Poco::Timespan(3, 0));
-            Poco::Net::HTTPRequest request(method, target, Poco::Net::HTTPMessage::HTTP_1_1);
-            request.setHost("host");
-            request.set("Authorization", "Token key");
-            request.setContentLength(static_cast<std::streamsize>(body.size()));
-            session.sendRequest(request) << body;
-            Poco::Net::HTTPResponse response;
-            std::istream& content = session.receiveResponse(response);
-            Poco::NullOutputStream ignored;
-            Poco::StreamCopier::copyStream(content, ignored);
-            return response.getStatus();
-        } catch (const Poco::Exception&) {
-            return 0;
+        std::string runCrowd(const std::string& name)
+        {
+            Crowd crowd(Poco::Net::SocketAddress(edge_.callerAddress()), edgeCrowds().at(name)());
+            crowd.run(name == "unannounced-bodies" ? fastSenders : 1, stalledMs, [this] { observe(); });
+            outcome_.served = succeeds([this] { return submit("key"); }, running());
+            return figuresOf(crowd);
         }
-    }
 
-    // The resources that a process uses, as the kernel reports them.
-    struct Usage {
-        long residentPeakKb = 0;
-        long descriptorPeak = 0;
+        std::string runSubmissions(const std::string& name)
+        {
+            Submitters submitters(Poco::Net::SocketAddress(edge_.callerAddress()), submissionLoads().at(name)());
+            submitters.run([this] { observe(); }, running());
+            const long firstOwnerKb = outcome_.usage.residentPeakKb;
+            outcome_.served = succeeds([this] { return submit("other"); }, running()) && succeedsAsNextOwner();
+            return "accepted=" + std::to_string(submitters.accepted()) + " refused="
+                + std::to_string(submitters.refused()) + " otherwise=" + std::to_string(submitters.otherwise())
+                + " firstOwnerKb=" + std::to_string(firstOwnerKb);
+        }
 
-        void observe(pid_t process)
+        // Starts the process anew beside the full store, and tells whether it comes to schedule new jobs.
+        bool succeedsAsNextOwner()
         {
-            const std::string directory = "/proc/" + std::to_string(process);
-            std::ifstream status(directory + "/status");
-            std::string line;
-            while (std::getline(status, line)) {
-                if (line.compare(0, 6, "VmHWM:") == 0)
-                    residentPeakKb = std::max(residentPeakKb, std::stol(line.substr(6)));
-            }
-            std::error_code ended; // set when the process has ended, which is reported by another check
-            long count = 0;
-            for (auto entry = std::filesystem::directory_iterator(directory + "/fd", ended);
-                 !ended && entry != std::filesystem::directory_iterator(); entry.increment(ended))
-                ++count;
-            descriptorPeak = std::max(descriptorPeak, count);
+            observe();
+            edge_.sendSignal(SIGKILL);
+            while (edge_.running())
+                edge_.hasExitedUnexpectedly();
+            const bool ready = start();
+            return ready
+                && succeeds(
+                    [this] {
+                        observe();
+                        return submit("other") && hasReadNewJob();
+                    },
+                    running());
         }
-    };
 
-    // Repeats the request until its response has a status of 200 to 299; returns false if none comes in time.
-    bool succeeds(soak::EdgeInstance& edge, const std::function<int()>& request)
-    {
-        const SystemClock clock;
-        const Milliseconds deadline = clock.monotonic() + responseTimeout;
-        while (clock.monotonic() < deadline) {
-            const int status = request();
-            if (status >= 200 && status < 300)
-                return true;
-            if (edge.hasExitedUnexpectedly() || !edge.running())
-                return false;
-            std::this_thread::sleep_for(retryInterval); // between attempts; nothing announces that a request would pass
+        // The owner counts the jobs that have arrived since it read those of its predecessor.
+        bool hasReadNewJob() const
+        {
+            const std::string metrics = send({ edge_.metricsAddress(), "GET", "/metrics", "" }).body;
+            const std::string name = "_count{leg=\"hand-over\"} ";
+            const std::size_t position = metrics.find(name);
+            return position != std::string::npos && std::stod(metrics.substr(position + name.size())) > 0;
         }
-        return false;
-    }
 
-    int run(const std::string& binary, const std::string& directory, const std::string& name)
+        Platform platform_;
+        soak::EdgeInstance edge_;
+        Outcome outcome_;
+        int submitted_ = 0;
+    };
+
+    int runGateway(const std::string& binaries, const std::string& directory, const std::string& name)
     {
-        Platform platform;
-        soak::EdgeInstance edge(binary, directory, 0, platform.storeAddress(), Platform::workerLease);
-        edge.setMachineLimits(machine);
-        edge.start();
-        if (!succeeds(edge, [&edge] { return send(edge.readinessAddress(), "GET", "/", ""); })) {
+        GatewayInstance gateway(binaries, directory);
+        const auto running = [&gateway] { return gateway.running(); };
+        const auto probe = [&] {
+            return succeeds([&] { return isServed({ gateway.address(), "GET", "/healthz", "" }); }, running);
+        };
+        if (!probe()) {
             std::cout << name << ": the process did not become ready\n";
             return 1;
         }
-        const pid_t process = edge.processId();
-        Usage before;
-        before.observe(process);
-        Usage usage;
-        Crowd crowd(Poco::Net::SocketAddress(edge.callerAddress()), crowds().at(name)());
-        crowd.run(
-            name == "unannounced-bodies" ? fastSenders : 1, stalledMs, [&usage, process] { usage.observe(process); });
-        const std::string body = soak::platformJob(jobs::oneStep(1, 1, Milliseconds(200), false));
-        const bool served
-            = succeeds(edge, [&edge, &body] { return send(edge.callerAddress(), "POST", "/batch/0123abcd", body); });
-        usage.observe(process);
-        const bool ended = edge.hasExitedUnexpectedly() || !edge.running();
-        const long residentBoundKb = machine.memoryMb * 1024L;
-        std::cout << name << ": clients=" << crowd.clients() << " sentBytes=" << crowd.bytesSent()
-                  << " closed=" << crowd.closedByServer() << " residentBeforeKb=" << before.residentPeakKb
-                  << " residentPeakKb=" << usage.residentPeakKb << " residentBoundKb=" << residentBoundKb
-                  << " descriptorPeak=" << usage.descriptorPeak << " descriptorBound=" << machine.fileDescriptors
-                  << " ended=" << ended << " served=" << served << "\n";
-        const bool held = !ended && served && usage.residentPeakKb <= residentBoundKb
-            && usage.descriptorPeak <= machine.fileDescriptors;
-        return held ? 0 : 1;
+        Outcome outcome;
+        const bool onLinks = linkCrowds().count(name) > 0;
+        const std::string address = onLinks ? gateway.linkAddress() : gateway.address();
+        outcome.before.observe(gateway.processId(), address);
+        const auto observe = [&] { outcome.usage.observe(gateway.processId(), address); };
+        Crowd crowd(Poco::Net::SocketAddress(address), onLinks ? linkCrowds().at(name)() : gatewayCrowds().at(name)());
+        crowd.run(1, stalledMs, observe);
+        std::atomic<bool> stopped { false };
+        const auto trickling = std::async(std::launch::async, [&] {
+            while (name == "gateway-slow-bodies" && !stopped) {
+                crowd.trickle();
+                std::this_thread::sleep_for(trickleInterval); // the pace of these clients
+            }
+        });
+        outcome.served = probe();
+        stopped = true;
+        trickling.wait();
+        observe();
+        outcome.ended = !running();
+        return report(name, outcome, gatewayMachine, figuresOf(crowd));
+    }
+
+    int run(const std::string& binaries, const std::string& directory, const std::string& name)
+    {
+        if (edgeCrowds().count(name) > 0 || submissionLoads().count(name) > 0)
+            return EdgeTest(binaries, directory).run(name);
+        if (gatewayCrowds().count(name) > 0 || linkCrowds().count(name) > 0)
+            return runGateway(binaries, directory, name);
+        std::cerr << "no such crowd: " << name << "\n";
+        return 2;
     }
 
 } // namespace
@@ -246,11 +214,11 @@
 int main(int argc, char** argv)
 {
     namespace options = boost::program_options;
-    std::string binary = "build/rosemarylink-edge";
+    std::string binaries = "build";
     std::string crowd;
     options::options_description description("rosemarylink-limits: one process against clients outside the limits");
-    description.add_options()("edge", options::value(&binary)->default_value(binary), "the program under test")(
-        "crowd", options::value(&crowd)->required(), "name of the crowd of clients");
+    description.add_options()("binaries", options::value(&binaries)->default_value(binaries),
+        "directory of the programs under test")("crowd", options::value(&crowd)->required(), "name of the crowd");
     try {
         options::variables_map arguments;
         options::store(options::parse_command_line(argc, argv, description), arguments);
@@ -259,16 +227,12 @@
         std::cerr << problem.what() << "\n" << description;
         return 2;
     }
-    if (rosemarylink::limits::crowds().count(crowd) == 0) {
-        std::cerr << "no such crowd: " << crowd << "\n";
-        return 2;
-    }
     std::signal(SIGPIPE, SIG_IGN);
     rosemarylink::startLogging(argv[0]);
     const std::filesystem::path directory
         = std::filesystem::temp_directory_path() / ("rosemarylink-limits-" + std::to_string(::getpid()));
     std::filesystem::create_directories(directory);
-    const int result = rosemarylink::limits::run(binary, directory, crowd);
+    const int result = rosemarylink::limits::run(binaries, directory, crowd);
     if (result == 0)
         std::filesystem::remove_all(directory);
     else
--- a/tests/limits/Platform.cpp
+++ b/tests/limits/Platform.cpp
@@ -23,9 +23,10 @@
         const Json route = { { "Name", "batch" }, { "Host", "host" }, { "Prefix", "/batch/" }, { "Service", "pool" },
             { "Priority", 1 }, { "MaxAttempts", 5 }, { "StretchFactor", 2.0 }, { "TargetLatencyMs", 1000 } };
         const Json account = { { "Name", "acme" }, { "ApiKeys", { "key" } }, { "Guaranteed", { { "Gpu", 16 } } } };
+        const Json other = { { "Name", "other" }, { "ApiKeys", { "other" } } };
         return Json({ { "Version", 1 }, { "Routes", Json::array({ route }) },
                         { "Services", Json::array({ { { "Name", "pool" } } }) },
-                        { "Tenants", Json::array({ account }) }, { "Limits", Json::object() } })
+                        { "Tenants", Json::array({ account, other }) }, { "Limits", Json::object() } })
             .dump();
     }
 
--- a/tests/soak/EdgeInstance.cpp
+++ b/tests/soak/EdgeInstance.cpp
@@ -75,6 +75,8 @@
 
 std::string EdgeInstance::readinessAddress() const { return address(readinessPort + number_); }
 
+std::string EdgeInstance::metricsAddress() const { return address(metricsPort + number_); }
+
 void EdgeInstance::start()
 {
     const std::string settings = directory_ + "/" + name_ + ".json";
--- a/tests/soak/EdgeInstance.h
+++ b/tests/soak/EdgeInstance.h
@@ -34,6 +34,7 @@
     const std::string& name() const { return name_; }
     const std::string& callerAddress() const { return callerAddress_; }
     std::string readinessAddress() const;
+    std::string metricsAddress() const;
     pid_t processId() const { return process_; } // 0 if it is not running
 
     // Collects the exit status if the process has ended. Returns true if it ended without SIGTERM or SIGKILL from
--- a/tests/soak/PlatformServers.cpp
+++ b/tests/soak/PlatformServers.cpp
@@ -104,6 +104,26 @@
         return { { "Lease", answer.lease }, { "TtlMs", answer.leaseTtl.count() } };
     }
 
+    // A page of the records after the key, as large as the platform's.
+    Json pageBody(const StoreResponse& answer, const std::string& after, const RecordView& view)
+    {
+        constexpr std::size_t maximumItems = 500;
+        constexpr std::size_t maximumBytes = 1024 * 1024;
+        StoreResponse page;
+        std::size_t bytes = 0;
+        bool more = false;
+        for (const jobs::Record& record : answer.records) {
+            if (record.key <= after)
+                continue;
+            more = page.records.size() == maximumItems || (bytes > 0 && bytes + record.value.size() > maximumBytes);
+            if (more)
+                break;
+            bytes += record.value.size();
+            page.records.push_back(record);
+        }
+        return { { "items", recordsJson(page, view) }, { "CurrentRev", answer.revision.value() }, { "HasMore", more } };
+    }
+
     Json watchBody(const StoreResponse& answer, const RecordView& view)
     {
         Json events = recordsJson(answer, view);
@@ -166,9 +186,10 @@
                 return recordJson(answer.records.front(), view);
             }));
         } else if (kind == "range") {
-            store.list(query.at("Prefix"), serverTimeout, storeResponder(respond, [view](const StoreResponse& answer) {
-                return Json({ { "items", recordsJson(answer, view) }, { "CurrentRev", answer.revision.value() } });
-            }));
+            store.list(query.at("Prefix"), serverTimeout,
+                storeResponder(respond, [view, after = query["After"]](const StoreResponse& answer) {
+                    return pageBody(answer, after, view);
+                }));
         } else if (kind == "watch") {
             store.watch(query.at("Prefix"), Revision(number("After")), Milliseconds(number("WaitMs")),
                 storeResponder(respond, [view](const StoreResponse& answer) { return watchBody(answer, view); }));
