The gateway and the scheduler serve HTTP with the server that has limits

Cause: transport/HttpServer gave each connection a thread from its first byte on and read up to 8 MB of a body before anything else; its only time limit began anew with each byte. Nothing counted what all connections hold together. Change: HttpServer reads and writes all connections on one event loop with LoopHttpServer, under the budgets that rosemarylink-edge has had. A request gets a thread, where its handler may block, when it has arrived whole; when all threads are busy and the queue is full, and when a budget has no room, it gets 503 with the verdict NotRun. TaskInbox carries the responses back to the loop. Bodies now need a Content-Length. Why it works: what a connection holds is counted when it is read, in every process by the same code, and a client that does not finish holds bytes of the budget, not a thread.

--- a/include/rosemarylink/reactor/ConnectionLimits.h
+++ b/include/rosemarylink/reactor/ConnectionLimits.h
@@ -33,6 +33,9 @@
 // means that the value is not known and limits nothing. Without a known memory only the connections are limited.
 ConnectionLimits callerLimitsFor(std::size_t memoryMb, std::size_t fileDescriptors);
 
+// Returns the limits of the gateway's server, whose requests may be larger and take longer than a submission.
+ConnectionLimits gatewayLimitsFor(std::size_t memoryMb, std::size_t openConnections, std::size_t bodyBytes);
+
 // Returns the limits of a server for the operators' own clients (readiness checks, metrics scrapes), which are few and
 // whose requests have no bodies. They are a small part of what callerLimitsFor() leaves.
 ConnectionLimits operatorLimits();
--- a/include/rosemarylink/reactor/LoopHttpServer.h
+++ b/include/rosemarylink/reactor/LoopHttpServer.h
@@ -19,15 +19,27 @@
     std::string body; // sent with contentType unless empty
     std::vector<std::pair<std::string, std::string>> headers;
     std::string contentType = "application/json";
+    bool closeConnection = false; // after the response
+    // Faults that stand-ins inject: close the connection without a response, send the response twice, or close the
+    // connection after part of the body.
+    bool closeWithoutAnswer = false;
+    bool duplicate = false;
+    std::size_t truncateBodyBy = 0; // bytes
 };
 
 // Sends the response to one request. Must be called on the loop's thread, at any time after the request was received.
 // Has no effect if the connection has been closed.
 using Responder = std::function<void(const ServerResponse&)>;
 
-using ServerRequest = HttpMessage<Poco::Net::HTTPRequest>;
+struct ServerRequest : HttpMessage<Poco::Net::HTTPRequest> {
+    const Poco::Net::StreamSocket* connection = nullptr; // the client's; valid until the handler returns
+};
 using RequestHandler = std::function<void(ServerRequest, Responder)>;
 
+// Makes the response to a request that does not reach the handler: with InvalidArgument because it is malformed, with
+// ResourceExhausted because its body exceeds the limit, and with Unavailable because the budget has no room.
+using RefusalFormat = std::function<ServerResponse(const Error&)>;
+
 // Is told why connections were closed and requests were refused because of the limits. The causes are a small fixed
 // set.
 struct ServerObserver {
@@ -48,6 +60,9 @@
     // Must be called at most once, before the loop runs.
     void observe(ServerObserver observer) { observer_ = std::move(observer); }
 
+    // Replaces the JSON bodies of refusals. Must be called at most once, before the loop runs.
+    void setRefusalFormat(RefusalFormat format) { refusalFormat_ = std::move(format); }
+
     // From now on closes each connection on which nothing has arrived or been sent for this long, from its opening on,
     // and which has no request in progress. A request is in progress from when it has been received whole until its
     // response has been sent. Connections are closed up to an eighth of the limit late. Must be called at most once.
@@ -86,6 +101,7 @@
     // Shared with the requests in progress, which may outlive the server.
     std::shared_ptr<ConnectionBudget> budget_;
     ServerObserver observer_;
+    RefusalFormat refusalFormat_;
     RequestHandler handler_;
     std::shared_ptr<Listener> listener_;
     std::map<ConnectionBudget::Id, std::shared_ptr<Connection>> connections_;
--- a/include/rosemarylink/transport/HttpServer.h
+++ b/include/rosemarylink/transport/HttpServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rosemarylink/base/Error.h"
+#include "rosemarylink/reactor/ConnectionLimits.h"
 
 #include <nlohmann/json.hpp>
 
@@ -82,16 +83,21 @@
     std::vector<Route> routes_;
 };
 
+// Limits of a server for a few trusted clients: stand-ins, tests and tools.
+reactor::ConnectionLimits trustedClientLimits();
+
 struct HttpServerOptions {
     std::string host = "127.0.0.1"; // IP address
     int port = 0; // 0: the kernel chooses
-    int threads = 32;
-    int queuedConnections = 256;
-    std::size_t maximumBody = 8 << 20; // bytes; longer bodies get 413
+    int threads = 32; // requests that are handled at once
+    std::size_t queuedRequests = 256; // that wait for a thread; further ones get 503 with NotRun
+    reactor::ConnectionLimits limits = trustedClientLimits();
     Milliseconds idleTimeout { 15000 }; // after which an idle persistent connection is closed
 };
 
-// An HTTP server on POCO's Net. Handlers run on the server's threads.
+// An HTTP server for handlers that block. All connections are read and written by one thread, under the limits of
+// reactor::LoopHttpServer, so that a connection costs no thread; a request gets one when it has arrived whole. Bodies
+// need a Content-Length.
 class HttpServer {
 public:
     // The router must outlive the server and must not be changed after start.
@@ -104,8 +110,8 @@
     Status start();
     int port() const;
 
-    // Stops accepting connections and waits up to the limit for requests in progress. Returns true when all of them
-    // have finished.
+    // Stops accepting connections and waits up to the limit for requests in progress and their responses. Returns true
+    // when all requests have finished. Blocks beyond the limit for handlers that do not return.
     bool stop(Milliseconds limit);
 
 private:
--- a/src/process/GatewayProcess.cpp
+++ b/src/process/GatewayProcess.cpp
@@ -43,8 +43,9 @@
         options.host = settings.address;
         options.port = static_cast<int>(settings.httpPort);
         options.threads = static_cast<int>(settings.connections);
-        options.queuedConnections = static_cast<int>(settings.queuedConnections);
-        options.maximumBody = static_cast<std::size_t>(settings.maximumBody);
+        options.queuedRequests = static_cast<std::size_t>(settings.queuedConnections);
+        options.limits = reactor::gatewayLimitsFor(static_cast<std::size_t>(settings.memory),
+            static_cast<std::size_t>(settings.openConnections), static_cast<std::size_t>(settings.maximumBody));
         options.idleTimeout = settings.idleTimeout;
         return options;
     }
--- a/src/process/SchedulerProcess.cpp
+++ b/src/process/SchedulerProcess.cpp
@@ -59,6 +59,7 @@
     options.host = settings.address;
     options.port = static_cast<int>(settings.httpPort);
     options.threads = 8;
+    options.limits = reactor::operatorLimits();
     server_ = std::make_unique<transport::HttpServer>(router_, options);
 }
 
--- a/src/reactor/ConnectionLimits.cpp
+++ b/src/reactor/ConnectionLimits.cpp
@@ -21,6 +21,8 @@
     // slow to arrive from another region.
     constexpr std::size_t kernelBufferBytes = 16 * kilobyte;
 
+    constexpr std::size_t gatewayKernelBufferBytes = 32 * kilobyte;
+
     // Descriptors of the process itself: 200 files, 3.5 connections to each of 350 workers, and connections to the
     // store, of readiness checks and of metrics scrapes.
     constexpr std::size_t ownDescriptors = 200 + 350 * 7 / 2 + 175;
@@ -50,6 +52,19 @@
     return limits;
 }
 
+ConnectionLimits gatewayLimitsFor(std::size_t memoryMb, std::size_t openConnections, std::size_t bodyBytes)
+{
+    ConnectionLimits limits;
+    limits.message = { callerHeaderBytes, bodyBytes };
+    limits.connections = openConnections;
+    limits.bufferedBytes = memoryMb * megabyte / shareOfMemory;
+    limits.requestBytes = memoryMb * megabyte / shareOfMemory * 2;
+    limits.kernelBufferBytes = gatewayKernelBufferBytes;
+    limits.headTimeout = headTimeout;
+    limits.responseTimeout = responseTimeout;
+    return limits;
+}
+
 ConnectionLimits operatorLimits()
 {
     ConnectionLimits limits;
--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -31,14 +31,28 @@
     constexpr std::size_t bodyReadBytes = 64 * 1024;
 
     // Requests in progress end within a caller's deadline of a few seconds, and most within milliseconds.
-    constexpr const char* retryAfterSeconds = "1";
+    constexpr Milliseconds retryAfter { 1000 };
 
     const Logger logger("http");
 
-    ServerResponse budgetRefusal()
+    Error budgetExceeded()
     {
-        return { 503, R"({"Error":"too many bytes of requests are held; retry later","RetryAfterMs":1000})",
-            { { "Retry-After", retryAfterSeconds } } };
+        return { ErrorCode::Unavailable, "too many bytes of requests are held; retry later", Verdict::NotRun,
+            retryAfter };
+    }
+
+    ServerResponse jsonRefusal(const Error& error)
+    {
+        switch (error.code) {
+        case ErrorCode::Unavailable:
+            return { 503,
+                R"({"Error":")" + error.message + R"(","RetryAfterMs":)" + std::to_string(retryAfter.count()) + "}",
+                { { "Retry-After", std::to_string(retryAfter.count() / 1000) } } };
+        case ErrorCode::ResourceExhausted:
+            return { 413, R"({"error":")" + error.message + "\"}", {} };
+        default:
+            return { 400, R"({"error":")" + error.message + "\"}", {} };
+        }
     }
 
 } // namespace
@@ -199,7 +213,7 @@
             server_->observer_.connectionClosed(cause);
         if (stage_ == ConnectionStage::Receiving && messageBytes_ != 0) {
             closeAfterSend_ = true;
-            buffer_.appendUnsent(format(budgetRefusal()));
+            buffer_.appendUnsent(format(server_->refusalFormat_(budgetExceeded())));
             buffer_.send(); // what the socket does not accept at once is not sent
         }
         close();
@@ -291,11 +305,10 @@
     void refuseMalformed(const Error& error)
     {
         closeAfterSend_ = true;
-        const std::string body = R"({"error":")" + error.message + "\"}";
         if (error.code == ErrorCode::ResourceExhausted)
-            refuse("body-limit", { 413, body, {} });
+            refuse("body-limit", server_->refusalFormat_(error));
         else
-            respond({ 400, body, {} });
+            respond(server_->refusalFormat_(error));
     }
 
     void serveNext()
@@ -320,7 +333,7 @@
         const std::size_t requestBytes = bytesBefore - buffer_.received().size();
         closeAfterSend_ = !extracted.value()->head.getKeepAlive();
         if (!server_->budget_->mayStartRequest(requestBytes)) {
-            refuse("request-budget", budgetRefusal());
+            refuse("request-budget", server_->refusalFormat_(budgetExceeded()));
             return;
         }
         requestInProgress_ = true;
@@ -328,10 +341,11 @@
         const auto charge = std::make_shared<RequestCharge>(server_->budget_, requestBytes);
         const std::string target = extracted.value()->head.getURI();
         try {
-            server_->handler_(std::move(*extracted.value()), [self, charge](const ServerResponse& response) {
-                charge->end();
-                self->respond(response);
-            });
+            server_->handler_(
+                { std::move(*extracted.value()), &buffer_.socket() }, [self, charge](const ServerResponse& response) {
+                    charge->end();
+                    self->respond(response);
+                });
         } catch (const std::exception& problem) {
             // The request may have had an effect, so the caller is told nothing and can repeat it.
             logger.error("Request handler threw an exception; closing the connection",
@@ -350,9 +364,13 @@
         for (const auto& [name, value] : response.headers)
             head.set(name, value);
         head.setKeepAlive(!closeAfterSend_);
+        if (response.closeConnection)
+            head.set("Connection", "close");
         std::ostringstream out;
         head.write(out);
-        return out.str() + response.body;
+        const std::size_t length = response.body.size() - std::min(response.truncateBodyBy, response.body.size());
+        const std::string message = out.str() + response.body.substr(0, length);
+        return response.duplicate ? message + message : message;
     }
 
     void respond(const ServerResponse& response)
@@ -362,7 +380,11 @@
         const auto self = shared_from_this();
         requestInProgress_ = false;
         noteActivity();
-        if (server_->draining_)
+        if (response.closeWithoutAnswer) {
+            close();
+            return;
+        }
+        if (server_->draining_ || response.closeConnection || response.truncateBodyBy > 0)
             closeAfterSend_ = true;
         buffer_.appendUnsent(format(response));
         if (buffer_.send() == SocketBuffer::ConnectionState::Closed) {
@@ -450,6 +472,7 @@
     , address_(socket.address().toString())
     , limits_(limits)
     , budget_(std::make_shared<ConnectionBudget>(limits))
+    , refusalFormat_(jsonRefusal)
     , handler_(std::move(handler))
     , listener_(std::make_shared<Listener>(*this))
 {
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -1,362 +1,190 @@
 #include "rosemarylink/transport/HttpServer.h"
 
-#include "rosemarylink/base/JsonReader.h"
-
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/SHA1Engine.h>
+#include "RequestWorkers.h"
+#include "rosemarylink/base/Clock.h"
+#include "rosemarylink/base/Log.h"
+#include "rosemarylink/reactor/LoopHttpServer.h"
+#include "rosemarylink/reactor/TaskInbox.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocketImpl.h>
 #include <Poco/String.h>
-#include <Poco/StringTokenizer.h>
-#include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
 
-#include <algorithm>
-#include <array>
-#include <condition_variable>
-#include <istream>
-#include <mutex>
-#include <sstream>
+#include <atomic>
+#include <fcntl.h>
+#include <future>
+#include <optional>
+#include <thread>
 
 namespace rosemarylink::transport {
 
-bool HeaderLess::operator()(const std::string& a, const std::string& b) const { return Poco::icompare(a, b) < 0; }
-
-std::string HttpRequest::header(const std::string& name, const std::string& fallback) const
-{
-    const auto position = headers.find(name);
-    return position == headers.end() ? fallback : position->second;
-}
-
-std::string HttpRequest::queryValue(const std::string& name, const std::string& fallback) const
-{
-    const auto position = query.find(name);
-    return position == query.end() ? fallback : position->second;
-}
-
-HttpResponse jsonResponse(const nlohmann::json& json, int status)
-{
-    HttpResponse response;
-    response.status = status;
-    response.body = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
-    return response;
-}
-
-HttpResponse withEntityTag(const HttpRequest& request, HttpResponse response)
-{
-    Poco::SHA1Engine digest;
-    digest.update(response.body);
-    const std::string tag = "\"" + Poco::DigestEngine::digestToHex(digest.digest()) + "\"";
-    response.headers["ETag"] = tag;
-    if (request.header("If-None-Match") == tag) {
-        response.status = 304;
-        response.body.clear();
-    }
-    return response;
-}
-
-int httpStatus(ErrorCode code)
-{
-    switch (code) {
-    case ErrorCode::InvalidArgument:
-        return 400;
-    case ErrorCode::Unauthenticated:
-        return 401;
-    case ErrorCode::PermissionDenied:
-        return 403;
-    case ErrorCode::NotFound:
-        return 404;
-    case ErrorCode::Conflict:
-    case ErrorCode::Fenced:
-        return 409;
-    case ErrorCode::ResourceExhausted:
-        return 429;
-    case ErrorCode::Internal:
-    case ErrorCode::Unsupported:
-        return 500;
-    case ErrorCode::Unavailable:
-        return 503;
-    case ErrorCode::DeadlineExceeded:
-        return 504;
-    }
-    return 500;
-}
-
-HttpResponse errorResponse(const Error& error)
-{
-    nlohmann::json body = { { "code", errorCodeName(error.code) }, { "message", error.message },
-        { "verdict", verdictName(error.verdict) } };
-    if (error.retryAfter)
-        body["retryAfterMs"] = error.retryAfter->count();
-    HttpResponse response = jsonResponse({ { "error", body } }, httpStatus(error.code));
-    response.headers["Rosemarylink-Verdict"] = std::string(verdictName(error.verdict));
-    if (error.retryAfter)
-        response.headers["Retry-After"] = std::to_string((error.retryAfter->count() + 999) / 1000);
-    return response;
-}
-
-Error errorFromResponse(int status, const std::string& body)
-{
-    Error error { ErrorCode::Internal, "HTTP status " + std::to_string(status), Verdict::MayHaveRun, std::nullopt };
-    const auto json = nlohmann::json::parse(body, nullptr, false);
-    if (!json.is_object() || !json.contains("error") || !json["error"].is_object())
-        return error;
-    const auto& fields = json["error"];
-    error.message = fields.value("message", error.message);
-    error.verdict = parseVerdict(fields.value("verdict", "")).value_or(Verdict::MayHaveRun);
-    if (fields.contains("retryAfterMs") && fields["retryAfterMs"].is_number_integer())
-        error.retryAfter = Milliseconds(fields["retryAfterMs"].get<std::int64_t>());
-    for (int code = 0; code <= static_cast<int>(ErrorCode::Internal); ++code) {
-        if (errorCodeName(static_cast<ErrorCode>(code)) == fields.value("code", ""))
-            error.code = static_cast<ErrorCode>(code);
-    }
-    return error;
-}
-
 namespace {
 
-    std::vector<std::string> splitPath(const std::string& path)
-    {
-        const Poco::StringTokenizer tokens(path, "/", Poco::StringTokenizer::TOK_IGNORE_EMPTY);
-        return { tokens.begin(), tokens.end() };
-    }
-
-    bool isParameter(const std::string& segment) { return segment.size() > 2 && segment.front() == '{'; }
-
-    bool matchesRest(const std::string& segment)
-    {
-        return isParameter(segment) && segment.size() > 5 && segment.compare(segment.size() - 4, 4, "...}") == 0;
-    }
-
-    // Returns true and sets the parameters when the path matches the pattern.
-    bool matches(const std::vector<std::string>& pattern, const std::vector<std::string>& path,
-        std::map<std::string, std::string>& parameters)
-    {
-        for (std::size_t index = 0; index < pattern.size(); ++index) {
-            const std::string& segment = pattern[index];
-            if (index >= path.size())
-                return false;
-            if (matchesRest(segment)) {
-                std::string rest = path[index];
-                for (std::size_t next = index + 1; next < path.size(); ++next)
-                    rest += "/" + path[next];
-                parameters[segment.substr(1, segment.size() - 5)] = rest;
-                return true;
-            }
-            if (isParameter(segment))
-                parameters[segment.substr(1, segment.size() - 2)] = path[index];
-            else if (segment != path[index])
-                return false;
-        }
-        return pattern.size() == path.size();
-    }
-
-} // namespace
-
-void HttpRouter::add(const std::string& method, const std::string& pattern, HttpHandler handler)
-{
-    routes_.push_back({ method, splitPath(pattern), std::move(handler) });
-}
-
-HttpResponse HttpRouter::route(HttpRequest request) const
-{
-    const std::vector<std::string> path = splitPath(request.path);
-    bool pathKnown = false;
-    for (const Route& route : routes_) {
-        std::map<std::string, std::string> parameters;
-        if (!matches(route.segments, path, parameters))
-            continue;
-        pathKnown = true;
-        if (route.method != request.method)
-            continue;
-        request.parameters = std::move(parameters);
-        return route.handler(request);
-    }
-    HttpResponse response = errorResponse(makeError(ErrorCode::NotFound,
-        pathKnown ? request.method + " is not allowed on " + request.path : "no such path: " + request.path));
-    if (pathKnown)
-        response.status = 405;
-    return response;
-}
+    // A client may return this soon after a refusal for want of a thread.
+    constexpr Milliseconds retryAfterFullQueue { 1000 };
 
-namespace {
+    const Logger logger("http");
 
-    class ActiveRequests {
+    // A second descriptor of a client's connection, on which a handler's thread may look while the loop's thread owns
+    // the first.
+    class ConnectionProbe {
     public:
-        void begin()
-        {
-            const std::lock_guard lock(mutex_);
-            ++count_;
-        }
-        void end()
+        explicit ConnectionProbe(const Poco::Net::StreamSocket& connection)
         {
-            const std::lock_guard lock(mutex_);
-            if (--count_ == 0)
-                idle_.notify_all();
-        }
-        bool waitUntilIdle(Milliseconds limit)
-        {
-            std::unique_lock lock(mutex_);
-            return idle_.wait_for(lock, limit, [this] { return count_ == 0; });
-        }
-
-    private:
-        std::mutex mutex_;
-        std::condition_variable idle_;
-        int count_ = 0;
-    };
-
-    class RouterHandler final : public Poco::Net::HTTPRequestHandler {
-    public:
-        RouterHandler(const HttpRouter& router, std::size_t maximumBody, ActiveRequests& active)
-            : router_(router)
-            , maximumBody_(maximumBody)
-            , active_(active)
-        {
-        }
-
-        void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override
-        {
-            active_.begin();
-            try {
-                handle(request, response);
-            } catch (const std::exception&) {
-                // The client disconnected during the response, so the error cannot be reported to it.
-                response.setKeepAlive(false);
-            }
-            active_.end();
-        }
-
-    private:
-        void handle(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
-        {
-            HttpRequest parsed;
-            if (!readRequest(request, parsed)) {
-                HttpResponse tooLarge = errorResponse(
-                    invalidArgument("the body is longer than " + std::to_string(maximumBody_) + " bytes"));
-                tooLarge.status = 413;
-                response.setKeepAlive(false);
-                send(tooLarge, response);
-                return;
-            }
-            Poco::Net::StreamSocket& socket = static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
-            parsed.clientGone = [&socket] { return isClosedByPeer(socket); };
-            const HttpResponse result = router_.route(std::move(parsed));
-            if (result.closeWithoutAnswer) {
-                response.setKeepAlive(false);
-                socket.shutdown();
-                return;
-            }
-            send(result, response);
-            if (result.duplicate)
-                sendAgain(result, response, socket);
+            const int descriptor = ::fcntl(connection.impl()->sockfd(), F_DUPFD_CLOEXEC, 0);
+            if (descriptor >= 0)
+                socket_ = Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(descriptor));
+            else
+                logger.warning("A request cannot notice that its client disconnects", { { "errno", errno } });
         }
 
         // A socket that is readable but has no byte to peek was closed by the peer.
-        static bool isClosedByPeer(Poco::Net::StreamSocket& socket)
+        bool isClosedByPeer()
         {
+            if (!socket_)
+                return false;
             try {
                 char byte = 0;
-                return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)
-                    && socket.receiveBytes(&byte, 1, MSG_PEEK) == 0;
+                return socket_->poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)
+                    && socket_->receiveBytes(&byte, 1, MSG_PEEK) == 0;
             } catch (const Poco::Exception&) {
                 return true;
             }
         }
 
-        static void sendAgain(
-            const HttpResponse& result, const Poco::Net::HTTPServerResponse& response, Poco::Net::StreamSocket& socket)
-        {
-            std::ostringstream copy;
-            response.write(copy);
-            copy << result.body;
-            const std::string bytes = copy.str();
-            socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
-        }
-
-        bool readRequest(Poco::Net::HTTPServerRequest& request, HttpRequest& parsed) const
-        {
-            const Poco::URI uri(request.getURI());
-            parsed.method = request.getMethod();
-            parsed.path = uri.getPath();
-            for (const auto& [name, value] : uri.getQueryParameters())
-                parsed.query[name] = value;
-            for (const auto& [name, value] : request)
-                parsed.headers[name] = value;
-            std::array<char, 16384> buffer {};
-            std::istream& input = request.stream();
-            while (input) {
-                input.read(buffer.data(), buffer.size());
-                parsed.body.append(buffer.data(), static_cast<std::size_t>(input.gcount()));
-                if (parsed.body.size() > maximumBody_)
-                    return false;
-            }
-            return true;
-        }
-
-        static void send(const HttpResponse& result, Poco::Net::HTTPServerResponse& response)
-        {
-            response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(result.status));
-            response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
-            response.setContentType(result.contentType);
-            for (const auto& [name, value] : result.headers)
-                response.set(name, value);
-            response.setContentLength64(static_cast<Poco::Int64>(result.body.size()));
-            if (result.truncateBodyBy > 0)
-                response.setKeepAlive(false);
-            const std::size_t length = result.body.size() - std::min(result.truncateBodyBy, result.body.size());
-            // Uses send instead of sendBuffer, which would declare the truncated length.
-            std::ostream& output = response.send();
-            output.write(result.body.data(), static_cast<std::streamsize>(length));
-            output.flush();
-        }
-
-        const HttpRouter& router_;
-        std::size_t maximumBody_;
-        ActiveRequests& active_;
+    private:
+        std::optional<Poco::Net::StreamSocket> socket_;
     };
 
-    class RouterHandlerFactory final : public Poco::Net::HTTPRequestHandlerFactory {
-    public:
-        RouterHandlerFactory(const HttpRouter& router, std::size_t maximumBody, ActiveRequests& active)
-            : router_(router)
-            , maximumBody_(maximumBody)
-            , active_(active)
-        {
-        }
+    // Throws Poco::SyntaxException if the target is not a URI.
+    HttpRequest decode(const reactor::ServerRequest& message)
+    {
+        HttpRequest request;
+        const Poco::URI uri(message.head.getURI());
+        request.method = message.head.getMethod();
+        request.path = uri.getPath();
+        for (const auto& [name, value] : uri.getQueryParameters())
+            request.query[name] = value;
+        for (const auto& [name, value] : message.head)
+            request.headers[name] = value;
+        return request;
+    }
 
-        Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest&) override
-        {
-            return new RouterHandler(router_, maximumBody_, active_);
+    reactor::ServerResponse encode(HttpResponse response)
+    {
+        reactor::ServerResponse encoded;
+        encoded.status = response.status;
+        encoded.body = std::move(response.body);
+        encoded.contentType = response.contentType;
+        for (const auto& [name, value] : response.headers) {
+            if (Poco::icompare(name, "Connection") == 0)
+                encoded.closeConnection = Poco::icompare(value, "close") == 0;
+            else
+                encoded.headers.emplace_back(name, value);
         }
+        encoded.closeWithoutAnswer = response.closeWithoutAnswer;
+        encoded.duplicate = response.duplicate;
+        encoded.truncateBodyBy = response.truncateBodyBy;
+        return encoded;
+    }
 
-    private:
-        const HttpRouter& router_;
-        std::size_t maximumBody_;
-        ActiveRequests& active_;
-    };
+    reactor::ServerResponse refusal(const Error& error)
+    {
+        // Nothing has run for want of room or because of a malformed request.
+        HttpResponse response = errorResponse({ error.code, error.message, Verdict::NotRun, error.retryAfter });
+        if (error.code == ErrorCode::ResourceExhausted)
+            response.status = 413;
+        return encode(std::move(response));
+    }
 
 } // namespace
 
+reactor::ConnectionLimits trustedClientLimits() { return {}; }
+
 struct HttpServer::State {
     State(const HttpRouter& routes, const HttpServerOptions& serverOptions)
         : router(routes)
         , options(serverOptions)
-        , threads("http", 2, serverOptions.threads, 60, 0)
+        , loop(clock)
+        , inbox(loop)
+        , workers(serverOptions.threads, serverOptions.queuedRequests)
     {
     }
 
+    void handle(reactor::ServerRequest message, const reactor::Responder& respond);
+    void serve(const reactor::ServerRequest& message, ConnectionProbe& probe, const reactor::Responder& respond);
+    // Lets the loop end once the server has drained, or at the deadline.
+    void endLoopWhenIdle();
+
     const HttpRouter& router;
     HttpServerOptions options;
-    ActiveRequests active;
-    Poco::ThreadPool threads;
-    std::unique_ptr<Poco::Net::HTTPServer> server;
+    SystemClock clock;
+    reactor::EventLoop loop;
+    reactor::TaskInbox inbox;
+    RequestWorkers workers;
+    std::unique_ptr<reactor::LoopHttpServer> server; // used on the loop's thread once that runs
+    std::thread thread;
+    int port = 0;
+    std::atomic<std::size_t> requests { 0 }; // whose response has not been passed to the loop
+    std::optional<Milliseconds> stopBy; // used on the loop's thread
 };
 
+// Runs on the loop's thread.
+void HttpServer::State::handle(reactor::ServerRequest message, const reactor::Responder& respond)
+{
+    const auto probe = std::make_shared<ConnectionProbe>(*message.connection);
+    message.connection = nullptr;
+    const auto request = std::make_shared<reactor::ServerRequest>(std::move(message));
+    ++requests;
+    const bool taken = workers.run([this, request = request, probe = probe, respond]() mutable {
+        serve(*request, *probe, respond);
+        // The descriptor must be closed before the response can close the connection.
+        probe.reset();
+        request.reset();
+    });
+    if (taken)
+        return;
+    --requests;
+    logger.warning("Request is refused because all threads are busy", { { "target", request->head.getURI() } });
+    respond(
+        refusal({ ErrorCode::Unavailable, "all threads are busy; retry later", Verdict::NotRun, retryAfterFullQueue }));
+}
+
+// Runs on a worker thread.
+void HttpServer::State::serve(
+    const reactor::ServerRequest& message, ConnectionProbe& probe, const reactor::Responder& respond)
+{
+    reactor::ServerResponse response;
+    try {
+        HttpRequest request = decode(message);
+        request.body = message.body;
+        request.clientGone = [&probe] { return probe.isClosedByPeer(); };
+        response = encode(router.route(std::move(request)));
+    } catch (const Poco::SyntaxException& problem) {
+        response = refusal(invalidArgument("the request's target is not a URI: " + problem.message()));
+    } catch (const std::exception& problem) {
+        // The request may have had an effect, so that its caller must learn nothing else.
+        logger.error("Request handler threw an exception; closing the connection",
+            { { "target", message.head.getURI() }, { "reason", problem.what() } });
+        response.closeWithoutAnswer = true;
+    }
+    inbox.post([this, respond, response = std::move(response)] {
+        respond(response);
+        --requests;
+    });
+}
+
+void HttpServer::State::endLoopWhenIdle()
+{
+    if (!stopBy)
+        return;
+    const bool idle = requests == 0 && (!server || server->connections() == 0);
+    if (idle || clock.monotonic() >= *stopBy)
+        loop.stop();
+}
+
 HttpServer::HttpServer(const HttpRouter& router, const HttpServerOptions& options)
     : state_(std::make_unique<State>(router, options))
 {
@@ -367,36 +195,33 @@
 Status HttpServer::start()
 {
     const HttpServerOptions& options = state_->options;
-    const std::string address = options.host + ":" + std::to_string(options.port);
-    try {
-        const Poco::Net::ServerSocket socket(
-            Poco::Net::SocketAddress(options.host, static_cast<Poco::UInt16>(options.port)), options.queuedConnections);
-        Poco::Net::HTTPServerParams::Ptr parameters = new Poco::Net::HTTPServerParams;
-        parameters->setMaxThreads(options.threads);
-        parameters->setMaxQueued(options.queuedConnections);
-        parameters->setKeepAlive(true);
-        parameters->setKeepAliveTimeout(Poco::Timespan(options.idleTimeout.count() * 1000));
-        parameters->setTimeout(Poco::Timespan(options.idleTimeout.count() * 1000));
-        state_->server = std::make_unique<Poco::Net::HTTPServer>(
-            new RouterHandlerFactory(state_->router, options.maximumBody, state_->active), state_->threads, socket,
-            parameters);
-        state_->server->start();
-    } catch (const Poco::Exception& exception) {
-        return makeError(ErrorCode::Unavailable, "cannot listen on " + address + ": " + exception.displayText());
-    }
+    State* const state = state_.get();
+    BOOST_OUTCOME_TRY(server,
+        reactor::LoopHttpServer::listen(state->loop, options.host + ":" + std::to_string(options.port), options.limits,
+            [state](reactor::ServerRequest message, const reactor::Responder& respond) {
+                state->handle(std::move(message), respond);
+            }));
+    server->setRefusalFormat(refusal);
+    server->closeIdleConnections(options.idleTimeout);
+    state->port = Poco::Net::SocketAddress(server->address()).port();
+    state->server = std::move(server);
+    state->thread = std::thread([state] { state->loop.run([state] { state->endLoopWhenIdle(); }); });
     return okStatus();
 }
 
-int HttpServer::port() const { return state_->server ? state_->server->port() : 0; }
+int HttpServer::port() const { return state_->port; }
 
 bool HttpServer::stop(Milliseconds limit)
 {
-    if (!state_->server)
+    if (!state_->thread.joinable())
         return true;
-    state_->server->stop();
-    const bool finished = state_->active.waitUntilIdle(limit);
-    state_->server->stopAll(true);
-    state_->threads.joinAll();
+    state_->inbox.post([state = state_.get(), limit] {
+        state->server->drain();
+        state->stopBy = state->clock.monotonic() + limit;
+    });
+    state_->thread.join();
+    const bool finished = state_->requests == 0;
+    state_->workers.stop();
     state_->server.reset();
     return finished;
 }
