Links accept few connections from instances that are not peers

What could be seen: clients that claim to be instances and stop short of the end of a message of 4 MB made rosemarylink-gateway hold all of them. Cause: the link server accepted any number of connections, and websocketpp holds a message until its end, up to 4 MB on each. Change: the link server accepts 16 connections from instances that are not in the list of peers and 4 from each peer; further handshakes get 503. An instance that has just started and is not listed yet is one of the 16, and its peers open connections to it when it is listed. A client that names known peers can still hold 16 MB for each, since links have no authentication (README).

--- a/include/rosemarylink/transport/WebSocketLinks.h
+++ b/include/rosemarylink/transport/WebSocketLinks.h
@@ -17,6 +17,10 @@
     std::size_t maximumMessageSize = 4 << 20; // bytes; the sender and the receiver reject longer messages
     std::size_t maximumUnsentSize
         = 8 << 20; // bytes; a message that would exceed this many unsent bytes on a connection is not sent
+    // Connections that are accepted at once from instances that are not peers, such as one that has just started and is
+    // not listed yet, and from one peer.
+    std::size_t maximumStrangers = 16;
+    std::size_t maximumPerPeer = 4;
     int callThreads = 4; // for the handlers of calls; notifications run in order on a separate thread
     int maximumQueuedCalls = 1024; // further calls fail with ResourceExhausted
 };
--- a/src/transport/LinkConnection.h
+++ b/src/transport/LinkConnection.h
@@ -33,6 +33,8 @@
 class LinkEvents {
 public:
     virtual ~LinkEvents() = default;
+    // Whether the instance is one of those that connections are kept to.
+    virtual bool isPeer(const InstanceId&) const = 0;
     virtual void linkOpened(const LinkPointer&) = 0;
     virtual void linkReceived(const LinkPointer&, const std::string& bytes) = 0;
     virtual void linkActive(const LinkPointer&) = 0; // a ping or pong was received
@@ -44,6 +46,9 @@
     InstanceId self;
     std::size_t maximumMessageSize = 0;
     Milliseconds openTimeout { 0 };
+    // Connections from instances that are not peers, and from one peer, that are accepted at once.
+    std::size_t maximumStrangers = 0;
+    std::size_t maximumPerPeer = 0;
 };
 
 // Opens connections to peers.
--- a/src/transport/LinkServer.cpp
+++ b/src/transport/LinkServer.cpp
@@ -1,13 +1,25 @@
 #include "LinkConnection.h"
 #include "WebSocketConnection.h"
 
+#include "rosemarylink/base/Log.h"
+
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/server.hpp>
 
+#include <algorithm>
+#include <map>
+#include <vector>
+
 namespace rosemarylink::transport::internal {
 
 using Server = websocketpp::server<websocketpp::config::asio>;
 
+namespace {
+
+    const Logger logger("links");
+
+} // namespace
+
 struct LinkServer::State {
     State(const EndpointOptions& endpointOptions, LinkEvents& linkEvents)
         : options(endpointOptions)
@@ -20,8 +32,30 @@
     LinkEvents& events;
 
     bool validate(const websocketpp::connection_hdl& handle);
+    bool hasRoomFor(const InstanceId& peer, const Server::connection_ptr&);
+
+    // Accepted connections by peer; those of instances that are not peers under the empty id.
+    std::map<InstanceId, std::vector<std::weak_ptr<Server::connection_type>>> accepted;
 };
 
+// Bounds what clients that only claim to be instances can make this process hold: a message that arrives is held until
+// its end.
+bool LinkServer::State::hasRoomFor(const InstanceId& peer, const Server::connection_ptr& connection)
+{
+    const bool known = events.isPeer(peer);
+    auto& connections = accepted[known ? peer : InstanceId()];
+    connections.erase(
+        std::remove_if(connections.begin(), connections.end(), [](const auto& earlier) { return earlier.expired(); }),
+        connections.end());
+    if (connections.size() >= (known ? options.maximumPerPeer : options.maximumStrangers)) {
+        logger.warning("connection refused because of a limit",
+            { { "peer", peer }, { "known", known }, { "open", connections.size() } });
+        return false;
+    }
+    connections.push_back(connection);
+    return true;
+}
+
 bool LinkServer::State::validate(const websocketpp::connection_hdl& handle)
 {
     const Server::connection_ptr connection = endpoint.get_con_from_hdl(handle);
@@ -30,6 +64,10 @@
         connection->set_status(websocketpp::http::status_code::forbidden);
         return false;
     }
+    if (!hasRoomFor(peer, connection)) {
+        connection->set_status(websocketpp::http::status_code::service_unavailable);
+        return false;
+    }
     connection->append_header(instanceHeader, options.self.value());
     auto link = std::make_shared<WebSocketConnection<Server>>(connection, peer);
     link->attach(events);
--- a/src/transport/LinkTable.cpp
+++ b/src/transport/LinkTable.cpp
@@ -177,6 +177,12 @@
     })->connection;
 }
 
+bool LinkTable::isPeer(const InstanceId& id) const
+{
+    const auto position = peers_.find(id);
+    return position != peers_.end() && position->second.address;
+}
+
 void LinkTable::dropAll()
 {
     for (auto& [id, peer] : peers_) {
--- a/src/transport/LinkTable.h
+++ b/src/transport/LinkTable.h
@@ -34,6 +34,9 @@
     // Returns the open connection with the latest activity, or null when there is none.
     LinkPointer connectionTo(const InstanceId&) const;
 
+    // Whether the instance is in the list of peers.
+    bool isPeer(const InstanceId&) const;
+
     void dropAll();
 
     // May be called on any thread.
--- a/src/transport/WebSocketLinks.cpp
+++ b/src/transport/WebSocketLinks.cpp
@@ -58,6 +58,12 @@
         return static_cast<std::int64_t>(payload + header + 2);
     }
 
+    EndpointOptions endpointOptions(const LinkOptions& options)
+    {
+        return { options.self, options.maximumMessageSize, options.receiveTimeout, options.maximumStrangers,
+            options.maximumPerPeer };
+    }
+
 } // namespace
 
 class WebSocketLinks::State final : public LinkEvents {
@@ -70,6 +76,7 @@
     void notify(const InstanceId& to, std::string bytes);
     Result<nlohmann::json> call(const InstanceId& to, messages::Envelope, Milliseconds timeout);
 
+    bool isPeer(const InstanceId& id) const override { return table_.isPeer(id); }
     void linkOpened(const LinkPointer&) override;
     void linkReceived(const LinkPointer&, const std::string& bytes) override;
     void linkActive(const LinkPointer&) override;
@@ -105,8 +112,8 @@
 
 WebSocketLinks::State::State(const LinkOptions& options)
     : options_(options)
-    , client_(context_, { options.self, options.maximumMessageSize, options.receiveTimeout }, *this)
-    , server_(context_, { options.self, options.maximumMessageSize, options.receiveTimeout }, *this)
+    , client_(context_, endpointOptions(options), *this)
+    , server_(context_, endpointOptions(options), *this)
     , table_(
           options, [this](const PeerAddress& address) { return client_.open(address); },
           [this](const LinkConnection* link) { pending_.failAll(link); })
