Tasks and occurrences that have not been placed are held as a count

Cause: a job had a TaskProgress of 288 bytes for each task and a StepProgress for each step of each occurrence from its submission on, although those that have not been placed are all alike. Change: LazyVector holds the value of all elements that have not been edited once. Tasks are edited when they are placed or reported, occurrences when they are due. Why it works: nothing is refused; the same jobs take less.

--- a/include/rosemarylink/jobs/JobProgress.h
+++ b/include/rosemarylink/jobs/JobProgress.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rosemarylink/jobs/Job.h"
+#include "rosemarylink/jobs/LazyVector.h"
 #include "rosemarylink/jobs/WorkerPort.h"
 
 #include <nlohmann/json.hpp>
@@ -37,8 +38,11 @@
     int percent = 0; // completed share of the work, as last reported by the worker
 };
 
+// The tasks of a step. Those that have never been placed are alike.
+using TaskTable = LazyVector<TaskProgress>;
+
 struct StepProgress {
-    std::vector<TaskProgress> tasks;
+    TaskTable tasks;
     int done = 0; // number of tasks in phase Done
     std::optional<Milliseconds> readyAt; // monotonic time since which the steps that it depends on are complete
     std::optional<Milliseconds> activeAt; // monotonic time at which this owner last saw a run of the step; not stored
@@ -56,7 +60,7 @@
 struct Job {
     JobSpec spec;
     JobState state = JobState::Queued;
-    std::vector<std::vector<StepProgress>> occurrences; // indexed by occurrence and step
+    LazyVector<std::vector<StepProgress>> occurrences; // indexed by occurrence and step
     bool mayHaveUnknownRuns = false; // a previous owner may have started runs that this owner has not seen yet
     std::optional<Milliseconds> releasedAt; // monotonic time at which that was ruled out; absent if it never was so
     bool oversized = false; // the record with the present progress exceeds the store's limit
@@ -67,8 +71,15 @@
     Milliseconds arrivedAt { 0 }; // monotonic time at which the owner read the job, less its age if that was a takeover
     std::optional<Milliseconds> finishedAt; // monotonic
 
-    StepProgress& step(const TaskKey& key) { return occurrences[key.occurrence][key.step]; }
-    TaskProgress& task(const TaskKey& key) { return step(key).tasks[key.index]; }
+    StepProgress& step(const TaskKey& key)
+    {
+        return occurrences.edit(static_cast<std::size_t>(key.occurrence))[key.step];
+    }
+    TaskProgress& task(const TaskKey& key) { return step(key).tasks.edit(static_cast<std::size_t>(key.index)); }
+    const TaskProgress& task(const TaskKey& key) const
+    {
+        return occurrences[key.occurrence][key.step].tasks[static_cast<std::size_t>(key.index)];
+    }
     const StepSpec& stepSpec(const TaskKey& key) const { return spec.steps[key.step]; }
     // Checkpoint from which the task's next run starts; empty to start from the beginning.
     std::string& checkpoint(const TaskKey& key)
--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -3,6 +3,7 @@
 #include "rosemarylink/base/JsonReader.h"
 
 #include <algorithm>
+#include <memory>
 
 namespace rosemarylink::jobs {
 
@@ -55,7 +56,7 @@
         step.gangFailedRuns = json.at("failedRuns").get<std::set<int>>();
         step.gangCheckpoint = json.at("checkpoint").get<std::string>();
         for (const nlohmann::json& row : json.at("tasks")) {
-            TaskProgress& task = step.tasks.at(row.at(0).get<std::size_t>());
+            TaskProgress& task = step.tasks.edit(row.at(0).get<std::size_t>());
             if (row.at(1).get<bool>()) {
                 task.phase = TaskPhase::Done;
                 ++step.done;
@@ -77,11 +78,8 @@
 
 bool StepProgress::anyActive() const
 {
-    for (const TaskProgress& task : tasks) {
-        if (isActive(task))
-            return true;
-    }
-    return false;
+    return std::any_of(tasks.edited().begin(), tasks.edited().end(),
+        [](const std::unique_ptr<TaskProgress>& task) { return task && isActive(*task); });
 }
 
 bool Job::contains(const TaskKey& key) const
@@ -108,11 +106,9 @@
 
 bool Job::anyActive() const
 {
-    for (const auto& steps : occurrences) {
-        for (const StepProgress& step : steps) {
-            if (step.anyActive())
-                return true;
-        }
+    for (const auto& steps : occurrences.edited()) {
+        if (steps && std::any_of(steps->begin(), steps->end(), [](const auto& step) { return step.anyActive(); }))
+            return true;
     }
     return false;
 }
@@ -131,10 +127,11 @@
     Job job;
     job.spec = spec;
     job.progressRevision = progressRevision;
-    std::vector<StepProgress> steps(spec.steps.size());
-    for (std::size_t number = 0; number < steps.size(); ++number)
-        steps[number].tasks.resize(static_cast<std::size_t>(spec.steps[number].taskCount));
-    job.occurrences.assign(static_cast<std::size_t>(spec.occurrences), steps);
+    static const auto waitingTask = std::make_shared<const TaskProgress>();
+    const auto steps = std::make_shared<std::vector<StepProgress>>(spec.steps.size());
+    for (std::size_t number = 0; number < steps->size(); ++number)
+        (*steps)[number].tasks = TaskTable(static_cast<std::size_t>(spec.steps[number].taskCount), waitingTask);
+    job.occurrences = { static_cast<std::size_t>(spec.occurrences), steps };
     return job;
 }
 
@@ -212,7 +209,7 @@
         const nlohmann::json& occurrences = json["occurrences"];
         for (std::size_t occurrence = 0; occurrence < occurrences.size(); ++occurrence) {
             for (std::size_t step = 0; step < occurrences[occurrence].size(); ++step)
-                applyStep(occurrences[occurrence][step], job.occurrences.at(occurrence).at(step));
+                applyStep(occurrences[occurrence][step], job.occurrences.edit(occurrence).at(step));
         }
     } catch (const std::exception& problem) {
         return invalidArgument("malformed progress record of job " + job.spec.id.value() + ": " + problem.what());
--- a/src/jobs/OwnerSessionCrashes.cpp
+++ b/src/jobs/OwnerSessionCrashes.cpp
@@ -51,7 +51,7 @@
     Milliseconds survival = *worker.clock - *run.confirmedClock;
     Job* const job = find(key.first.job);
     if (job && job->contains(key.first) && job->stepSpec(key.first).gang) {
-        const std::vector<TaskProgress>& members = job->step(key.first).tasks;
+        const TaskTable& members = job->step(key.first).tasks;
         for (int index = 0; index < static_cast<int>(members.size()); ++index) {
             const TaskProgress& member = members[static_cast<std::size_t>(index)];
             if (member.run != key.second)
--- a/src/jobs/OwnerSessionPace.cpp
+++ b/src/jobs/OwnerSessionPace.cpp
@@ -77,7 +77,7 @@
         return true;
     if (!spec.rackLocal)
         return false;
-    const std::vector<TaskProgress>& tasks = job.step(key).tasks;
+    const TaskTable& tasks = job.step(key).tasks;
     return std::any_of(tasks.begin(), tasks.end(), [&](const TaskProgress& task) {
         const Worker* const other = task.worker == worker.entry.id ? nullptr : find(task.worker);
         return other && other->entry.rack != worker.entry.rack;
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -309,8 +309,9 @@
         if (!due)
             return;
         const Milliseconds dueAt = *due;
+        std::vector<StepProgress>& steps = job.occurrences.edit(static_cast<std::size_t>(occurrence));
         for (std::size_t number = 0; number < job.spec.steps.size(); ++number) {
-            StepProgress& progress = job.occurrences[occurrence][number];
+            StepProgress& progress = steps[number];
             const StepSpec& spec = job.spec.steps[number];
             if (progress.complete() || !job.dependenciesComplete(occurrence, static_cast<int>(number)))
                 continue;
--- a/src/jobs/OwnerSessionTasks.cpp
+++ b/src/jobs/OwnerSessionTasks.cpp
@@ -200,7 +200,7 @@
     const int first = job.stepSpec(key).gang ? 0 : key.index;
     const int last = job.stepSpec(key).gang ? job.stepSpec(key).taskCount - 1 : key.index;
     for (int index = first; index <= last; ++index) {
-        TaskProgress& task = step.tasks[index];
+        TaskProgress& task = step.tasks.edit(static_cast<std::size_t>(index));
         if (task.phase == TaskPhase::Done)
             continue;
         task.phase = TaskPhase::Done;
--- a/tests/jobs/CrashingTasksTest.cpp
+++ b/tests/jobs/CrashingTasksTest.cpp
@@ -307,12 +307,12 @@
 {
     const JobSpec spec = oneStep(2, 1, Milliseconds(500), /*gang=*/false);
     Job job = makeJob(spec, Revision(1));
-    job.occurrences[0][0].tasks[0].run = 3;
-    job.occurrences[0][0].tasks[1].run = 1;
+    job.occurrences.edit(0)[0].tasks.edit(0).run = 3;
+    job.occurrences.edit(0)[0].tasks.edit(1).run = 1;
     const std::string earlier = progressRecord(job);
-    job.occurrences[0][0].tasks[0].crashedRuns = { 1, 3 };
-    job.occurrences[0][0].tasks[0].unconfirmedCrashes = { 3 };
-    job.occurrences[0][0].tasks[0].unresolvedRuns = { 4 };
+    job.occurrences.edit(0)[0].tasks.edit(0).crashedRuns = { 1, 3 };
+    job.occurrences.edit(0)[0].tasks.edit(0).unconfirmedCrashes = { 3 };
+    job.occurrences.edit(0)[0].tasks.edit(0).unresolvedRuns = { 4 };
     Job loaded = makeJob(spec, Revision(1));
     REQUIRE(applyProgressRecord(progressRecord(job), loaded));
     CHECK(loaded.occurrences[0][0].tasks[0].crashedRuns == std::set<int> { 1, 3 });
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -109,7 +109,7 @@
 {
     JobSpec spec = oneStep(1, 1, Milliseconds(500), /*gang=*/false);
     Job job = makeJob(spec, Revision(1));
-    TaskProgress& task = job.occurrences[0][0].tasks[0];
+    TaskProgress& task = job.occurrences.edit(0)[0].tasks.edit(0);
     task.run = 3;
     for (int run : { 3, 1, 2, 3 })
         task.failedRuns.insert(run);
