Submissions with texts over the platform's limits are refused

Cause: the page's 4,000 bytes were not checked, nor was the length of a label or a rack, and a dependency could be named any number of times.

--- a/tests/platform/CatalogTest.cpp
+++ b/tests/platform/CatalogTest.cpp
@@ -130,4 +130,18 @@
     CHECK_FALSE(parsePlatformSettings(head + R"(,"Limits":{"MemoryMb":"many"}})").has_value());
 }
 
+// Guards against an owner that is filled with texts that no worker can use, and that are longer than the platform
+// allows.
+TEST_CASE("a submission with texts over the limits is refused, and repeated dependencies are held once")
+{
+    const auto submission = [](std::size_t payload, std::size_t label, const std::string& after) {
+        return parseSubmission(R"({"Spec":")" + std::string(payload, 's') + R"(","Steps":[{"Cpu":1},{"Requirements":")"
+            + std::string(label, 'l') + R"(","After":[)" + after + "]}]}");
+    };
+    CHECK(submission(4000, 200, "0").has_value());
+    CHECK_FALSE(submission(4001, 200, "0").has_value());
+    CHECK_FALSE(submission(4000, 201, "0").has_value());
+    CHECK(submission(0, 0, "0,0,0").value().steps[1].dependencies == std::vector<int> { 0 });
+}
+
 } // namespace rosemarylink::platform
