A takeover reads the submissions without copying them

What could be seen: an owner that holds 57 MB is followed by one that takes 160 MB to read the same jobs (tests/limits small-jobs on, bound 64 MB). Cause: the list of all submissions was copied twice before the first was handled. Change: the records are handled where they are.

--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -174,7 +174,7 @@
     void watchIncoming();
     void askForMissedSubmissions();
     void handleChanges(const StoreResponse&);
-    void handleIncoming(const std::vector<Record>&);
+    void handleIncoming(const std::vector<const Record*>&);
     void handleIncoming(const Record&);
     void handleSubmission(const JobId&, const Record&);
     void handleCancellation(const JobId&);
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -58,6 +58,16 @@
         return line;
     }
 
+    // All submissions together are large, so that they are not copied.
+    std::vector<const Record*> pointersTo(const std::vector<Record>& records)
+    {
+        std::vector<const Record*> pointers;
+        pointers.reserve(records.size());
+        for (const Record& record : records)
+            pointers.push_back(&record);
+        return pointers;
+    }
+
 } // namespace
 
 OwnerSession::OwnerSession(PoolOwner& owner, FencingToken token)
@@ -231,9 +241,9 @@
         if (!response.done())
             return Duty::Outcome::Failed;
         // Jobs are handled before cancellations, although their keys sort after them.
-        std::vector<Record> records = response.records;
+        std::vector<const Record*> records = pointersTo(response.records);
         std::stable_partition(records.begin(), records.end(),
-            [](const Record& record) { return record.key.compare(0, keys::jobs.size(), keys::jobs) == 0; });
+            [](const Record* record) { return record->key.compare(0, keys::jobs.size(), keys::jobs) == 0; });
         handleIncoming(records);
         // Workers are polled only after all cancellations have been handled, so that no run is stopped before it has
         // been seen.
@@ -280,33 +290,35 @@
 // have been handled are left out.
 void OwnerSession::handleChanges(const StoreResponse& response)
 {
-    std::vector<Record> records;
-    std::copy_if(response.records.begin(), response.records.end(), std::back_inserter(records),
-        [this](const Record& record) { return record.revision > *watchedRevision_; });
+    std::vector<const Record*> records = pointersTo(response.records);
+    records.erase(std::remove_if(records.begin(), records.end(),
+                      [this](const Record* record) { return record->revision <= *watchedRevision_; }),
+        records.end());
     handleIncoming(records);
     watchedRevision_ = std::max(*watchedRevision_, response.revision);
 }
 
 // Handles each record by itself, so that one whose handling throws an exception does not keep the others from being
 // handled. It is tried again with the next records; later records of its job wait for it.
-void OwnerSession::handleIncoming(const std::vector<Record>& records)
+void OwnerSession::handleIncoming(const std::vector<const Record*>& records)
 {
-    std::vector<Record> pending = std::exchange(unhandledIncoming_, {});
+    const std::vector<Record> unhandled = std::exchange(unhandledIncoming_, {});
+    std::vector<const Record*> pending = pointersTo(unhandled);
     pending.insert(pending.end(), records.begin(), records.end());
     std::set<std::string> failedJobs;
-    for (const Record& record : pending) {
-        const std::string job = record.key.substr(record.key.rfind('/') + 1);
+    for (const Record* record : pending) {
+        const std::string job = record->key.substr(record->key.rfind('/') + 1);
         try {
             if (failedJobs.count(job) == 0) {
-                handleIncoming(record);
+                handleIncoming(*record);
                 continue;
             }
         } catch (const std::exception& problem) {
             logger.error("Submission or cancellation was not handled; it is tried again",
-                { { "key", record.key }, { "reason", problem.what() } });
+                { { "key", record->key }, { "reason", problem.what() } });
             failedJobs.insert(job);
         }
-        unhandledIncoming_.push_back(record);
+        unhandledIncoming_.push_back(*record);
     }
 }
 
