An owner bounds what the jobs that have not ended hold

Cause: admission checked each job by itself. Nothing counted what accepted jobs hold together, how many runs an owner has, or the connections of its start commands. Change: the owner estimates the memory of its jobs (JobMemory) and names in the record admission/closed the accounts that hold as much as all accounts leave free of a quarter of the machine's memory, at most 40 MB, so that the next owner can hold the same on the smallest machine. Submissions have that record's revision in their precondition: a closure is in force everywhere at once, and costs no call while there is none. A refusal is 503 with Retry-After; a job that is stored is accepted again. While there is no owner, each instance accepts 1 MB of jobs a second. An owner has at most as many runs as fit into the same memory at 2 KB each, and its start commands take at most a quarter of the descriptors. A takeover costs one more read.

--- a/include/rosemarylink/jobs/Admission.h
+++ b/include/rosemarylink/jobs/Admission.h
@@ -13,6 +13,10 @@
 
 namespace rosemarylink::jobs {
 
+namespace internal {
+    class AdmissionGate;
+}
+
 // A caller's request about a job or queue, before the queue and the client account are resolved.
 struct CallerRequest {
     std::string host;
@@ -54,6 +58,9 @@
 // need none. The number of a queue's waiting jobs is that of all accounts. Must be used on the event loop's thread.
 // Each handler is called exactly once, possibly before the call returns.
 //
+// A new job is refused while the jobs of its account hold too much memory of the owner, and when an instance accepts
+// more bytes of jobs a second than an owner could refuse in time; see AdmissionGate.h.
+//
 // A request that certainly has not run is refused after at most half of the caller's time. One whose write got no
 // response is resolved until 150 ms before the caller's deadline.
 class Admission {
@@ -64,6 +71,7 @@
     static constexpr Milliseconds withdrawalLife { 300000 };
 
     Admission(RecordStore&, ConfigView&, const Catalog&, Timers&, const Clock&, JobMetrics&);
+    ~Admission();
 
     // Submissions are idempotent: repeating the id of an accepted job is accepted again and has no effect.
     void submit(const CallerRequest&, const SpecParser&, const AdmissionHandler&);
@@ -91,6 +99,8 @@
     void commitUnlessReplaced(const CallPointer&, Revision decidedUnder);
     void acceptAgain(const CallPointer&, Revision, const std::optional<ProgressSummary>&);
     void refuseWithdrawn(const CallPointer&);
+    bool mustRefuse(const Call&);
+    void refuseForRoom(const CallPointer&);
     void commitSubmission(const CallPointer&);
     void resolveConflict(const CallPointer&, const StoreResponse&, Milliseconds requestedAt);
     // Schedules `retry` if the call's time allows, otherwise calls fail(). `mayHaveWritten` tells whether the last
@@ -128,6 +138,7 @@
         std::vector<CallPointer> callers; // that wait for the lease that is being granted
     };
 
+    std::unique_ptr<internal::AdmissionGate> gate_;
     std::vector<CallPointer> waiting_; // calls that wait for their next attempt
     WaitingCounts waitingCounts_;
     WithdrawalLease withdrawalLease_;
--- a/include/rosemarylink/jobs/Catalog.h
+++ b/include/rosemarylink/jobs/Catalog.h
@@ -43,6 +43,7 @@
     inline const std::string ownership = "own/pools";
     inline const std::string fleet = "fleet/workers"; // ids of the workers on which runs may exist
     inline const std::string paces = "fleet/pace"; // slow workers
+    inline const std::string closure = "admission/closed"; // accounts whose new jobs are not accepted at present
     inline const std::string incoming
         = "in/"; // submissions and cancellations, written by admission and read by the owner
     inline const std::string jobs = "in/job/";
--- a/include/rosemarylink/jobs/JobMetrics.h
+++ b/include/rosemarylink/jobs/JobMetrics.h
@@ -28,6 +28,11 @@
     void countDutyRestart(const std::string& duty, const std::string& cause);
     void setDutyAge(const std::string& duty, Milliseconds age);
 
+    // The jobs that the owner holds because they have not ended.
+    void setHeldJobs(std::size_t jobs, std::size_t bytes);
+
+    void countRoomRefusal(const std::string& cause); // "closed" or "too-fast"
+
     // Number of workers that the owner takes for slow.
     void setSlowWorkers(std::size_t count);
 
--- a/include/rosemarylink/jobs/PoolOwner.h
+++ b/include/rosemarylink/jobs/PoolOwner.h
@@ -17,7 +17,20 @@
     class OwnerSession;
 }
 
-// Time limits that the platform guarantees or requires.
+// What the jobs that have not ended may hold on the smallest machine that may own them.
+inline constexpr std::size_t defaultJobMemory = std::size_t(40) << 20;
+
+// Returns the part of a machine's memory that jobs may hold: a quarter, and no more than on the smallest machine, which
+// may be the next owner. 0 means that the memory is not known.
+std::size_t jobMemoryFor(std::size_t memoryMb);
+
+inline constexpr int defaultStartCommands = 1024;
+
+// Returns the part of a process's descriptors that start commands may take: a quarter. 0 means that the number is not
+// known.
+int startCommandsFor(std::size_t fileDescriptors);
+
+// Limits that the platform guarantees or requires.
 struct PoolLimits {
     Milliseconds workerLease { 6000 }; // longest lease that a worker grants
     Milliseconds gangTimeout { 3000 }; // how long a member of a gang waits for the others to start
@@ -28,6 +41,12 @@
     // what it has observed of each.
     bool observeWorkers = false;
 
+    // Estimated memory of the jobs that have not ended, above which new jobs are refused.
+    std::size_t jobMemoryBytes = defaultJobMemory;
+
+    // Start commands without a response at a time, each of which takes a connection.
+    int startCommands = defaultStartCommands;
+
     // Whether large waiting jobs are deferred where too little capacity becomes free in time for all of their priority.
     bool deferLargest = false;
 
--- a/src/jobs/Admission.cpp
+++ b/src/jobs/Admission.cpp
@@ -1,4 +1,5 @@
 #include "AdmissionCall.h"
+#include "AdmissionGate.h"
 #include "RetryHint.h"
 #include "rosemarylink/base/Log.h"
 #include "rosemarylink/jobs/JobProgress.h"
@@ -46,11 +47,14 @@
     , timers_(timers)
     , clock_(clock)
     , metrics_(metrics)
+    , gate_(std::make_unique<internal::AdmissionGate>())
     , waitingCounts_(store, clock, metrics)
 {
     config_.onReachable([this] { retryWaiting(); });
 }
 
+Admission::~Admission() = default;
+
 Admission::CallPointer Admission::begin(const CallerRequest& request, const AdmissionHandler& handler)
 {
     ++inProgress_;
--- a/src/jobs/AdmissionCall.h
+++ b/src/jobs/AdmissionCall.h
@@ -30,6 +30,8 @@
     QueueId queue;
     bool needsKey = true; // the queue does
     JobSpec spec; // of a submission
+    std::size_t jobBytes = 0; // estimated memory of the job
+    bool admitted = false; // is part of what the instance has accepted
     std::string rejection; // why the submission is invalid; empty if it is valid
     bool mayHaveRun = false; // a write got no response, and its effect is not known yet
     JobId unresolvedJob; // the job of that write, if it was a submission
--- a/src/jobs/AdmissionSubmission.cpp
+++ b/src/jobs/AdmissionSubmission.cpp
@@ -1,4 +1,5 @@
 #include "AdmissionCall.h"
+#include "AdmissionGate.h"
 #include "rosemarylink/base/Log.h"
 #include "rosemarylink/jobs/JobProgress.h"
 
@@ -9,6 +10,10 @@
 
 namespace {
 
+    // Jobs end within seconds to minutes, and an account's memory is counted every second.
+    constexpr Milliseconds retryAfterClosure { 2000 };
+    constexpr Milliseconds retryAfterPace { 1000 };
+
     const Logger logger("admission");
 
 } // namespace
@@ -44,10 +49,11 @@
                 > store_.maximumValueBytes())
             call->rejection = "the job is too large to be recorded: its records would exceed "
                 + std::to_string(store_.maximumValueBytes()) + " bytes";
+        call->jobBytes = internal::jobBytes(call->spec);
         if (!call->rejection.empty())
             finish(call, { AdmissionOutcome::Invalid, call->rejection });
-        else if (config_.isLarge())
-            commitUnlessStored(call);
+        else if (config_.isLarge() || mustRefuse(*call))
+            commitUnlessStored(call); // a job that is stored already is accepted again, and not refused for room
         else
             commitSubmission(call);
     });
@@ -85,6 +91,8 @@
             if (response.done())
                 acceptAgain(
                     call, response.records.front().revision, parseProgressSummary(response.records.front().value));
+            else if (response.outcome == StoreOutcome::NotFound && mustRefuse(*call))
+                refuseForRoom(call);
             else if (response.outcome == StoreOutcome::NotFound)
                 commitUnlessReplaced(call, decidedUnder);
             else
@@ -129,6 +137,28 @@
         finish(call, { AdmissionOutcome::NotRun, "the job was cancelled before it was accepted", withdrawalLife });
 }
 
+bool Admission::mustRefuse(const Call& call)
+{
+    return !call.admitted
+        && gate_->decide(call.account, call.jobBytes, clock_.monotonic()) != internal::AdmissionGate::Decision::Open;
+}
+
+// Called when the job is known not to be stored.
+void Admission::refuseForRoom(const CallPointer& call)
+{
+    const bool closed = gate_->isClosed(call->account);
+    const std::string reason = closed ? "the account's jobs that have not ended hold too much memory"
+                                      : "too many jobs were accepted here in the last seconds";
+    metrics_.countRoomRefusal(closed ? "closed" : "too-fast");
+    logger.warning("Submission is refused because of the memory that jobs hold",
+        { { "job", call->job }, { "account", call->account }, { "jobBytes", call->jobBytes }, { "closed", closed },
+            { "mayHaveRun", call->mayHaveRun } });
+    if (call->mayHaveRun) // an unresolved write may be executed once the closure has ended
+        finish(call, { AdmissionOutcome::MayHaveRun, reason });
+    else
+        finish(call, { AdmissionOutcome::NotRun, reason, closed ? retryAfterClosure : retryAfterPace });
+}
+
 // Key of the withdrawal that keeps the submission from being stored.
 std::string Admission::submissionWithdrawal(const Call& call)
 {
@@ -142,9 +172,11 @@
     // The precondition on the configuration's revision ensures that the job is accepted under the newest one only.
     call->configRevision = config_.revision();
     Batch batch;
-    batch.preconditions
-        = { { catalog_.configurationKey(), call->configRevision }, { keys::progress(call->job), Revision(0) },
-              { keys::job(call->job), Revision(0) }, { submissionWithdrawal(*call), Revision(0) } };
+    batch.preconditions = { { catalog_.configurationKey(), call->configRevision },
+        { keys::progress(call->job), Revision(0) }, { keys::job(call->job), Revision(0) },
+        { submissionWithdrawal(*call), Revision(0) }, gate_->condition(call->account) };
+    if (!std::exchange(call->admitted, true))
+        gate_->admit(call->jobBytes);
     batch.puts = { { keys::job(call->job), toJson(call->spec).dump() },
         { keys::progress(call->job), firstProgressRecord(call->spec) },
         { keys::waitingJob(call->spec.policy.queue, call->job), "-" } };
@@ -196,10 +228,23 @@
             return;
         }
     }
-    for (const Record& record : response.records)
-        config_.apply(record, requestedAt);
+    bool closureChanged = false;
+    for (const Record& record : response.records) {
+        if (record.key == keys::closure)
+            closureChanged = gate_->update(record, clock_.monotonic());
+        else
+            config_.apply(record, requestedAt);
+    }
+    if (gate_->isClosed(call->account)) {
+        refuseForRoom(call);
+        return;
+    }
     // The job's records are absent, so no earlier attempt of this call has taken effect. If the configuration has
     // changed, none ever will, because their precondition on the old revision fails for good.
+    if (config_.revision() == call->configRevision && closureChanged) {
+        evaluateSubmission(call);
+        return;
+    }
     if (config_.revision() == call->configRevision) {
         retryLater(call, /*mayHaveWritten=*/false, [this, call] { evaluateSubmission(call); });
         return;
--- a/src/jobs/CommandWindow.cpp
+++ b/src/jobs/CommandWindow.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     constexpr double lowestLimit = 6;
-    constexpr double highestLimit = 1024;
+    constexpr double initialLimit = 128;
 
     // A healthy worker responds within 30 ms across regions, over a new connection within 60 ms.
     constexpr Milliseconds slowResponse { 200 };
@@ -20,6 +20,12 @@
 
 } // namespace
 
+CommandWindow::CommandWindow(int highestLimit)
+    : highestLimit_(std::max<double>(lowestLimit, highestLimit))
+    , limit_(std::min(initialLimit, highestLimit_))
+{
+}
+
 void CommandWindow::responded(Milliseconds now, Milliseconds responseTime)
 {
     const bool wasFull = !hasSpace();
@@ -29,7 +35,7 @@
         limit_ = std::max(lowestLimit, limit_ * loweringFactor);
         loweredAt_ = now;
     } else if (slowShare_ <= fewSlow && wasFull) {
-        limit_ = std::min(highestLimit, limit_ + 1);
+        limit_ = std::min(highestLimit_, limit_ + 1);
     }
 }
 
--- a/src/jobs/CommandWindow.h
+++ b/src/jobs/CommandWindow.h
@@ -10,6 +10,9 @@
 // responses are quick and falls when many are slow.
 class CommandWindow {
 public:
+    // Each command uses a connection, so that `highestLimit` must leave descriptors for all others.
+    explicit CommandWindow(int highestLimit = 1024);
+
     // Whether one more command may be sent now.
     bool hasSpace() const { return inFlight_ < static_cast<int>(limit_); }
 
@@ -22,7 +25,8 @@
     int limit() const { return static_cast<int>(limit_); }
 
 private:
-    double limit_ = 128;
+    double highestLimit_;
+    double limit_;
     int inFlight_ = 0;
     double slowShare_ = 0; // among the latest responses
     Milliseconds loweredAt_ { 0 };
--- a/src/jobs/JobMetrics.cpp
+++ b/src/jobs/JobMetrics.cpp
@@ -99,6 +99,21 @@
         .add();
 }
 
+void JobMetrics::setHeldJobs(std::size_t jobs, std::size_t bytes)
+{
+    registry_.gauge("rosemarylink_held_jobs", "Jobs that have not ended.").set(static_cast<double>(jobs));
+    registry_.gauge("rosemarylink_held_job_bytes", "Estimated memory of the jobs that have not ended.")
+        .set(static_cast<double>(bytes));
+}
+
+void JobMetrics::countRoomRefusal(const std::string& cause)
+{
+    registry_
+        .counter("rosemarylink_refused_submissions_total",
+            "Submissions that were refused because of the memory that jobs hold.", { { "cause", cause } })
+        .add();
+}
+
 void JobMetrics::setSlowWorkers(std::size_t count)
 {
     registry_.gauge("rosemarylink_slow_workers", "Workers that the owner takes for slow.")
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -3,6 +3,7 @@
 #include "CommandWindow.h"
 #include "EvacuationView.h"
 #include "FleetRecord.h"
+#include "JobMemory.h"
 #include "Planner.h"
 #include "PlannerFleet.h"
 #include "PreemptionPatience.h"
@@ -305,6 +306,11 @@
     // When the last of the worker's runs is over if the worker does not respond again.
     Milliseconds runsOverBy(const Worker&) const;
 
+    // OwnerSessionAdmission.cpp: how much the accepted jobs hold.
+    void loadClosure();
+    void countHeldJobs();
+    void updateClosure();
+
     // OwnerSessionPlanning.cpp
     // Plans soon after an event: almost at once if urgent work arrives, otherwise together with the events of the next
     // while, which grows with the cost of a plan.
@@ -312,6 +318,8 @@
     Milliseconds planDelay(bool urgentArrival) const;
     void plan();
     PlanInput planInput(const ServiceId& pool);
+    // How many more runs the owner can keep.
+    std::size_t startsLeft() const;
     PlanWorker planWorker(const Worker&) const;
     // Whether the worker may run jobs that no previous owner can have started, although that owner's stops there may
     // not be over. What they still occupy is unknown, so the worker must refuse what does not fit.
@@ -413,6 +421,13 @@
     std::map<JobId, Job> jobs_;
     std::map<JobId, std::pair<JobState, Milliseconds>> finalJobs_; // jobs in a final state, and when they ended
     std::map<JobId, std::pair<std::string, Revision>> loadedProgress_; // until the job's submission is read
+    JobMemory jobMemory_;
+    Milliseconds jobsCountedAt_ { 0 };
+    AdmissionClosure closure_; // as stored
+    Revision closureRevision_ { 0 }; // 0 if there is no record
+    bool closureLoaded_ = false;
+    bool closureWriting_ = false;
+    std::optional<Milliseconds> closureRequestedAt_;
     std::map<WorkerId, Worker> workers_;
     std::uint64_t lastIncarnation_ = 0;
     std::map<WorkerId, UnconfirmedWorker> unconfirmedWorkers_; // of the loaded fleet record, not reconciled yet
--- a/src/jobs/OwnerSessionPlanning.cpp
+++ b/src/jobs/OwnerSessionPlanning.cpp
@@ -238,11 +238,21 @@
     return guaranteed;
 }
 
+std::size_t OwnerSession::startsLeft() const
+{
+    std::size_t runs = 0;
+    for (const auto& [id, worker] : workers_)
+        runs += worker.runs.size();
+    const std::size_t most = owner_.limits_.jobMemoryBytes / bytesOfRun;
+    return most - std::min(most, runs);
+}
+
 PlanInput OwnerSession::planInput(const ServiceId& pool)
 {
     PlanInput input;
     input.now = now();
     input.deferLargest = owner_.limits_.deferLargest;
+    input.maximumStarts = startsLeft();
     input.urgentRackWait = owner_.limits_.reclaimTimeout - owner_.limits_.stopTime - reclaimMargin;
     std::int64_t urgentDemand = 0;
     std::int64_t capacity = 0;
--- a/src/jobs/OwnerSessionRecords.cpp
+++ b/src/jobs/OwnerSessionRecords.cpp
@@ -223,6 +223,8 @@
         }
         if (record.key == keys::fleet)
             fleetRevision_ = record.revision;
+        if (record.key == keys::closure)
+            closureRevision_ = record.revision;
         if (record.key.compare(0, keys::progressPrefix.size(), keys::progressPrefix) != 0)
             continue;
         if (Job* const job = find(JobId(record.key.substr(keys::progressPrefix.size()))))
--- a/src/jobs/OwnerSessionRecovery.cpp
+++ b/src/jobs/OwnerSessionRecovery.cpp
@@ -81,7 +81,9 @@
     , submissionsDuty_({ "submissions", { Milliseconds(0), retryDelay } }, owner.timers_, owner.clock_, owner.metrics_)
     , missedSubmissionsDuty_({ "missed-submissions", { missedSubmissionsInterval, missedSubmissionsInterval } },
           owner.timers_, owner.clock_, owner.metrics_)
+    , jobMemory_(owner.limits_.jobMemoryBytes)
     , fleetWrittenAt_(startedAt_)
+    , commandWindow_(owner.limits_.startCommands)
 {
 }
 
@@ -124,6 +126,7 @@
     forgetStrayCalls();
     removeDepartedWorkers();
     removeExpiredRecords();
+    updateClosure();
     schedulePlan();
     logStepActivity();
     logHeldBackWork();
@@ -358,6 +361,7 @@
         owner_.metrics_.handOver.record(static_cast<double>(age.count()));
     }
     const bool urgent = job.spec.policy.priority == 0;
+    jobMemory_.add(job.spec.account, jobBytes(job));
     jobs_.emplace(id, std::move(job));
     schedulePlan(urgent);
 }
--- a/src/jobs/Planner.cpp
+++ b/src/jobs/Planner.cpp
@@ -53,6 +53,10 @@
             const std::size_t reservationsBefore = plan_.reservations.size();
             const bool spreadAllowed = maySpread(step);
             bool held = false;
+            if (startsLeft() < (step.spec->gang ? step.tasks.size() : 1)) {
+                plan_.waiting.push_back({ plannedStep_, step.tasks.size(), WaitReason::TooManyRuns });
+                return;
+            }
             if (step.spec->gang)
                 held = planGang(step, spreadAllowed);
             else
@@ -70,6 +74,9 @@
             plan_.waiting.push_back({ plannedStep_, step.tasks.size() - placed, reason });
         }
 
+        // Tasks that demand little fit on the workers in any number.
+        std::size_t startsLeft() const { return input_.maximumStarts - plan_.placements.size(); }
+
         // Marks enough workers as kept for urgent work to leave the urgent headroom free. It takes all free
         // accelerators of a worker, first from workers with the most urgent work, then from those with the most free
         // accelerators.
@@ -187,7 +194,7 @@
         // Places the tasks of a step that must start wherever there is room. Returns whether there are any.
         bool placeAnywhere(const PlanStep& step)
         {
-            const std::size_t count = fleet_.countMustStart(step);
+            const std::size_t count = std::min(fleet_.countMustStart(step), startsLeft());
             if (count == 0)
                 return false;
             const FleetWorkers chosen = fleet_.selectAnywhere(step, count);
@@ -210,8 +217,8 @@
                 fitting += static_cast<std::size_t>(capacity);
                 candidates.push_back(worker);
             }
-            const FleetWorkers chosen
-                = fleet_.select(step, candidates, std::min(fitting, step.tasks.size()), /*includeReleasing=*/false);
+            const FleetWorkers chosen = fleet_.select(
+                step, candidates, std::min({ fitting, step.tasks.size(), startsLeft() }), /*includeReleasing=*/false);
             place(step, chosen);
             if (chosen.empty() && step.activeTasks.empty() && placeAnywhere(step))
                 return;
@@ -372,6 +379,8 @@
         return "ends-expected";
     case WaitReason::Reserved:
         return "reserved";
+    case WaitReason::TooManyRuns:
+        return "too-many-runs";
     case WaitReason::WaitsForRack:
         return "waits-for-rack";
     }
--- a/src/jobs/Planner.h
+++ b/src/jobs/Planner.h
@@ -2,6 +2,7 @@
 
 #include "rosemarylink/jobs/JobProgress.h"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -85,6 +86,7 @@
     double releasedCoresPerSecond = 0; // weighted cores that become free because work ends by itself
     std::int64_t urgentHeadroom = 0; // accelerators that work of lower priority must leave free for urgent work
     bool deferLargest = false; // where too little becomes free in time, large steps are deferred; see StepOrder.h
+    std::size_t maximumStarts = std::numeric_limits<std::size_t>::max(); // tasks that may be placed
     Milliseconds urgentRackWait { 0 }; // how long urgent work waits for its preferred rack before it may use others
 };
 
@@ -107,6 +109,7 @@
     CapacityBeingFreed, // capacity is reserved for it while other work is being stopped
     EndsExpected, // it is first in line for what ends by itself, and preempts if that takes too long
     Reserved, // workers are reserved for it, and other work uses them only until they are expected to be free
+    TooManyRuns, // the owner has as many runs as it can keep
     WaitsForRack, // its preferred rack has no capacity and other racks are not allowed yet
 };
 
--- a/src/jobs/PoolOwner.cpp
+++ b/src/jobs/PoolOwner.cpp
@@ -2,10 +2,25 @@
 
 #include "OwnerSession.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace rosemarylink::jobs {
 
+std::size_t jobMemoryFor(std::size_t memoryMb)
+{
+    constexpr std::size_t shareOfMemory = 4;
+    return memoryMb == 0 ? defaultJobMemory : std::min(defaultJobMemory, (memoryMb << 20) / shareOfMemory);
+}
+
+int startCommandsFor(std::size_t fileDescriptors)
+{
+    constexpr std::size_t shareOfDescriptors = 4;
+    return fileDescriptors == 0
+        ? defaultStartCommands
+        : std::min(defaultStartCommands, static_cast<int>(fileDescriptors / shareOfDescriptors));
+}
+
 PoolOwner::PoolOwner(RecordStore& store, WorkerPort& workers, const Catalog& catalog, const ConfigView& config,
     Ownership& ownership, Timers& timers, const Clock& clock, JobMetrics& metrics, const PoolLimits& limits)
     : store_(store)
--- a/tests/jobs/CommandWindowTest.cpp
+++ b/tests/jobs/CommandWindowTest.cpp
@@ -29,6 +29,21 @@
     CHECK(window.limit() > lowered + 100);
 }
 
+// Guards against an owner whose start commands take all descriptors of its process.
+TEST_CASE("the number of start commands on their way stays below the limit of the process")
+{
+    internal::CommandWindow window(20);
+    for (int number = 0; number < 5000; ++number) {
+        while (window.hasSpace())
+            window.sent();
+        window.responded(Milliseconds(number * 10), Milliseconds(20));
+    }
+    CHECK(window.limit() == 20);
+    CHECK(startCommandsFor(600) == 150);
+    CHECK(startCommandsFor(4100) == defaultStartCommands);
+    CHECK(startCommandsFor(0) == defaultStartCommands);
+}
+
 // Guards against pacing a healthy fleet for a few workers that are always slow or unreachable.
 TEST_CASE("a fifth of slow responses does not lower the number of start commands on their way")
 {
--- a/tests/jobs/PlannerMemoryTest.cpp
+++ b/tests/jobs/PlannerMemoryTest.cpp
@@ -137,4 +137,26 @@
     });
 }
 
+// Guards against an owner with a run for each of any number of tasks that demand nothing, which all fit on the workers.
+TEST_CASE("no more tasks are placed than the owner can keep runs, and gangs as a whole or not at all")
+{
+    const Resources nothing;
+    const std::size_t limit = GENERATE(std::size_t(0), std::size_t(7), std::size_t(30));
+    PlanInput input = makeRacks(2, 8);
+    StepSpec spec = rackLocalGang(20, 0);
+    spec.perTask = nothing;
+    StepSpec single = spec;
+    single.gang = false;
+    single.rackLocal = false;
+    input.steps = { stepOf(single, 2), stepOf(spec, 0) };
+    input.steps[1].job = JobId("gang");
+    input.maximumStarts = limit;
+    const Plan plan = makePlan(input);
+    CHECK(plan.placements.size() <= limit);
+    const auto ofGang = std::count_if(plan.placements.begin(), plan.placements.end(),
+        [](const Placement& placement) { return placement.task.job == JobId("gang"); });
+    CHECK((ofGang == 0 || ofGang == 20));
+    CHECK(plan.placements.size() == (limit == 30 ? 30 : std::min(limit, std::size_t(20))));
+}
+
 } // namespace rosemarylink::jobs::internal
