Callers' connections have small send buffers in the kernel

What could be seen: by calculation, connections with full kernel buffers, received bytes, requests in progress and accepted jobs, each at its limit, came to more than the 160 MB of the smallest machine. Cause: the send buffer of a connection was as large as its receive buffer (16 KB, which Linux doubles), for responses of some hundred bytes. Evidence: the sum in ConnectionBudgetTest fails before: 160 MB, with 40 MB of jobs. Change: 4 KB for callers; the gateway and the operators' ports keep theirs.

--- a/apps/rosemarylink-edge/Main.cpp
+++ b/apps/rosemarylink-edge/Main.cpp
@@ -72,7 +72,7 @@
         "caller-request-kb", valueFor(limits.requestKb),
         "estimated kilobytes of callers' requests in progress, more get 503; default M / 8 megabytes")(
         "caller-kernel-buffer-bytes", valueFor(limits.kernelBufferBytes),
-        "kernel's receive and send buffer of a caller's connection; default 16384, without M the kernel's")(
+        "kernel's receive buffer of a caller's connection; default 16384, without M the kernel's")(
         "caller-head-timeout-ms", valueFor(limits.headTimeoutMs),
         "time for a request head, after which a request must keep arriving; default 10000, without M 0: no limit")(
         "caller-minimum-bytes-per-s", valueFor(limits.minimumBytesPerSecond),
--- a/include/rosemarylink/reactor/ConnectionLimits.h
+++ b/include/rosemarylink/reactor/ConnectionLimits.h
@@ -18,7 +18,8 @@
     std::size_t bufferedBytes = unlimited;
     // Estimated memory of all requests in progress; see ConnectionBudget::requestCost().
     std::size_t requestBytes = unlimited;
-    std::size_t kernelBufferBytes = 0; // kernel's receive and send buffer of a connection; 0 is the kernel's default
+    std::size_t kernelBufferBytes = 0; // kernel's receive buffer of a connection; 0 is the kernel's default
+    std::size_t kernelSendBufferBytes = 0; // the same for its send buffer
     // A request head must be complete within this time of its first byte. Later the request must arrive at
     // minimumBytesPerSecond, averaged over each progressInterval. 0 means no limit.
     Milliseconds headTimeout { 0 };
--- a/src/reactor/ConnectionLimits.cpp
+++ b/src/reactor/ConnectionLimits.cpp
@@ -21,6 +21,9 @@
     // slow to arrive from another region.
     constexpr std::size_t kernelBufferBytes = 16 * kilobyte;
 
+    // Responses to callers have some hundred bytes.
+    constexpr std::size_t callerSendBufferBytes = 4 * kilobyte;
+
     constexpr std::size_t gatewayKernelBufferBytes = 32 * kilobyte;
 
     // Descriptors of the process itself: 200 files, 3.5 connections to each of 350 workers, and connections to the
@@ -47,6 +50,7 @@
     limits.bufferedBytes = share;
     limits.requestBytes = share;
     limits.kernelBufferBytes = kernelBufferBytes;
+    limits.kernelSendBufferBytes = callerSendBufferBytes;
     limits.headTimeout = headTimeout;
     limits.responseTimeout = responseTimeout;
     return limits;
@@ -60,6 +64,7 @@
     limits.bufferedBytes = memoryMb * megabyte / shareOfMemory;
     limits.requestBytes = memoryMb * megabyte / shareOfMemory * 2;
     limits.kernelBufferBytes = gatewayKernelBufferBytes;
+    limits.kernelSendBufferBytes = gatewayKernelBufferBytes;
     limits.headTimeout = headTimeout;
     limits.responseTimeout = responseTimeout;
     return limits;
@@ -73,6 +78,7 @@
     limits.bufferedBytes = 4 * megabyte;
     limits.requestBytes = 4 * megabyte;
     limits.kernelBufferBytes = kernelBufferBytes;
+    limits.kernelSendBufferBytes = kernelBufferBytes;
     limits.headTimeout = headTimeout;
     limits.responseTimeout = responseTimeout;
     return limits;
--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -453,10 +453,11 @@
     try {
         Poco::Net::ServerSocket socket;
         socket.bind(Poco::Net::SocketAddress(address), true);
-        if (limits.kernelBufferBytes > 0) { // inherited by the accepted sockets
+        // The accepted sockets inherit the sizes.
+        if (limits.kernelBufferBytes > 0)
             socket.setReceiveBufferSize(static_cast<int>(limits.kernelBufferBytes));
-            socket.setSendBufferSize(static_cast<int>(limits.kernelBufferBytes));
-        }
+        if (limits.kernelSendBufferBytes > 0)
+            socket.setSendBufferSize(static_cast<int>(limits.kernelSendBufferBytes));
         socket.listen(listenBacklog);
         socket.setBlocking(false);
         return std::unique_ptr<LoopHttpServer>(new LoopHttpServer(loop, socket, limits, std::move(handler)));
--- a/tests/reactor/ConnectionBudgetTest.cpp
+++ b/tests/reactor/ConnectionBudgetTest.cpp
@@ -1,4 +1,5 @@
 #include "rosemarylink/reactor/ConnectionBudget.h"
+#include "rosemarylink/jobs/PoolOwner.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -214,6 +215,10 @@
     CHECK(limits.connections + 200 + 350 * 7 / 2 <= 4100);
     CHECK(limits.bufferedBytes + limits.requestBytes + limits.connections * limits.kernelBufferBytes
         <= 160 * kilobyte * kilobyte / 2);
+    // Everything at its limit at once, with 20 MB for the process itself. Linux doubles the sizes of its buffers.
+    const std::size_t kernelBytes = limits.connections * 2 * (limits.kernelBufferBytes + limits.kernelSendBufferBytes);
+    CHECK(limits.bufferedBytes + limits.requestBytes + kernelBytes + jobs::jobMemoryFor(160)
+        <= 140 * kilobyte * kilobyte);
     CHECK(callerLimitsFor(0, 0).connections == ConnectionLimits::unlimited);
     CHECK(callerLimitsFor(0, 0).bufferedBytes == ConnectionLimits::unlimited);
 }
--- a/tests/reactor/ServerLimitsTest.cpp
+++ b/tests/reactor/ServerLimitsTest.cpp
@@ -126,6 +126,7 @@
         limits.bufferedBytes = 1024 * kilobyte;
         limits.requestBytes = 1024 * kilobyte;
         limits.kernelBufferBytes = 16 * kilobyte;
+        limits.kernelSendBufferBytes = 16 * kilobyte;
         limits.headTimeout = Milliseconds(10000);
         limits.responseTimeout = Milliseconds(30000);
         return limits;
