A client that asks before it sends a body gets 100 Continue; runs of the limits by hand

What callers would have seen: curl waits a second before it sends a body of more than 1 MB, because LoopHttpServer, which the gateway uses now, did not answer Expect. Change: the head of a request within the limits is answered at once.

--- a/include/rosemarylink/reactor/HttpMessage.h
+++ b/include/rosemarylink/reactor/HttpMessage.h
@@ -66,9 +66,14 @@
     std::string body;
 };
 
-// Returns the size of the first message in `bytes`, head and body, or nullopt if its head is not complete. Fails like
+struct AnnouncedRequest {
+    std::size_t bytes = 0; // head and body
+    bool expectsContinue = false; // the client waits for a 100 response before it sends the body
+};
+
+// Returns what the head of the first message in `bytes` announces, or nullopt if the head is not complete. Fails like
 // extractRequest().
-Result<std::optional<std::size_t>> requestSize(const std::string& bytes, const MessageLimits&);
+Result<std::optional<AnnouncedRequest>> announcedRequest(const std::string& bytes, const MessageLimits&);
 
 // Removes the first complete message from `bytes` and returns it, or returns nullopt if more bytes are needed. Fails
 // with InvalidArgument if the bytes are not HTTP, exceed the limit on the head, or use a transfer coding, which is not
--- a/src/reactor/HttpMessage.cpp
+++ b/src/reactor/HttpMessage.cpp
@@ -150,10 +150,12 @@
     }
 }
 
-Result<std::optional<std::size_t>> requestSize(const std::string& bytes, const MessageLimits& limits)
+Result<std::optional<AnnouncedRequest>> announcedRequest(const std::string& bytes, const MessageLimits& limits)
 {
     BOOST_OUTCOME_TRY(parsed, parseHead<Poco::Net::HTTPRequest>(bytes, limits));
-    return parsed ? std::optional<std::size_t>(parsed->headBytes + parsed->bodyBytes) : std::nullopt;
+    if (!parsed)
+        return std::optional<AnnouncedRequest>();
+    return std::optional(AnnouncedRequest { parsed->headBytes + parsed->bodyBytes, parsed->head.getExpectContinue() });
 }
 
 Result<std::optional<HttpMessage<Poco::Net::HTTPRequest>>> extractRequest(
--- a/src/reactor/LoopHttpServer.cpp
+++ b/src/reactor/LoopHttpServer.cpp
@@ -322,9 +322,7 @@
             return;
         }
         if (!extracted.value()) {
-            const auto size = requestSize(buffer_.received(), server_->limits_.message);
-            if (size && size.value())
-                messageBytes_ = *size.value();
+            noteAnnouncedRequest();
             return;
         }
         messageBytes_ = 0;
@@ -354,6 +352,20 @@
         }
     }
 
+    void noteAnnouncedRequest()
+    {
+        const auto announced = announcedRequest(buffer_.received(), server_->limits_.message);
+        if (!announced || !announced.value())
+            return;
+        messageBytes_ = announced.value()->bytes;
+        if (!announced.value()->expectsContinue)
+            return;
+        // Fits into the socket's buffer, since no response is unsent.
+        buffer_.appendUnsent("HTTP/1.1 100 Continue\r\n\r\n");
+        if (buffer_.send() == SocketBuffer::ConnectionState::Closed)
+            close();
+    }
+
     std::string format(const ServerResponse& response) const
     {
         Poco::Net::HTTPResponse head(
--- a/tests/limits/Main.cpp
+++ b/tests/limits/Main.cpp
@@ -39,6 +39,12 @@
     constexpr int stalledMs = 2000;
     constexpr std::chrono::milliseconds trickleInterval { 1000 };
 
+    // Larger runs by hand.
+    struct Scale {
+        int memoryMb = edgeMachine.memoryMb; // announced to rosemarylink-edge, and the bound
+        std::size_t submissions = 1; // times the number of the load
+    };
+
     struct Outcome {
         bool ended = false;
         bool served = false;
@@ -73,10 +79,12 @@
     // One process of rosemarylink-edge with a simulated platform.
     class EdgeTest {
     public:
-        EdgeTest(const std::string& binaries, const std::string& directory)
-            : edge_(binaries + "/rosemarylink-edge", directory, 0, platform_.storeAddress(), Platform::workerLease)
+        EdgeTest(const std::string& binaries, const std::string& directory, const Scale& scale)
+            : machine_ { scale.memoryMb, edgeMachine.fileDescriptors }
+            , submissionFactor_(scale.submissions)
+            , edge_(binaries + "/rosemarylink-edge", directory, 0, platform_.storeAddress(), Platform::workerLease)
         {
-            edge_.setMachineLimits(edgeMachine);
+            edge_.setMachineLimits(machine_);
         }
 
         bool start()
@@ -95,7 +103,7 @@
             const std::string figures = submissionLoads().count(name) > 0 ? runSubmissions(name) : runCrowd(name);
             observe();
             outcome_.ended = outcome_.ended || !running()();
-            return report(name, outcome_, edgeMachine, figures);
+            return report(name, outcome_, machine_, figures);
         }
 
     private:
@@ -123,7 +131,9 @@
 
         std::string runSubmissions(const std::string& name)
         {
-            Submitters submitters(Poco::Net::SocketAddress(edge_.callerAddress()), submissionLoads().at(name)());
+            SubmissionLoad load = submissionLoads().at(name)();
+            load.submissions *= submissionFactor_;
+            Submitters submitters(Poco::Net::SocketAddress(edge_.callerAddress()), load);
             submitters.run([this] { observe(); }, running());
             const long firstOwnerKb = outcome_.usage.residentPeakKb;
             outcome_.served = succeeds([this] { return submit("other"); }, running()) && succeedsAsNextOwner();
@@ -158,6 +168,8 @@
             return position != std::string::npos && std::stod(metrics.substr(position + name.size())) > 0;
         }
 
+        soak::MachineLimits machine_;
+        std::size_t submissionFactor_;
         Platform platform_;
         soak::EdgeInstance edge_;
         Outcome outcome_;
@@ -197,10 +209,10 @@
         return report(name, outcome, gatewayMachine, figuresOf(crowd));
     }
 
-    int run(const std::string& binaries, const std::string& directory, const std::string& name)
+    int run(const std::string& binaries, const std::string& directory, const std::string& name, const Scale& scale)
     {
         if (edgeCrowds().count(name) > 0 || submissionLoads().count(name) > 0)
-            return EdgeTest(binaries, directory).run(name);
+            return EdgeTest(binaries, directory, scale).run(name);
         if (gatewayCrowds().count(name) > 0 || linkCrowds().count(name) > 0)
             return runGateway(binaries, directory, name);
         std::cerr << "no such crowd: " << name << "\n";
@@ -216,9 +228,12 @@
     namespace options = boost::program_options;
     std::string binaries = "build";
     std::string crowd;
+    rosemarylink::limits::Scale scale;
     options::options_description description("rosemarylink-limits: one process against clients outside the limits");
     description.add_options()("binaries", options::value(&binaries)->default_value(binaries),
-        "directory of the programs under test")("crowd", options::value(&crowd)->required(), "name of the crowd");
+        "directory of the programs under test")("crowd", options::value(&crowd)->required(), "name of the crowd")(
+        "memory-mb", options::value(&scale.memoryMb), "memory of rosemarylink-edge, and the bound; for runs by hand")(
+        "submissions", options::value(&scale.submissions), "times the submissions of a load of jobs; for runs by hand");
     try {
         options::variables_map arguments;
         options::store(options::parse_command_line(argc, argv, description), arguments);
@@ -232,7 +247,7 @@
     const std::filesystem::path directory
         = std::filesystem::temp_directory_path() / ("rosemarylink-limits-" + std::to_string(::getpid()));
     std::filesystem::create_directories(directory);
-    const int result = rosemarylink::limits::run(binaries, directory, crowd);
+    const int result = rosemarylink::limits::run(binaries, directory, crowd, scale);
     if (result == 0)
         std::filesystem::remove_all(directory);
     else
--- a/tests/transport/HttpServerLimitsTest.cpp
+++ b/tests/transport/HttpServerLimitsTest.cpp
@@ -140,6 +140,24 @@
         }
     }
 
+    // Guards against clients that wait a while before they send a long body.
+    TEST_CASE("a client that asks first is told to send its body")
+    {
+        Fixture fixture;
+        Poco::Net::StreamSocket socket { Poco::Net::SocketAddress(fixture.address) };
+        socket.setReceiveTimeout(Poco::Timespan(5, 0));
+        const std::string head
+            = "POST /echo HTTP/1.1\r\nHost: host\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n";
+        socket.sendBytes(head.data(), static_cast<int>(head.size()));
+        const std::string expected = "HTTP/1.1 100 Continue\r\n\r\n";
+        std::string received(expected.size(), ' ');
+        CHECK(socket.receiveBytes(received.data(), static_cast<int>(received.size())) > 0);
+        CHECK(received == expected);
+        socket.sendBytes("abc", 3);
+        socket.shutdownSend();
+        CHECK(receiveAll(socket).find("HTTP/1.1 200 OK") == 0);
+    }
+
     TEST_CASE("a handler notices that its client has disconnected")
     {
         Fixture fixture;
