A write of the closed accounts without a response is settled

What callers could see: new jobs of an account refused although its jobs have ended, or accepted although they hold too much, for as long as an owner lives. Cause: the write of admission/closed had no limit of its own for a response that never comes, and a write given up may still be executed later. Evidence: `an account is closed again after the write that opened it got no response` fails before: 50 jobs accepted, the account never closed. Change: a write without a response for 2 s is given up; for 15 s after one the record is read again every 1.5 s, so that the owner knows what is stored.

--- a/src/jobs/AdmissionGate.h
+++ b/src/jobs/AdmissionGate.h
@@ -15,8 +15,8 @@
 public:
     enum class Decision { Open, Closed, TooFast };
 
-    // Tells whether a job of the account is to be refused without an attempt to store it. Must be followed by admit()
-    // if it is stored.
+    // Tells whether a job of the account is to be refused without an attempt to store it. Otherwise admit() must be
+    // called with the first attempt.
     Decision decide(const AccountId&, std::size_t jobBytes, Milliseconds now);
     void admit(std::size_t jobBytes);
 
--- a/src/jobs/AdmissionSubmission.cpp
+++ b/src/jobs/AdmissionSubmission.cpp
@@ -137,6 +137,7 @@
         finish(call, { AdmissionOutcome::NotRun, "the job was cancelled before it was accepted", withdrawalLife });
 }
 
+// Whether the job is to be refused without an attempt to store it.
 bool Admission::mustRefuse(const Call& call)
 {
     return !call.admitted
--- a/src/jobs/OwnerSession.h
+++ b/src/jobs/OwnerSession.h
@@ -427,6 +427,9 @@
     Revision closureRevision_ { 0 }; // 0 if there is no record
     bool closureLoaded_ = false;
     bool closureWriting_ = false;
+    std::uint64_t closureWrites_ = 0; // number of the newest write; responses to earlier ones are ignored
+    Milliseconds closureWrittenAt_ { 0 };
+    Milliseconds closureUncertainUntil_ { 0 }; // a write without a response may be executed until then
     std::optional<Milliseconds> closureRequestedAt_;
     std::map<WorkerId, Worker> workers_;
     std::uint64_t lastIncarnation_ = 0;
--- a/src/jobs/OwnerSessionAdmission.cpp
+++ b/src/jobs/OwnerSessionAdmission.cpp
@@ -9,6 +9,11 @@
     constexpr Milliseconds commitTimeout { 1000 };
     constexpr Milliseconds readTimeout { 1500 };
 
+    // A write without a response counts as unanswered after this time, and may be executed up to this long after it was
+    // sent.
+    constexpr Milliseconds longestWrite { 2000 };
+    constexpr Milliseconds longestLateWrite { 15000 };
+
     // The jobs that are held are counted anew at this interval, and their submissions as they arrive.
     constexpr Milliseconds countInterval { 1000 };
 
@@ -16,24 +21,28 @@
 
 } // namespace
 
-// Reads the closure of the previous owner, which may have to be lifted.
+// Reads the closure of the previous owner, which may have to be lifted, or what has become of a write without a
+// response.
 void OwnerSession::loadClosure()
 {
     if (closureRequestedAt_ && now() - *closureRequestedAt_ < readTimeout)
         return;
     closureRequestedAt_ = now();
-    owner_.store_.read(keys::closure, readTimeout, guarded([this](const StoreResponse& response) {
-        if (closureLoaded_ || (!response.done() && response.outcome != StoreOutcome::NotFound))
-            return;
-        closureLoaded_ = true;
-        if (!response.done())
-            return;
-        closureRevision_ = response.records.front().revision;
-        if (auto closure = parseClosureRecord(response.records.front().value))
-            closure_ = std::move(closure).value();
-        else
-            logger.error("Record of the closed accounts is malformed", { { "reason", closure.error().message } });
-    }));
+    owner_.store_.read(
+        keys::closure, readTimeout, guarded([this, writes = closureWrites_](const StoreResponse& response) {
+            if (writes != closureWrites_ || (!response.done() && response.outcome != StoreOutcome::NotFound))
+                return;
+            closureLoaded_ = true;
+            closure_ = {};
+            closureRevision_ = Revision(0);
+            if (!response.done())
+                return;
+            closureRevision_ = response.records.front().revision;
+            if (auto closure = parseClosureRecord(response.records.front().value))
+                closure_ = std::move(closure).value();
+            else
+                logger.error("Record of the closed accounts is malformed", { { "reason", closure.error().message } });
+        }));
 }
 
 void OwnerSession::countHeldJobs()
@@ -50,14 +59,20 @@
 {
     if (!incomingLoaded_)
         return;
-    if (!closureLoaded_) {
+    if (!closureLoaded_ || now() < closureUncertainUntil_)
         loadClosure();
+    if (!closureLoaded_)
         return;
-    }
     if (now() - jobsCountedAt_ >= countInterval)
         countHeldJobs();
     const AdmissionClosure wanted = jobMemory_.closure(closure_);
     const bool stored = closureRevision_ != Revision(0);
+    if (closureWriting_ && now() - closureWrittenAt_ >= longestWrite) {
+        logger.error("Closure of the admission got no response", { { "limitMs", longestWrite.count() } });
+        closureWriting_ = false;
+        closureUncertainUntil_ = now() + longestLateWrite;
+        return;
+    }
     if (closureWriting_ || (wanted == closure_ && stored == !wanted.empty()))
         return;
     Batch batch;
@@ -67,7 +82,10 @@
     else
         batch.puts = { { keys::closure, closureRecord(wanted) } };
     closureWriting_ = true;
-    owner_.store_.commit(batch, commitTimeout, guarded([this, wanted](const StoreResponse& response) {
+    closureWrittenAt_ = now();
+    owner_.store_.commit(batch, commitTimeout, guarded([this, wanted, number = ++closureWrites_](const auto& response) {
+        if (!closureWriting_ || number != closureWrites_)
+            return;
         closureWriting_ = false;
         if (response.done()) {
             closure_ = wanted;
@@ -81,6 +99,8 @@
             { { "outcomeUnknown", response.outcome == StoreOutcome::Unknown } });
         if (response.outcome == StoreOutcome::Conflict)
             updateRevisions(response.records);
+        if (response.outcome == StoreOutcome::Unknown)
+            closureUncertainUntil_ = now() + longestLateWrite;
     }));
 }
 
--- a/tests/jobs/JobMemoryTest.cpp
+++ b/tests/jobs/JobMemoryTest.cpp
@@ -168,6 +168,33 @@
     CHECK(cluster.submit("batch", "a1", waitingJob(), next).outcome == AdmissionOutcome::Accepted);
 }
 
+// Guards against an owner that closes and opens no account any more because one of its writes got no response.
+TEST_CASE("an account is closed again after the write that opened it got no response")
+{
+    SimCluster cluster(1);
+    cluster.addWorkers(1, 2);
+    limitJobMemory(cluster, 200000);
+    cluster.world.run(Milliseconds(3000));
+    const int accepted = submitUntilRefused(cluster, "key", 100);
+    int unanswered = 0;
+    cluster.instances[0]->faultyStore.faultFor = [&unanswered](StoreCall call, const std::string& key) {
+        if (call != StoreCall::Commit || key != keys::closure || unanswered > 0)
+            return CallFault::None;
+        ++unanswered;
+        return CallFault::NoResponse;
+    };
+    for (int number = 0; number < accepted; ++number)
+        cluster.cancel("batch", "key-" + std::to_string(number));
+    cluster.world.run(Milliseconds(6000));
+    CHECK(unanswered == 1);
+    CHECK(cluster.store.find(keys::closure) == nullptr);
+    for (int number = 0; number < 50; ++number) {
+        cluster.submit("batch", "next-" + std::to_string(number), waitingJob(4000));
+        cluster.world.run(Milliseconds(100));
+    }
+    CHECK(cluster.store.find(keys::closure) != nullptr);
+}
+
 // Guards against jobs that are accepted without a bound while there is no owner that could close the admission.
 TEST_CASE("an instance accepts only so many bytes of jobs a second")
 {
