The server hands a response over after it has dropped the request

A handler's thread kept its second descriptor of the connection, and a copy of the body, until after the response had been handed to the loop, which may close the connection with it: the client then learned of the end a moment late, and a body was held twice. Found by reading. The body is taken out of the message now, and both are dropped first.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -114,7 +114,7 @@
     }
 
     void handle(reactor::ServerRequest message, const reactor::Responder& respond);
-    void serve(const reactor::ServerRequest& message, ConnectionProbe& probe, const reactor::Responder& respond);
+    reactor::ServerResponse serve(reactor::ServerRequest& message, ConnectionProbe& probe) const;
     // Lets the loop end once the server has drained, or at the deadline.
     void endLoopWhenIdle();
 
@@ -139,10 +139,14 @@
     const auto request = std::make_shared<reactor::ServerRequest>(std::move(message));
     ++requests;
     const bool taken = workers.run([this, request = request, probe = probe, respond]() mutable {
-        serve(*request, *probe, respond);
-        // The descriptor must be closed before the response can close the connection.
-        probe.reset();
+        reactor::ServerResponse response = serve(*request, *probe);
         request.reset();
+        // A second descriptor would keep the connection open that the response may close.
+        probe.reset();
+        inbox.post([this, respond, response = std::move(response)] {
+            respond(response);
+            --requests;
+        });
     });
     if (taken)
         return;
@@ -152,28 +156,24 @@
         refusal({ ErrorCode::Unavailable, "all threads are busy; retry later", Verdict::NotRun, retryAfterFullQueue }));
 }
 
-// Runs on a worker thread.
-void HttpServer::State::serve(
-    const reactor::ServerRequest& message, ConnectionProbe& probe, const reactor::Responder& respond)
+// Runs on a worker thread. Takes the body out of the message.
+reactor::ServerResponse HttpServer::State::serve(reactor::ServerRequest& message, ConnectionProbe& probe) const
 {
-    reactor::ServerResponse response;
     try {
         HttpRequest request = decode(message);
-        request.body = message.body;
+        request.body = std::move(message.body);
         request.clientGone = [&probe] { return probe.isClosedByPeer(); };
-        response = encode(router.route(std::move(request)));
+        return encode(router.route(std::move(request)));
     } catch (const Poco::SyntaxException& problem) {
-        response = refusal(invalidArgument("the request's target is not a URI: " + problem.message()));
+        return refusal(invalidArgument("the request's target is not a URI: " + problem.message()));
     } catch (const std::exception& problem) {
         // The request may have had an effect, so that its caller must learn nothing else.
         logger.error("Request handler threw an exception; closing the connection",
             { { "target", message.head.getURI() }, { "reason", problem.what() } });
+        reactor::ServerResponse response;
         response.closeWithoutAnswer = true;
+        return response;
     }
-    inbox.post([this, respond, response = std::move(response)] {
-        respond(response);
-        --requests;
-    });
 }
 
 void HttpServer::State::endLoopWhenIdle()
--- a/tests/transport/HttpServerLimitsTest.cpp
+++ b/tests/transport/HttpServerLimitsTest.cpp
@@ -98,9 +98,11 @@
     TEST_CASE("a request is refused with NotRun when all threads are busy and the queue is full")
     {
         Fixture fixture;
+        constexpr int callerCount = 2;
         std::vector<std::thread> callers;
+        callers.reserve(callerCount);
         std::atomic<int> answered { 0 };
-        for (int number = 0; number < 2; ++number) {
+        for (int number = 0; number < callerCount; ++number) {
             callers.emplace_back([&fixture, &answered] {
                 HttpClient client(fixture.address);
                 answered += client.send("GET", "/hold", {}, "", timeout) ? 1 : 0;
