--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -646,11 +646,29 @@
                 run.endsAt = now();
     }
 
+    // The machine loses power and never returns. What it ran is gone, calls to it get no answer, and the platform
+    // removes its entry after three intervals.
+    void losePower()
+    {
+        const Lock lock(mutex_);
+        lost_ = true;
+        note("minion %s is lost for good", id_.c_str());
+        while (!running_.empty())
+            end(running_.begin(), "lost");
+        std::thread([this] {
+            pause(4500);
+            store_.remove("servers/" + id_);
+            note("the platform removes the entry of %s", id_.c_str());
+        }).detach();
+    }
+
     void beat()
     {
         Json entry;
         {
             const Lock lock(mutex_);
+            if (lost_)
+                return;
             entry = { { "Service", "svc" }, { "Address", server_->address() }, { "Zone", "zone-a" }, { "Version", "v1" },
                 { "Slots", 8 }, { "State", "ready" }, { "ColdRemainingMs", 0 }, { "ClockMs", clock() }, { "born", born_ },
                 { "Capacity", { { "Cpu", limits_.cpu }, { "RequestedMb", limits_.megabytes }, { "Gpu", limits_.gpu } } },
@@ -693,6 +711,8 @@
             {
                 const Lock lock(mutex_);
                 const bool lapsed = clock() >= deadline_;
+                if (lost_)
+                    return;
                 for (auto run = running_.begin(); run != running_.end();) {
                     const auto current = run++;
                     if (current->second.stopsAt >= 0 && now() >= current->second.stopsAt)
@@ -718,9 +738,13 @@
         if (fault.refuse)
             return { fault.refuse, "{}" };
         pause(fault.executeAfter);
-        Response response = execute(request);
+        {
+            const Lock lock(mutex_);
+            fault.loseAnswer = fault.loseAnswer || lost_;
+        }
+        Response response = fault.loseAnswer && lost_ ? Response { 200, "{}" } : execute(request);
         pause(fault.answerAfter);
-        response.silent = fault.loseAnswer;
+        response.silent = fault.loseAnswer || lost_;
         return response;
     }
 
@@ -820,6 +844,7 @@
     std::vector<End> ends_;
     std::int64_t lastEnd_ = 0, fence_ = 0, deadline_ = 0;
     int sequence_ = 0;
+    std::atomic<bool> lost_ { false };
     std::shared_ptr<Server> server_;
 };
 
