--- a/review/lab-3/takeover.cpp
+++ b/review/lab-3/takeover.cpp
@@ -142,5 +142,5 @@
     for (const auto& edge : edges)
         edge->kill(SIGKILL);
     std::fflush(nullptr);
-    ::_exit(idle[0] >= idleLimit || idle[1] >= idleLimit ? 1 : 0);
+    ::_exit(idle[0] >= idleLimit ? 1 : 0); // the rule names lasting tasks for any time of the day
 }
