--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -45,7 +45,10 @@
     return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - start).count();
 }
 
-inline void pause(double ms) { std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(std::max(0.0, ms))); }
+inline void pause(double ms)
+{
+    std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(std::max(0.0, ms)));
+}
 
 inline std::int64_t unixMs()
 {
@@ -205,7 +208,8 @@
                 break;
             }
             if (!sendAll(fd,
-                    "HTTP/1.1 " + std::to_string(response.status) + " X\r\nContent-Type: application/json\r\nContent-Length: "
+                    "HTTP/1.1 " + std::to_string(response.status)
+                        + " X\r\nContent-Type: application/json\r\nContent-Length: "
                         + std::to_string(response.body.size()) + "\r\n\r\n" + response.body))
                 break;
         }
@@ -338,7 +342,8 @@
 
     std::shared_ptr<Server> serve(int node)
     {
-        return std::make_shared<Server>("127.0.0.1:0", [this, node](const Request& request) { return handle(node, request); });
+        return std::make_shared<Server>(
+            "127.0.0.1:0", [this, node](const Request& request) { return handle(node, request); });
     }
 
     // A write of the operator or of a minion.
@@ -437,7 +442,8 @@
     {
         static const std::string root = "/rosemarylink/kv-";
         const std::string& target = request.target;
-        StoreCall info { node, target.substr(root.size(), target.find_first_of("/?", root.size()) - root.size()), &request };
+        StoreCall info { node, target.substr(root.size(), target.find_first_of("/?", root.size()) - root.size()),
+            &request };
         StoreFault fault;
         if (before)
             fault = before(info);
@@ -529,8 +535,10 @@
         for (const Json& row : expected) {
             const std::string key = row.at("Key");
             const auto found = items_.find(key);
-            holds = holds && (found == items_.end() ? 0 : found->second.revision) == row.at("Revision").get<std::int64_t>();
-            rows.push_back(found == items_.end() ? Json({ { "Key", key }, { "Revision", 0 } }) : toJson(key, found->second));
+            holds = holds
+                && (found == items_.end() ? 0 : found->second.revision) == row.at("Revision").get<std::int64_t>();
+            rows.push_back(
+                found == items_.end() ? Json({ { "Key", key }, { "Revision", 0 } }) : toJson(key, found->second));
         }
         if (!holds)
             return { 412, Json({ { "items", rows } }).dump() };
@@ -617,8 +625,7 @@
 
 class Minion {
 public:
-    Minion(std::string id, Store& store, RunLog& log, Needs needs,
-        MinionLimits limits = {}, std::string rack = "r1-1")
+    Minion(std::string id, Store& store, RunLog& log, Needs needs, MinionLimits limits = {}, std::string rack = "r1-1")
         : id_(std::move(id))
         , store_(store)
         , log_(log)
@@ -669,9 +676,11 @@
             const Lock lock(mutex_);
             if (lost_)
                 return;
-            entry = { { "Service", "svc" }, { "Address", server_->address() }, { "Zone", "zone-a" }, { "Version", "v1" },
-                { "Slots", 8 }, { "State", "ready" }, { "ColdRemainingMs", 0 }, { "ClockMs", clock() }, { "born", born_ },
-                { "Capacity", { { "Cpu", limits_.cpu }, { "RequestedMb", limits_.megabytes }, { "Gpu", limits_.gpu } } },
+            entry = { { "Service", "svc" }, { "Address", server_->address() }, { "Zone", "zone-a" },
+                { "Version", "v1" }, { "Slots", 8 }, { "State", "ready" }, { "ColdRemainingMs", 0 },
+                { "ClockMs", clock() }, { "born", born_ },
+                { "Capacity",
+                    { { "Cpu", limits_.cpu }, { "RequestedMb", limits_.megabytes }, { "Gpu", limits_.gpu } } },
                 { "Labels", { "a", rack_ } }, { "Sequence", ++sequence_ } };
         }
         store_.put("servers/" + id_, entry.dump());
@@ -783,7 +792,8 @@
             return answer(200, Json::object());
         }
         const std::int64_t acknowledged = body.value("AckCursor", std::int64_t(0));
-        ends_.erase(std::remove_if(ends_.begin(), ends_.end(), [&](const End& one) { return one.number <= acknowledged; }),
+        ends_.erase(
+            std::remove_if(ends_.begin(), ends_.end(), [&](const End& one) { return one.number <= acknowledged; }),
             ends_.end());
         extend(body);
         const double until = now() + std::min(2000.0, body.value("WaitMs", 0.0));
@@ -887,12 +897,13 @@
                     "sharing" } },
             { "FaultTolerance", { { "Machines", 2 }, { "Zones", 0 }, { "Regions", 0 } } },
             { "Bounds",
-                { { "ContactMs", 4000 }, { "AckMs", 5000 }, { "DrainMs", 2500 }, { "GraceS", 6 }, { "LossSlackMs", 200 },
-                    { "ConfigApplyMs", 2500 }, { "RollbackSlackMs", 250 }, { "MaxExtensionMs", 6000 },
-                    { "StrictRevocation", false }, { "RevokeMs", 5000 }, { "RecoveryS", 12 }, { "HoldMaxMs", 6000 },
-                    { "StopMs", 400 }, { "GangTimeoutMs", 3000 }, { "cancel_ms", 3000 }, { "visible_ms", 3000 },
-                    { "early_ms", 250 }, { "finish_s", 14 }, { "status_s", 120 }, { "RemoteFactor", 3 },
-                    { "CheckpointS", 2 }, { "RestoreMs", 250 }, { "ReclaimMs", 2900 } } },
+                { { "ContactMs", 4000 }, { "AckMs", 5000 }, { "DrainMs", 2500 }, { "GraceS", 6 },
+                    { "LossSlackMs", 200 }, { "ConfigApplyMs", 2500 }, { "RollbackSlackMs", 250 },
+                    { "MaxExtensionMs", 6000 }, { "StrictRevocation", false }, { "RevokeMs", 5000 },
+                    { "RecoveryS", 12 }, { "HoldMaxMs", 6000 }, { "StopMs", 400 }, { "GangTimeoutMs", 3000 },
+                    { "cancel_ms", 3000 }, { "visible_ms", 3000 }, { "early_ms", 250 }, { "finish_s", 14 },
+                    { "status_s", 120 }, { "RemoteFactor", 3 }, { "CheckpointS", 2 }, { "RestoreMs", 250 },
+                    { "ReclaimMs", 2900 } } },
             { "Orders", "request" },
             { "platform",
                 { { "Address", storeAddress }, { "form", "kv" }, { "WritesPerS", 400 }, { "ReadsPerS", 2000 },
@@ -944,7 +955,10 @@
         note("%s has ended", name_.c_str());
         process_ = 0;
     }
-    bool ready() const { return call(readiness_, "GET", "/rosemarylink/readiness", { { "Host", "x" } }, "", 500).status == 200; }
+    bool ready() const
+    {
+        return call(readiness_, "GET", "/rosemarylink/readiness", { { "Host", "x" } }, "", 500).status == 200;
+    }
     const std::string& front() const { return front_; }
     const std::string& name() const { return name_; }
 
--- a/review/lab-3/lasting.cpp
+++ b/review/lab-3/lasting.cpp
@@ -4,9 +4,9 @@
 //
 // Two machines; four minions with 8 accelerators each in two racks. A lasting task of one accelerator, in the queue of
 // priority 2, fails 15 s after its start (TROUBLE=0: it does not fail).
-// data-rack: the task's data is in a rack that other work fills, and a waiting task of priority 1 takes its place; in the
-// other rack 8 accelerators are free.
-// gang: no task names a rack; a gang of priority 1 waits for 24 accelerators, of which 12 are free.
+// data-rack: the task's data is in a rack that other work fills, and a waiting task of priority 1 takes its place; in
+// the other rack 8 accelerators are free. gang: no task names a rack; a gang of priority 1 waits for 24 accelerators,
+// of which 12 are free.
 #include "lab.h"
 
 using namespace lab;
@@ -56,21 +56,27 @@
     Store store;
     RunLog log;
     std::vector<std::unique_ptr<Minion>> minions;
+    minions.reserve(4);
     for (int i = 0; i < 4; ++i)
-        minions.push_back(std::make_unique<Minion>("i-" + std::to_string(i), store, log, needs, MinionLimits {}, i < 2 ? "r1-1" : "r1-2"));
+        minions.push_back(std::make_unique<Minion>(
+            "i-" + std::to_string(i), store, log, needs, MinionLimits {}, i < 2 ? "r1-1" : "r1-2"));
     store.put("op/config",
         Json({ { "Version", 1 }, { "Routes", { route("urgent", 0), route("batch", 1), route("serve", 2) } },
-                 { "Services", { { { "Name", "svc" }, { "AdmissionCheck", true } } } }, { "Limits", { { "MaxBodyBytes", 262144 } } },
+                 { "Services", { { { "Name", "svc" }, { "AdmissionCheck", true } } } },
+                 { "Limits", { { "MaxBodyBytes", 262144 } } },
                  { "Tenants", { { { "Name", "a" }, { "ApiKeys", { "key-a" } } } } } })
             .dump());
     std::vector<std::shared_ptr<Server>> ways;
     std::vector<std::unique_ptr<Edge>> edges;
+    ways.reserve(2);
+    edges.reserve(2);
     for (int i = 0; i < 2; ++i) {
         ways.push_back(store.serve(i));
         edges.push_back(std::make_unique<Edge>(i, directory, ways.back()->address()));
         edges.back()->start();
     }
-    if (!waitFor(10000, [&] { return std::all_of(edges.begin(), edges.end(), [](const auto& edge) { return edge->ready(); }); }))
+    if (!waitFor(10000,
+            [&] { return std::all_of(edges.begin(), edges.end(), [](const auto& edge) { return edge->ready(); }); }))
         return 2;
     pause(3000);
 
@@ -86,7 +92,8 @@
         const Json body = { { "Spec", "s" }, { "Steps", { step } } };
         const Edge& edge = *edges[static_cast<std::size_t>(++submitted % 2)];
         const Reply reply = call(edge.front(), "POST", "/" + queue + "/" + id, headers(), body.dump());
-        note("%s answers %d to POST /%s/%s %s", edge.name().c_str(), reply.status, queue.c_str(), id.c_str(), step.dump().c_str());
+        note("%s answers %d to POST /%s/%s %s", edge.name().c_str(), reply.status, queue.c_str(), id.c_str(),
+            step.dump().c_str());
         return reply.status == 200;
     };
     const auto running = [&](const std::string& id) {
@@ -146,12 +153,15 @@
             idleSince = now();
         if (idleSince >= 0 && now() - idleSince > longest) {
             if (longest < idleLimit && now() - idleSince >= idleLimit)
-                note("LOST: for 3 s the lasting task has not run, more than 6 s after its last run, with %d of 32 accelerators in use", used);
+                note("LOST: for 3 s the lasting task has not run, more than 6 s after its last run, with %d of 32 "
+                     "accelerators in use",
+                    used);
             longest = now() - idleSince;
         }
     }
     const bool works = running(lasting) == 1;
-    note("longest time without the lasting task, from 6 s after its last run, with room for it twice over: %.0f ms; it %s at the end",
+    note("longest time without the lasting task, from 6 s after its last run, with room for it twice over: %.0f ms; it "
+         "%s at the end",
         longest, works ? "runs" : "does not run");
     std::printf("%.0f ms\n", longest);
     for (const auto& edge : edges)
--- a/review/lab-3/reclaim.cpp
+++ b/review/lab-3/reclaim.cpp
@@ -41,29 +41,36 @@
     Store store;
     RunLog log;
     std::vector<std::unique_ptr<Minion>> minions;
+    minions.reserve(4);
     for (int i = 0; i < 4; ++i)
         minions.push_back(std::make_unique<Minion>("i-" + std::to_string(i), store, log, needs));
     store.put("op/config",
         Json({ { "Version", 1 }, { "Routes", { route("urgent", 0), route("serve", 2) } },
-                 { "Services", { { { "Name", "svc" }, { "AdmissionCheck", true } } } }, { "Limits", { { "MaxBodyBytes", 262144 } } },
+                 { "Services", { { { "Name", "svc" }, { "AdmissionCheck", true } } } },
+                 { "Limits", { { "MaxBodyBytes", 262144 } } },
                  { "Tenants",
                      { { { "Name", "a" }, { "ApiKeys", { "key-a" } }, { "Guaranteed", { { "Gpu", 8 } } } },
                          { { "Name", "b" }, { "ApiKeys", { "key-b" } } } } } })
             .dump());
     std::vector<std::shared_ptr<Server>> ways;
     std::vector<std::unique_ptr<Edge>> edges;
+    ways.reserve(2);
+    edges.reserve(2);
     for (int i = 0; i < 2; ++i) {
         ways.push_back(store.serve(i));
         edges.push_back(std::make_unique<Edge>(i, directory, ways.back()->address()));
         edges.back()->start();
     }
-    if (!waitFor(10000, [&] { return std::all_of(edges.begin(), edges.end(), [](const auto& edge) { return edge->ready(); }); }))
+    if (!waitFor(10000,
+            [&] { return std::all_of(edges.begin(), edges.end(), [](const auto& edge) { return edge->ready(); }); }))
         return 2;
     pause(3000);
 
     const auto submit = [&](const std::string& path, const std::string& key, const Json& step) {
-        const Reply reply = call(edges[0]->front(), "POST", path, headers(key), Json({ { "Spec", "s" }, { "Steps", { step } } }).dump());
-        note("%s answers %d to POST %s with %s: %s", edges[0]->name().c_str(), reply.status, path.c_str(), key.c_str(), step.dump().c_str());
+        Reply reply = call(
+            edges[0]->front(), "POST", path, headers(key), Json({ { "Spec", "s" }, { "Steps", { step } } }).dump());
+        note("%s answers %d to POST %s with %s: %s", edges[0]->name().c_str(), reply.status, path.c_str(), key.c_str(),
+            step.dump().c_str());
         return reply;
     };
     const auto started = [&](const std::string& id, bool running) {
@@ -78,7 +85,8 @@
     const Json step = { { "Cpu", 1000 }, { "RequestedMb", 1024 }, { "Gpu", 1 } };
     Json serving = step;
     serving.update({ { "Count", tasks }, { "LongRunning", true }, { "MayMiss", 8 } });
-    if (submit("/serve/" + lasting, "key-b", serving).status != 200 || !waitFor(8000, [&] { return started(lasting, true) == tasks; }))
+    if (submit("/serve/" + lasting, "key-b", serving).status != 200
+        || !waitFor(8000, [&] { return started(lasting, true) == tasks; }))
         return 2;
     pause(8000);
     Json request = step;
@@ -87,13 +95,15 @@
     if (accepted.status != 200)
         return 2;
     const bool inTime = waitFor(accepted.answeredAt + reclaimMs - now(), [&] { return started(urgent, false) == 4; });
-    note("%d of 4 tasks have begun %.0f ms after the acknowledgement", started(urgent, false), now() - accepted.answeredAt);
+    note("%d of 4 tasks have begun %.0f ms after the acknowledgement", started(urgent, false),
+        now() - accepted.answeredAt);
     if (!inTime) {
         note("RECLAIM: the job needs 4 of the 8 accelerators that are guaranteed to its tenant");
         waitFor(watchFor, [&] { return started(urgent, false) == 4; });
         const Reply state = call(edges[0]->front(), "GET", "/urgent/" + urgent, headers("key-a"), "");
         note("%d of 4 tasks have begun %.0f ms after the acknowledgement; GET answers %d %s; %d lasting tasks run",
-            started(urgent, false), now() - accepted.answeredAt, state.status, state.body.c_str(), started(lasting, true));
+            started(urgent, false), now() - accepted.answeredAt, state.status, state.body.c_str(),
+            started(lasting, true));
     }
     std::printf("%d of 4 tasks begun after %.0f ms\n", started(urgent, false), now() - accepted.answeredAt);
     for (const auto& edge : edges)
--- a/review/lab-3/regress.cpp
+++ b/review/lab-3/regress.cpp
@@ -34,8 +34,11 @@
     for (int i = droppedKeys + 1; i <= rounds + 1; ++i)
         keys.push_back(key(i));
     return Json({ { "Version", version }, { "Routes", routes },
-                    { "Services", { { { "Name", "svc" }, { "AdmissionCheck", true } } } }, { "Limits", { { "MaxBodyBytes", 262144 } } },
-                    { "Tenants", { { { "Name", "a" }, { "ApiKeys", keys } }, { { "Name", "b" }, { "ApiKeys", { "key-of-tenant-b" } } } } } })
+                    { "Services", { { { "Name", "svc" }, { "AdmissionCheck", true } } } },
+                    { "Limits", { { "MaxBodyBytes", 262144 } } },
+                    { "Tenants",
+                        { { { "Name", "a" }, { "ApiKeys", keys } },
+                            { { "Name", "b" }, { "ApiKeys", { "key-of-tenant-b" } } } } } })
         .dump();
 }
 
@@ -71,20 +74,25 @@
     };
     RunLog log;
     std::vector<std::unique_ptr<Minion>> minions;
+    minions.reserve(4);
     for (int i = 0; i < 4; ++i)
-        minions.push_back(std::make_unique<Minion>("i-" + std::to_string(i), store, log, [](const std::string&, int) { return TaskNeeds { 100 }; }));
+        minions.push_back(std::make_unique<Minion>(
+            "i-" + std::to_string(i), store, log, [](const std::string&, int) { return TaskNeeds { 100 }; }));
 
     const int idleRoutes = trouble ? 352 : 2;
     int version = 1;
     store.put("op/config", configuration(version, 2, 0, 0));
     std::vector<std::shared_ptr<Server>> ways;
     std::vector<std::unique_ptr<Edge>> edges;
+    ways.reserve(7);
+    edges.reserve(7);
     for (int i = 0; i < 7; ++i) {
         ways.push_back(store.serve(i));
         edges.push_back(std::make_unique<Edge>(i, directory, ways.back()->address()));
         edges.back()->start();
     }
-    if (!waitFor(10000, [&] { return std::all_of(edges.begin(), edges.end(), [](const auto& edge) { return edge->ready(); }); }))
+    if (!waitFor(10000,
+            [&] { return std::all_of(edges.begin(), edges.end(), [](const auto& edge) { return edge->ready(); }); }))
         return 2;
     pause(2500);
     store.put("op/config", configuration(++version, idleRoutes, 0, 0)); // big_config, count = 350
@@ -95,7 +103,8 @@
         pause(std::uniform_real_distribution<>(1300, 2000)(random));
         edge->start();
     }
-    if (!waitFor(10000, [&] { return std::all_of(edges.begin(), edges.end(), [](const auto& edge) { return edge->ready(); }); }))
+    if (!waitFor(10000,
+            [&] { return std::all_of(edges.begin(), edges.end(), [](const auto& edge) { return edge->ready(); }); }))
         return 2;
     pause(4000);
 
@@ -107,16 +116,18 @@
         note("version %d is acknowledged: adds /new%d/, takes away %s", version, round, key(round).c_str());
         const std::string path = "/new" + std::to_string(round) + "/";
         const std::string id = jobId(round);
-        const std::string body = R"({"Spec":"s","Steps":[{"Count":1,"Cpu":1000,"RequestedMb":1024,"Gpu":1,"EstimateMs":100}]})";
+        const std::string body
+            = R"({"Spec":"s","Steps":[{"Count":1,"Cpu":1000,"RequestedMb":1024,"Gpu":1,"EstimateMs":100}]})";
         std::atomic<bool> accepted { false };
         std::vector<std::thread> clients;
+        clients.reserve(edges.size());
         for (const auto& edge : edges) {
             clients.emplace_back([&, front = edge->front(), name = edge->name()] {
                 while (!accepted && now() < acknowledgedAt + 4000) {
                     const Reply reply = call(front, "POST", path + id, headers("key-of-tenant-b"), body);
                     if (reply.status == 200 && !accepted.exchange(true))
-                        note("%s accepts job %s on %s, sent %.0f ms after the version", name.c_str(), id.c_str(), path.c_str(),
-                            reply.sentAt - acknowledgedAt);
+                        note("%s accepts job %s on %s, sent %.0f ms after the version", name.c_str(), id.c_str(),
+                            path.c_str(), reply.sentAt - acknowledgedAt);
                     pause(10);
                 }
             });
@@ -149,11 +160,13 @@
         while (now() < start.startedAt + 1200) {
             const Reply count = call(edge.front(), "GET", path, headers("key-of-tenant-b"), "");
             const Reply dropped = call(edge.front(), "GET", "/base/", headers(key(round)), "");
-            for (const auto& [reply, wrong, what] : { std::tuple(count, 404, "GET of the new route"), std::tuple(dropped, 200, "GET with the dropped key") }) {
+            for (const auto& [reply, wrong, what] : { std::tuple(count, 404, "GET of the new route"),
+                     std::tuple(dropped, 200, "GET with the dropped key") }) {
                 if (reply.status != wrong || reply.sentAt <= start.startedAt + rollbackSlackMs)
                     continue;
-                note("OLD VERSION: %s answers %d to a %s sent %.0f ms after the start and %.0f ms after the version", edge.name().c_str(),
-                    reply.status, what, reply.sentAt - start.startedAt, reply.sentAt - acknowledgedAt);
+                note("OLD VERSION: %s answers %d to a %s sent %.0f ms after the start and %.0f ms after the version",
+                    edge.name().c_str(), reply.status, what, reply.sentAt - start.startedAt,
+                    reply.sentAt - acknowledgedAt);
                 regressed = true;
             }
             pause(20);
@@ -169,7 +182,8 @@
             pause(2000);
         }
     }
-    note("%d of %d versions: the machine that ordered the start handled later requests by the older version", regressions, judged);
+    note("%d of %d versions: the machine that ordered the start handled later requests by the older version",
+        regressions, judged);
     std::printf("%d of %d versions were handled by an older one\n", regressions, judged);
     for (const auto& edge : edges)
         edge->kill(SIGKILL);
--- a/review/lab-3/takeover.cpp
+++ b/review/lab-3/takeover.cpp
@@ -1,8 +1,8 @@
 // After the loss of one minion and a change of the owner, no job goes on for a lease.
 //
-// Three machines; eight minions with 8 accelerators each. A lasting task runs on one of the minions. That minion is lost
-// for good, and some time later (1.5 s) the process that orders the starts is killed and started again (TROUBLE=0: neither). Just
-// before the kill a client hands in a job of one task.
+// Three machines; eight minions with 8 accelerators each. A lasting task runs on one of the minions. That minion is
+// lost for good, and some time later (1.5 s) the process that orders the starts is killed and started again (TROUBLE=0:
+// neither). Just before the kill a client hands in a job of one task.
 #include "lab.h"
 
 using namespace lab;
@@ -62,17 +62,21 @@
     }
     store.put("op/config",
         Json({ { "Version", 1 }, { "Routes", { route("batch", 1), route("serve", 2) } },
-                 { "Services", { { { "Name", "svc" }, { "AdmissionCheck", true } } } }, { "Limits", { { "MaxBodyBytes", 262144 } } },
+                 { "Services", { { { "Name", "svc" }, { "AdmissionCheck", true } } } },
+                 { "Limits", { { "MaxBodyBytes", 262144 } } },
                  { "Tenants", { { { "Name", "a" }, { "ApiKeys", { "key-a" } } } } } })
             .dump());
     std::vector<std::shared_ptr<Server>> ways;
     std::vector<std::unique_ptr<Edge>> edges;
+    ways.reserve(3);
+    edges.reserve(3);
     for (int i = 0; i < 3; ++i) {
         ways.push_back(store.serve(i));
         edges.push_back(std::make_unique<Edge>(i, directory, ways.back()->address()));
         edges.back()->start();
     }
-    if (!waitFor(10000, [&] { return std::all_of(edges.begin(), edges.end(), [](const auto& edge) { return edge->ready(); }); }))
+    if (!waitFor(10000,
+            [&] { return std::all_of(edges.begin(), edges.end(), [](const auto& edge) { return edge->ready(); }); }))
         return 2;
     pause(3000);
 
@@ -80,7 +84,8 @@
         step.update({ { "Count", 1 }, { "Cpu", 1000 }, { "RequestedMb", 1024 }, { "Gpu", 1 } });
         const Json body = { { "Spec", "s" }, { "Steps", { step } } };
         const Reply reply = call(edge.front(), "POST", "/" + queue + "/" + id, headers(), body.dump());
-        note("%s answers %d to POST /%s/%s %s", edge.name().c_str(), reply.status, queue.c_str(), id.c_str(), step.dump().c_str());
+        note("%s answers %d to POST /%s/%s %s", edge.name().c_str(), reply.status, queue.c_str(), id.c_str(),
+            step.dump().c_str());
         return reply.status == 200;
     };
     SeenRun first;
@@ -131,12 +136,14 @@
             works[which] = works[which] || run.endedAt < 0 || (which == 1 && run.how == "done");
             lastEnd[which] = std::max(lastEnd[which], run.endedAt);
         }
-        const double judgedFrom[2] = { std::max(lastEnd[0] + graceAfterRun, calmFrom + calmBefore), std::max(lastEnd[1], calmFrom + calmBefore) };
+        const double judgedFrom[2] = { std::max(lastEnd[0] + graceAfterRun, calmFrom + calmBefore),
+            std::max(lastEnd[1], calmFrom + calmBefore) };
         for (int which = 0; which < 2; ++which)
             if (!works[which])
                 idle[which] = std::max(idle[which], now() - judgedFrom[which]);
     }
-    note("the lasting task did not run for %.0f ms, from 6 s after its last run and 4 s after the last disruption on", idle[0]);
+    note("the lasting task did not run for %.0f ms, from 6 s after its last run and 4 s after the last disruption on",
+        idle[0]);
     note("the job of one task did not run for %.0f ms, from 4 s after the last disruption on", idle[1]);
     std::printf("%.0f ms lasting, %.0f ms accepted\n", idle[0], idle[1]);
     for (const auto& edge : edges)
