--- a/review/lab-3/regress.cpp
+++ b/review/lab-3/regress.cpp
@@ -10,9 +10,10 @@
 
 namespace {
 
-constexpr int rounds = 15;
+constexpr int rounds = 12;
 constexpr int roundsPerOwner = 3;
 constexpr double rollbackSlackMs = 250;
+constexpr double contactMs = 4000; // all machines are in touch after this time without a disruption
 
 Json route(const std::string& name)
 {
@@ -100,13 +101,13 @@
     pause(2500);
     for (const auto& edge : edges) { // roll_term: the machines are stopped and started in turn
         edge->stop(6000);
-        pause(std::uniform_real_distribution<>(1300, 2000)(random));
+        pause(std::uniform_real_distribution<>(2000, 2700)(random));
         edge->start();
     }
     if (!waitFor(10000,
             [&] { return std::all_of(edges.begin(), edges.end(), [](const auto& edge) { return edge->ready(); }); }))
         return 2;
-    pause(4000);
+    pause(contactMs);
 
     int regressions = 0, judged = 0;
     for (int round = 1; round <= rounds; ++round) {
@@ -175,11 +176,11 @@
         if (round % roundsPerOwner == 0 && round < rounds) { // roll_term of one machine: another one orders the starts
             note("%s is restarted", edge.name().c_str());
             edge.stop(6000);
-            pause(std::uniform_real_distribution<>(1300, 2000)(random));
+            pause(std::uniform_real_distribution<>(2000, 2700)(random));
             edge.start();
             if (!waitFor(10000, [&] { return edge.ready(); }))
                 return 2;
-            pause(2000);
+            pause(contactMs);
         }
     }
     note("%d of %d versions: the machine that ordered the start handled later requests by the older version",
