Review scripts: a loopback address of their own; runs with it

Of 25 scripts that started at the same moment four could not run, since they took each other's ports of 127.0.0.1. Each now has an address that is derived from its process id, and ports below those that the system gives to clients.

25 at the same moment, x86-64: none failed to run.

--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -860,16 +860,33 @@
 
 // ---- the processes under test
 
-// A port of 127.0.0.1 that is free now.
+// A loopback address derived from the process id, so that scripts that run at the same time don't take each other's
+// ports.
+inline const std::string& ownHost()
+{
+    static const std::string host = [] {
+        const int id = static_cast<int>(::getpid());
+        return "127." + std::to_string(1 + (id >> 16) % 254) + "." + std::to_string((id >> 8) % 256) + "."
+            + std::to_string(id % 256);
+    }();
+    return host;
+}
+
+// A port of the own address that is free now, each time another one, below those that the system gives to clients.
 inline int freePort()
 {
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in own = socketAddress("127.0.0.1:0");
-    socklen_t length = sizeof own;
-    ::bind(fd, reinterpret_cast<sockaddr*>(&own), length);
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&own), &length);
-    ::close(fd);
-    return ntohs(own.sin_port);
+    constexpr int ports = 10000;
+    static int next = 20000;
+    for (int tried = 0; tried < ports; ++tried) {
+        const int port = next++;
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in own = socketAddress(ownHost() + ":" + std::to_string(port));
+        const bool bound = ::bind(fd, reinterpret_cast<const sockaddr*>(&own), sizeof own) == 0;
+        ::close(fd);
+        if (bound)
+            return port;
+    }
+    return 0;
 }
 
 class Edge {
@@ -877,13 +894,13 @@
     Edge(int number, std::string directory, const std::string& storeAddress)
         : name_("edge-" + std::to_string(number))
         , directory_(std::move(directory))
-        , front_("127.0.0.1:" + std::to_string(freePort()))
-        , readiness_("127.0.0.1:" + std::to_string(freePort()))
+        , front_(ownHost() + ":" + std::to_string(freePort()))
+        , readiness_(ownHost() + ":" + std::to_string(freePort()))
     {
         const int internal = freePort();
         // As the platform writes it for a machine of frescura-hq, but for the addresses.
         const Json settings = { { "NodeName", name_ }, { "Role", "edge" }, { "MachineClass", "edge" },
-            { "Serves", { "edge" } }, { "Ip", "127.0.0.1" }, { "Zone", "zone-a" }, { "Region", "region-a" },
+            { "Serves", { "edge" } }, { "Ip", ownHost() }, { "Zone", "zone-a" }, { "Region", "region-a" },
             { "Zones", { { "zone-a", "region-a" } } },
             { "Listen", { { "Frontend", front_ }, { "Readiness", readiness_ } } },
             { "InternalPortRange", { internal, internal } }, { "Seeds", Json::array() }, { "Bootstrap", true },
