--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -615,6 +615,9 @@
     std::vector<SeenRun> runs_;
 };
 
+// The work of a task that lasts.
+constexpr double untilStopped = 1e9;
+
 // What a task asks for and how long it works; the client knows it, and the minion learns it from the task's job.
 struct TaskNeeds {
     double workMs = 1000;
@@ -800,18 +803,24 @@
         while (ends_.empty() && now() < until)
             changed_.wait_for(lock, std::chrono::duration<double, std::milli>(until - now()));
         Json running = Json::array(), ended = Json::array();
-        for (const auto& [task, run] : running_) {
-            if (run.stopsAt >= 0)
-                continue;
-            const double done = 100 * (1 - (run.endsAt - now()) / std::max(1.0, run.needs.workMs));
-            running.push_back({ task, run.run, "", static_cast<int>(std::clamp(done, 0.0, 99.0)) });
-        }
+        for (const auto& [task, run] : running_)
+            running.push_back({ task, run.run, "", percentOf(run) });
         for (const End& one : ends_)
             if (ended.size() < 500)
                 ended.push_back({ one.number, one.task, one.run, one.how, "" });
         return answer(200, { { "Running", running }, { "Ended", ended }, { "born", born_ } });
     }
 
+    // A task that lasts is at work, at 100, after a short startup.
+    static int percentOf(const Run& run)
+    {
+        constexpr double startupMs = 300;
+        const double worked = run.needs.workMs - (run.endsAt - now());
+        if (run.needs.workMs >= untilStopped)
+            return worked >= startupMs ? 100 : 0;
+        return static_cast<int>(std::clamp(100 * worked / std::max(1.0, run.needs.workMs), 0.0, 99.0));
+    }
+
     Response start(const Json& body, std::int64_t token)
     {
         const std::string task = body.at("Task");
--- a/review/lab-3/lasting.cpp
+++ b/review/lab-3/lasting.cpp
@@ -48,7 +48,7 @@
         const Lock lock(mutex);
         TaskNeeds found = jobs[task.substr(0, 16)];
         if (task.compare(0, 16, lasting) == 0)
-            found = { 1e9, 1000, 1024, 1, "failed" };
+            found = { untilStopped, 1000, 1024, 1, "failed" };
         return found;
     };
     std::atomic<bool> failed { false };
@@ -108,16 +108,16 @@
         return std::string(text);
     };
 
-    Json step = { { "Count", 1 }, { "LongRunning", true }, { "EstimateMs", 60000 } };
+    Json step = { { "Count", 1 }, { "LongRunning", true }, { "EstimateMs", 3600000 } };
     if (!gang)
         step["Affinity"] = "r1-1";
-    if (!submit("serve", lasting, step, 1e9) || !waitFor(5000, [&] { return running(lasting) == 1; }))
+    if (!submit("serve", lasting, step, untilStopped) || !waitFor(5000, [&] { return running(lasting) == 1; }))
         return 2;
     const double startedAt = now();
-    // Other work, each task for 150 s.
+    // Other work, which takes as long as its client says and longer than the script watches.
     const std::string filler = newId();
     if (gang) {
-        if (!submit("batch", filler, { { "Count", 19 }, { "EstimateMs", 60000 } }, 150000)
+        if (!submit("batch", filler, { { "Count", 19 }, { "EstimateMs", 90000 } }, 90000)
             || !waitFor(5000, [&] { return running(filler) == 19; })
             || !submit("batch", newId(), { { "Count", 24 }, { "EstimateMs", 10000 }, { "Gang", true } }, 10000))
             return 2;
--- a/review/lab-3/reclaim.cpp
+++ b/review/lab-3/reclaim.cpp
@@ -35,7 +35,7 @@
     const std::string directory = argv[2];
     const std::string lasting = "00000000000000bb", urgent = "00000000000000aa";
     const Needs needs = [&](const std::string& task, int) {
-        return task.compare(0, 16, lasting) == 0 ? TaskNeeds { 1e9 } : TaskNeeds { 2000 };
+        return task.compare(0, 16, lasting) == 0 ? TaskNeeds { untilStopped } : TaskNeeds { 2000 };
     };
 
     Store store;
--- a/review/lab-3/regress.cpp
+++ b/review/lab-3/regress.cpp
@@ -1,18 +1,19 @@
 // A machine handles requests by an older version although a minion has seen the effect of the newer one through it.
 //
 // Seven machines, four minions, one store. A configuration of 353 routes (TROUBLE=0: 3 routes) is followed by versions
-// that each add a route and take a key away. A client hands a job in to the new route at every machine until one
-// accepts it. As soon as a minion has started its task, requests are sent to the machine that ordered the start: one to
-// the new route and one with the key that was taken away.
+// that each add a route and take a key away. Clients request the count of the new route at every machine; at the first
+// one that has the route, a job is handed in. As soon as a minion has started its task, requests are sent to the
+// machine that ordered the start: one to the new route and one with the key that was taken away.
 #include "lab.h"
 
 using namespace lab;
 
 namespace {
 
-constexpr int rounds = 9;
-constexpr int roundsPerOwner = 3;
+constexpr int rounds = 12;
+constexpr int roundsPerOwner = 4;
 constexpr double rollbackSlackMs = 250;
+constexpr double rollGapMs = 2000; // the least time between two SIGTERMs
 constexpr double contactMs = 4000; // all machines are in touch after this time without a disruption
 
 Json route(const std::string& name)
@@ -55,6 +56,14 @@
     return text;
 }
 
+// roll_term: the machine gets SIGTERM and starts again after a short delay.
+void restart(Edge& edge, std::mt19937& random)
+{
+    edge.stop(6000);
+    pause(std::uniform_real_distribution<>(200, 700)(random));
+    edge.start();
+}
+
 } // namespace
 
 int main(int, char** argv)
@@ -99,10 +108,10 @@
     store.put("op/config", configuration(++version, idleRoutes, 0, 0)); // big_config, count = 350
     note("version %d: %zu bytes, %d idle routes", version, store.value("op/config").size(), idleRoutes);
     pause(2500);
-    for (const auto& edge : edges) { // roll_term: the machines are stopped and started in turn
-        edge->stop(6000);
-        pause(std::uniform_real_distribution<>(2000, 2700)(random));
-        edge->start();
+    for (const auto& edge : edges) { // in turn, each SIGTERM at least 2 s after the one before
+        const double earliestNext = now() + rollGapMs;
+        restart(*edge, random);
+        pause(earliestNext - now());
     }
     if (!waitFor(10000,
             [&] { return std::all_of(edges.begin(), edges.end(), [](const auto& edge) { return edge->ready(); }); }))
@@ -119,17 +128,19 @@
         const std::string id = jobId(round);
         const std::string body
             = R"({"Spec":"s","Steps":[{"Count":1,"Cpu":1000,"RequestedMb":1024,"Gpu":1,"EstimateMs":100}]})";
-        std::atomic<bool> accepted { false };
+        std::atomic<bool> found { false };
         std::vector<std::thread> clients;
         clients.reserve(edges.size());
         for (const auto& edge : edges) {
             clients.emplace_back([&, front = edge->front(), name = edge->name()] {
-                while (!accepted && now() < acknowledgedAt + 4000) {
-                    const Reply reply = call(front, "POST", path + id, headers("key-of-tenant-b"), body);
-                    if (reply.status == 200 && !accepted.exchange(true))
-                        note("%s accepts job %s on %s, sent %.0f ms after the version", name.c_str(), id.c_str(),
-                            path.c_str(), reply.sentAt - acknowledgedAt);
-                    pause(10);
+                while (!found && now() < acknowledgedAt + 4000) {
+                    const Reply count = call(front, "GET", path, headers("key-of-tenant-b"), "");
+                    if (count.status == 200 && !found.exchange(true)) {
+                        const Reply reply = call(front, "POST", path + id, headers("key-of-tenant-b"), body);
+                        note("%s answers %d to job %s on %s, sent %.0f ms after the version", name.c_str(),
+                            reply.status, id.c_str(), path.c_str(), reply.sentAt - acknowledgedAt);
+                    }
+                    pause(20);
                 }
             });
         }
@@ -175,9 +186,7 @@
         regressions += regressed ? 1 : 0;
         if (round % roundsPerOwner == 0 && round < rounds) { // roll_term of one machine: another one orders the starts
             note("%s is restarted", edge.name().c_str());
-            edge.stop(6000);
-            pause(std::uniform_real_distribution<>(2000, 2700)(random));
-            edge.start();
+            restart(edge, random);
             if (!waitFor(10000, [&] { return edge.ready(); }))
                 return 2;
             pause(contactMs);
--- a/review/lab-3/takeover.cpp
+++ b/review/lab-3/takeover.cpp
@@ -42,7 +42,7 @@
     recordFile() = std::fopen(argv[1], "w");
     const std::string directory = argv[2];
     const Needs needs = [&](const std::string& task, int) {
-        return task.compare(0, 16, lasting) == 0 ? TaskNeeds { 1e9 } : TaskNeeds { 2000 };
+        return task.compare(0, 16, lasting) == 0 ? TaskNeeds { untilStopped } : TaskNeeds { 2000 };
     };
 
     Store store;
